--- /dev/null
+++ b/include/limpetdrum/daemon/Codec.h
@@ -0,0 +1,44 @@
+#ifndef LIMPETDRUM_DAEMON_CODEC_H
+#define LIMPETDRUM_DAEMON_CODEC_H
+
+#include "limpetdrum/process/Membership.h"
+#include "limpetdrum/request/AttemptSpec.h"
+#include "limpetdrum/request/KeyLedger.h"
+
+#include "Node.capnp.h"
+
+#include <optional>
+#include <string>
+
+/// \brief Between the messages of Node.capnp and the types of the library.
+namespace limpetdrum::codec {
+
+void write(rpc::AttemptId::Builder Out, AttemptId Value);
+[[nodiscard]] AttemptId read(rpc::AttemptId::Reader In);
+
+void write(rpc::Attempt::Builder Out, const AttemptSpec &Value);
+/// \throws ValueError if a field is out of its range.
+[[nodiscard]] AttemptSpec read(rpc::Attempt::Reader In);
+
+void write(rpc::Reply::Builder Out, const Reply &Value);
+/// \throws ValueError if a field is out of its range.
+[[nodiscard]] Reply read(rpc::Reply::Reader In);
+
+void write(rpc::MemberRecord::Builder Out, const Member &Value);
+/// \throws ValueError if a field is out of its range.
+[[nodiscard]] Member read(rpc::MemberRecord::Reader In);
+
+void write(rpc::KeyRecord::Builder Out, const IdempotencyKey &Key,
+           const KeyRecord &Value, TimePoint Now);
+[[nodiscard]] std::pair<IdempotencyKey, KeyRecord>
+read(rpc::KeyRecord::Reader In, TimePoint Now);
+
+/// \returns the bytes of a datagram, of MaxDatagramBytes at most: updates
+///   that do not fit are left for a later one.
+[[nodiscard]] std::string encode(GossipMessage Value);
+/// \returns nothing if the bytes are malformed.
+[[nodiscard]] std::optional<GossipMessage> decode(const std::string &Bytes);
+
+} // namespace limpetdrum::codec
+
+#endif
--- /dev/null
+++ b/include/limpetdrum/daemon/KeyedCalls.h
@@ -0,0 +1,63 @@
+#ifndef LIMPETDRUM_DAEMON_KEYEDCALLS_H
+#define LIMPETDRUM_DAEMON_KEYEDCALLS_H
+
+#include "limpetdrum/daemon/Caller.h"
+#include "limpetdrum/request/KeyHome.h"
+#include "limpetdrum/request/KeyLedger.h"
+
+namespace limpetdrum {
+
+/// \brief Requests with an idempotency key: they run once, whoever asks.
+///
+/// A keyed request goes through its witness to its home; see KeyLedger.
+class KeyedCalls {
+public:
+  using SendRecords = std::function<void(
+      const Member &To,
+      const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records,
+      std::function<void(bool)> OnDone)>;
+
+  KeyedCalls(const Membership &Members, Executor &Own, Caller &Calls,
+             const InForce &Releases, Metrics &Counters, Clock Now);
+
+  /// \brief A keyed request enters the fleet here.
+  void start(CallRequest Request, ReplyDone Done);
+  /// \brief A keyed attempt arrives from another node.
+  void arrive(const AttemptSpec &Attempt, ReplyDone Done);
+  /// \brief Takes over records from a node that leaves or makes room.
+  void adopt(const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records);
+
+  /// \brief Gives records to the nodes that are responsible for their keys.
+  /// \param OnlyTo if set, no other node.
+  /// \param OnDone called with whether all of them were taken.
+  void handOver(const std::optional<NodeId> &OnlyTo, const SendRecords &Send,
+                const std::function<void(bool)> &OnDone) const;
+  void sweep();
+  [[nodiscard]] std::size_t size() const noexcept { return this->Keys.size(); }
+
+private:
+  [[nodiscard]] std::optional<KeyNodes>
+  nodesOf(const IdempotencyKey &Key, const ServiceName &Service) const;
+  [[nodiscard]] NodeLife self() const;
+  void runHere(const AttemptSpec &Attempt, bool Begins, ReplyDone Done);
+  void forward(const AttemptSpec &Attempt, const NodeLife &Holder,
+               ReplyDone Done);
+
+  const Membership &Members;
+  Executor &Own;
+  Caller &Calls;
+  const InForce &Releases;
+  Metrics &Counters;
+  Clock Now;
+  KeyLedger Keys;
+  std::unordered_map<IdempotencyKey, AttemptId> RunningHere;
+};
+
+/// \brief The key that is kept: a client's key counts for a tenant and path.
+[[nodiscard]] IdempotencyKey scopedKey(const Tenant &Owner,
+                                       const std::string &Path,
+                                       const std::string &ClientKey);
+
+} // namespace limpetdrum
+
+#endif
--- /dev/null
+++ b/include/limpetdrum/request/AttemptSpec.h
@@ -0,0 +1,36 @@
+#ifndef LIMPETDRUM_REQUEST_ATTEMPTSPEC_H
+#define LIMPETDRUM_REQUEST_ATTEMPTSPEC_H
+
+#include "limpetdrum/request/Position.h"
+
+#include <string>
+
+namespace limpetdrum {
+
+/// \brief What the receiving node shall do with an attempt.
+enum class AttemptRole : std::uint8_t {
+  Execute, ///< run it at its own target
+  Witness, ///< note its key, and hand it to the key's home
+};
+
+/// \brief One attempt of a request, as it travels between nodes.
+struct AttemptSpec {
+  AttemptId Id;
+  RootId Root;
+  Incarnation Executor; ///< the life of the node that may execute it
+  std::string Path;
+  std::string Method;
+  std::string ContentType;
+  std::string Body;
+  ClassRank Rank;
+  float Cohort = 0;
+  limpetdrum::Tenant Tenant;
+  Microseconds TimeLeft{0};
+  std::uint16_t Retries = 0;
+  IdempotencyKey Key; ///< empty if the client gave none
+  AttemptRole Role = AttemptRole::Execute;
+};
+
+} // namespace limpetdrum
+
+#endif
--- /dev/null
+++ b/include/limpetdrum/request/ConcurrencyLimit.h
@@ -0,0 +1,68 @@
+#ifndef LIMPETDRUM_REQUEST_CONCURRENCYLIMIT_H
+#define LIMPETDRUM_REQUEST_CONCURRENCYLIMIT_H
+
+#include "limpetdrum/process/Types.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace limpetdrum {
+
+/// \brief How many requests a target is given at once.
+///
+/// Starts from the announced slots, which may mislead, and follows what is
+/// measured: it falls when the target sheds, and now and then tries a little
+/// less or more while it is fully used, and keeps what did not hurt (less) or
+/// what helped (more). Failed trials become rarer.
+class ConcurrencyLimit {
+public:
+  explicit ConcurrencyLimit(Slots Announced);
+
+  /// \brief Begins anew from an announcement.
+  /// \param WarmUp how long a cold target takes to reach its full limit.
+  void announce(Slots Announced, Milliseconds WarmUp, TimePoint Now);
+
+  /// \brief One request ended at the target.
+  /// \param Shed whether the target refused it for load.
+  /// \param Saturated whether the limit was reached when it ended.
+  void onCompletion(Microseconds Latency, bool Shed, bool Saturated,
+                    TimePoint Now);
+
+  [[nodiscard]] std::size_t limit(TimePoint Now) const noexcept;
+  /// \brief The smoothed time a request takes at the target.
+  [[nodiscard]] Microseconds typicalLatency() const noexcept {
+    return this->TypicalLatency;
+  }
+
+private:
+  struct Window {
+    TimePoint Start;
+    std::size_t Completions = 0;
+    std::size_t Sheds = 0;
+    std::size_t Saturated = 0;
+    double LatencySum = 0;
+  };
+  struct Trial {
+    double OldLimit = 0;
+    double OldThroughput = 0;
+  };
+
+  void closeWindow(TimePoint Now);
+  void judgeTrial(double Throughput);
+  void beginTrial(double Throughput, double Latency);
+
+  double Limit;
+  double Announced;
+  TimePoint WarmFrom{};
+  Milliseconds WarmUp{0};
+  Microseconds TypicalLatency{0};
+  double BestLatency = 0;
+  Window Current;
+  std::optional<Trial> Running;
+  unsigned WindowsUntilTrial = 0;
+  unsigned FailedTrials = 0;
+};
+
+} // namespace limpetdrum
+
+#endif
--- /dev/null
+++ b/include/limpetdrum/request/Reply.h
@@ -0,0 +1,67 @@
+#ifndef LIMPETDRUM_REQUEST_REPLY_H
+#define LIMPETDRUM_REQUEST_REPLY_H
+
+#include "limpetdrum/process/Types.h"
+
+#include <string>
+#include <vector>
+
+namespace limpetdrum {
+
+/// \brief What is known of a request that has ended.
+enum class Outcome : std::uint8_t {
+  Answered, ///< it ran once, and the whole answer is here
+  NotRun,   ///< proven: no copy of it ran or can run
+  Unknown,  ///< it may have run
+};
+
+/// \brief Why a request was not answered by a target.
+enum class Reason : std::uint8_t {
+  None,
+  Overload,        ///< no room in the queue of the target's node
+  LevelAtEntry,    ///< a service further down admits less than this
+  Displaced,       ///< a request that earns more took its place
+  DeadlineTooNear, ///< the expected wait is longer than the time left
+  Cancelled,       ///< the caller left
+  NoTarget,        ///< no ready target is known
+  Draining,        ///< the target is leaving
+  RetriesSpent,    ///< the retries of the whole chain are used up
+  TargetBroke,     ///< the target's connection failed, or its answer was cut
+  NodeGone,        ///< the node that may have run it is gone
+  TimedOut,        ///< no answer within the deadline
+};
+
+/// \brief How many values Reason has.
+inline constexpr std::size_t ReasonCount = 12;
+
+/// \brief The name of a reason in headers, logs and metrics.
+[[nodiscard]] const char *toString(Reason Value) noexcept;
+[[nodiscard]] const char *toString(Outcome Value) noexcept;
+
+/// \brief The admission threshold of a service, carried back on replies.
+struct LevelReport {
+  ServiceName Service;
+  /// Requests at positions below it are admitted; see AdmissionLevel.
+  float Threshold = 0;
+};
+
+/// \brief The whole answer to one attempt.
+struct Reply {
+  limpetdrum::Outcome Outcome = limpetdrum::Outcome::Unknown;
+  std::uint16_t Status = 0; ///< HTTP status of the target's answer
+  std::string ContentType;
+  std::string Body;
+  limpetdrum::Reason Reason = limpetdrum::Reason::None;
+  Milliseconds RetryAfter{0};
+  std::uint16_t RetriesLeft = 0; ///< what comes back of the grant
+  std::vector<LevelReport> Levels;
+};
+
+/// \brief A reply that says a request did not run.
+[[nodiscard]] Reply notRun(Reason Why, Milliseconds RetryAfter);
+/// \brief A reply that says a request may have run.
+[[nodiscard]] Reply unknownOutcome(Reason Why, Milliseconds RetryAfter);
+
+} // namespace limpetdrum
+
+#endif
--- /dev/null
+++ b/lib/connection/Datagram.cpp
@@ -0,0 +1,77 @@
+#include "limpetdrum/connection/Datagram.h"
+
+#include "limpetdrum/Config.h"
+#include "limpetdrum/process/Error.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace limpetdrum {
+
+namespace {
+
+sockaddr_in toSocketAddress(Endpoint Where) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(Where.Address);
+  Address.sin_port = htons(Where.Port);
+  return Address;
+}
+
+} // namespace
+
+struct DatagramSocket::State {
+  int Socket = -1;
+  event *Readable = nullptr;
+  Handler OnReceive;
+
+  static void onReadable(evutil_socket_t Socket, short /*What*/,
+                         void *Context) {
+    constexpr int MostAtOnce = 64;
+    std::array<char, 2 * MaxDatagramBytes> Buffer;
+    for (int I = 0; I < MostAtOnce; ++I) {
+      auto Size = recv(Socket, Buffer.data(), Buffer.size(), 0);
+      if (Size < 0)
+        return;
+      static_cast<State *>(Context)->OnReceive(
+          std::string(Buffer.data(), static_cast<std::size_t>(Size)));
+    }
+  }
+};
+
+DatagramSocket::DatagramSocket(EventLoop &Loop, Endpoint Where,
+                               Handler OnReceive)
+    : Impl(std::make_unique<State>()) {
+  auto &S = *this->Impl;
+  S.OnReceive = std::move(OnReceive);
+  S.Socket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  auto Address = toSocketAddress(Where);
+  if (S.Socket < 0 || bind(S.Socket, reinterpret_cast<sockaddr *>(&Address),
+                           sizeof(Address)) != 0) {
+    close(S.Socket);
+    throw NetworkError("cannot bind UDP on " + toString(Where),
+                       "free the port or change 'listen.gossip'");
+  }
+  S.Readable = event_new(Loop.base(), S.Socket, EV_READ | EV_PERSIST,
+                         &State::onReadable, &S);
+  event_add(S.Readable, nullptr);
+}
+
+DatagramSocket::~DatagramSocket() {
+  event_free(this->Impl->Readable);
+  close(this->Impl->Socket);
+}
+
+void DatagramSocket::send(Endpoint To, const std::string &Bytes) {
+  auto Address = toSocketAddress(To);
+  // A full socket drops, as the network may.
+  static_cast<void>(sendto(this->Impl->Socket, Bytes.data(), Bytes.size(), 0,
+                           reinterpret_cast<sockaddr *>(&Address),
+                           sizeof(Address)));
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/connection/RpcClient.cpp
@@ -0,0 +1,152 @@
+#include "limpetdrum/connection/RpcClient.h"
+
+#include "limpetdrum/connection/BuffereventStream.h"
+#include "limpetdrum/process/Error.h"
+
+#include <arpa/inet.h>
+#include <capnp/rpc-twoparty.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unordered_map>
+
+namespace limpetdrum {
+
+namespace {
+
+sockaddr_in toSocketAddress(Endpoint Where) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(Where.Address);
+  Address.sin_port = htons(Where.Port);
+  return Address;
+}
+
+void sendAtOnce(evutil_socket_t Socket) {
+  int On = 1;
+  setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+}
+
+kj::Own<BuffereventStream> connectTo(EventLoop &Loop, Endpoint Peer) {
+  bufferevent *Event =
+      bufferevent_socket_new(Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  auto Stream = kj::heap<BuffereventStream>(Event);
+  auto Address = toSocketAddress(Peer);
+  if (bufferevent_socket_connect(Event, reinterpret_cast<sockaddr *>(&Address),
+                                 sizeof(Address)) != 0)
+    Stream->fail("no connection can be made");
+  else
+    sendAtOnce(bufferevent_getfd(Event));
+  return Stream;
+}
+
+} // namespace
+
+struct RpcClient::State {
+  kj::Own<BuffereventStream> Stream;
+  capnp::TwoPartyVatNetwork Network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> System;
+  rpc::Node::Client Node;
+
+  State(EventLoop &Loop, Endpoint Peer)
+      : Stream(connectTo(Loop, Peer)),
+        Network(*this->Stream, capnp::rpc::twoparty::Side::CLIENT),
+        System(capnp::makeRpcClient(this->Network)),
+        Node(this->bootstrap().castAs<rpc::Node>()) {}
+
+  capnp::Capability::Client bootstrap() {
+    capnp::MallocMessageBuilder Message(4);
+    auto Id = Message.getRoot<capnp::rpc::twoparty::VatId>();
+    Id.setSide(capnp::rpc::twoparty::Side::SERVER);
+    return this->System.bootstrap(Id);
+  }
+};
+
+RpcClient::RpcClient(EventLoop &Loop, Endpoint Peer)
+    : Impl(std::make_unique<State>(Loop, Peer)) {}
+
+RpcClient::~RpcClient() = default;
+
+rpc::Node::Client &RpcClient::node() { return this->Impl->Node; }
+
+bool RpcClient::wasConnected() const noexcept {
+  return this->Impl->Stream->wasConnected();
+}
+
+TimePoint RpcClient::lastRead() const noexcept {
+  return this->Impl->Stream->lastRead();
+}
+
+void RpcClient::fail(const char *Why) { this->Impl->Stream->fail(Why); }
+
+namespace {
+
+/// One accepted connection with its own RPC system.
+struct Accepted {
+  BuffereventStream Stream;
+  capnp::TwoPartyVatNetwork Network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> System;
+  kj::Promise<void> Watch = nullptr;
+
+  Accepted(bufferevent *Event, capnp::Capability::Client Service)
+      : Stream(Event),
+        Network(this->Stream, capnp::rpc::twoparty::Side::SERVER),
+        System(capnp::makeRpcServer(this->Network, kj::mv(Service))) {
+    this->Stream.markConnected();
+  }
+};
+
+} // namespace
+
+struct RpcServer::State : std::enable_shared_from_this<RpcServer::State> {
+  EventLoop &Loop;
+  rpc::Node::Client Service;
+  evconnlistener *Listener = nullptr;
+  std::uint64_t LastKey = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Accepted>> Connections;
+
+  State(EventLoop &Loop, rpc::Node::Client Service)
+      : Loop(Loop), Service(kj::mv(Service)) {}
+
+  void onAccept(evutil_socket_t Socket) {
+    sendAtOnce(Socket);
+    bufferevent *Event = bufferevent_socket_new(this->Loop.base(), Socket,
+                                                BEV_OPT_CLOSE_ON_FREE);
+    auto Key = ++this->LastKey;
+    auto Connection = std::make_unique<Accepted>(Event, this->Service);
+    std::weak_ptr<State> Weak = this->weak_from_this();
+    auto Forget = [Weak, Key, &Loop = this->Loop]() {
+      Loop.post([Weak, Key]() {
+        if (auto Self = Weak.lock())
+          Self->Connections.erase(Key);
+      });
+    };
+    Connection->Watch =
+        Connection->Network.onDisconnect()
+            .then(Forget, [Forget](kj::Exception &&) { Forget(); })
+            .eagerlyEvaluate(nullptr);
+    this->Connections.emplace(Key, std::move(Connection));
+  }
+};
+
+RpcServer::RpcServer(EventLoop &Loop, Endpoint Where, rpc::Node::Client Service)
+    : Impl(std::make_shared<State>(Loop, kj::mv(Service))) {
+  auto Address = toSocketAddress(Where);
+  constexpr int Backlog = 1024;
+  this->Impl->Listener = evconnlistener_new_bind(
+      Loop.base(),
+      [](evconnlistener * /*Listener*/, evutil_socket_t Socket,
+         sockaddr * /*Peer*/, int /*Size*/,
+         void *Context) { static_cast<State *>(Context)->onAccept(Socket); },
+      this->Impl.get(),
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      Backlog, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+  if (this->Impl->Listener == nullptr)
+    throw NetworkError("cannot listen on " + toString(Where),
+                       "free the port or change 'listen.rpc'");
+}
+
+RpcServer::~RpcServer() { evconnlistener_free(this->Impl->Listener); }
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/daemon/Caller.cpp
@@ -0,0 +1,240 @@
+#include "limpetdrum/daemon/Caller.h"
+
+namespace limpetdrum {
+
+namespace {
+
+/// Nodes of one service that one node calls.
+constexpr std::size_t SubsetSize = 12;
+/// How often one attempt goes out again to the same life of a node.
+constexpr unsigned MaxResends = 8;
+
+template <typename... Ts> struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <typename... Ts> Overloaded(Ts...) -> Overloaded<Ts...>;
+
+CallEnd routeEnd(const Reply &Value) {
+  if (Value.Outcome == Outcome::Answered)
+    return CallEnd::Served;
+  if (Value.Outcome == Outcome::NotRun && Value.Reason != Reason::NoTarget)
+    return CallEnd::Refused;
+  // A request that ran out of time or gave way says nothing of the node.
+  bool Faulty = Value.Reason == Reason::TargetBroke ||
+                Value.Reason == Reason::NoTarget ||
+                Value.Reason == Reason::NodeGone;
+  return Faulty ? CallEnd::Failed : CallEnd::Refused;
+}
+
+} // namespace
+
+Caller::Caller(const Membership &Members, Router &Routes, LevelTable &Levels,
+               Executor &Own, PeerPort &Peers, Metrics &Counters, Clock Now,
+               LaterPort Later)
+    : Members(Members), Routes(Routes), Levels(Levels), Own(Own), Peers(Peers),
+      Counters(Counters), Now(std::move(Now)), Later(std::move(Later)) {}
+
+AttemptId Caller::nextAttemptId() {
+  return {this->Members.self().Incarnation, ++this->LastSequence};
+}
+
+std::uint64_t Caller::start(CallRequest Request, ReplyDone Done) {
+  auto Ticket = ++this->LastTicket;
+  auto Left = Request.Spec.TimeLeft;
+  auto &A =
+      this->Calls
+          .try_emplace(Ticket, std::move(Request), this->Ratio, std::move(Done))
+          .first->second;
+  A.Deadline = this->Now() + Left;
+  A.DeadlineTimer =
+      this->Later(Left, [this, Ticket]() { this->onDeadline(Ticket); });
+  this->perform(Ticket, A.Decisions.start());
+  return Ticket;
+}
+
+void Caller::perform(std::uint64_t Ticket, Call::Step Step) {
+  std::visit(
+      Overloaded{
+          [&](const Call::Pick &) { this->pick(Ticket); },
+          [&](const Call::Send &Attempt) { this->send(Ticket, Attempt); },
+          [&](const Call::Wait &) {},
+          [&](Call::Finish &Final) {
+            this->finish(Ticket, std::move(Final.Reply));
+          },
+      },
+      Step);
+}
+
+std::vector<RouteCandidate>
+Caller::candidates(const ServiceName &Service) const {
+  std::vector<RouteCandidate> All;
+  auto Add = [&](const Member &M) {
+    if (M.Service == Service && M.Target == TargetState::Ready &&
+        M.Health != Health::Dead)
+      All.push_back({M.Node, M.FailureDomain, M.Region});
+  };
+  const auto &Self = this->Members.self();
+  Add(Self);
+  for (const auto &Entry : this->Members.others())
+    Add(Entry.second);
+  return subset(std::move(All), Self.Node, Self.FailureDomain, Self.Region,
+                SubsetSize);
+}
+
+std::optional<NodeLife> Caller::lifeOf(const NodeId &Node) const {
+  const Member *M = this->Members.find(Node);
+  if (M == nullptr)
+    return std::nullopt;
+  return NodeLife{M->Node, M->Incarnation};
+}
+
+bool Caller::isReachable(const NodeLife &Life) const {
+  const Member *M = this->Members.find(Life.Node);
+  return M != nullptr && M->Incarnation == Life.Incarnation &&
+         M->Health != Health::Dead && M->Target != TargetState::Left;
+}
+
+void Caller::pick(std::uint64_t Ticket) {
+  auto &A = this->Calls.at(Ticket);
+  std::optional<NodeLife> Chosen;
+  if (A.Request.Choose) {
+    Chosen = A.Request.Choose(A.Decisions.tried());
+    if (Chosen)
+      this->Routes.begin(Chosen->Node);
+  } else if (auto Node = this->Routes.pick(this->candidates(A.Request.Service),
+                                           A.Decisions.tried(), this->Now())) {
+    Chosen = this->lifeOf(*Node);
+  }
+  A.Routed = Chosen.has_value();
+  A.Resends = 0;
+  if (A.Decisions.retries() > 0)
+    this->Counters.count("retries");
+  this->perform(Ticket, A.Decisions.onPicked(Chosen, this->nextAttemptId()));
+}
+
+void Caller::send(std::uint64_t Ticket, const Call::Send &Attempt) {
+  auto &A = this->Calls.at(Ticket);
+  auto Spec = A.Request.Spec;
+  Spec.Id = Attempt.Id;
+  Spec.Executor = Attempt.To.Incarnation;
+  Spec.Retries = Attempt.Retries;
+  Spec.TimeLeft = A.Deadline - this->Now();
+  A.SentAt = this->Now();
+  auto Id = Attempt.Id;
+  if (Attempt.To.Node == this->Members.self().Node) {
+    this->Own.execute(Spec, [this, Ticket, Id](const Reply &Value) {
+      PeerResult Result;
+      Result.Kind = PeerResult::Kind::Replied;
+      Result.Reply = Value;
+      this->onResult(Ticket, Id, Result);
+    });
+    return;
+  }
+  const Member *To = this->Members.find(Attempt.To.Node);
+  if (To == nullptr || To->Incarnation != Attempt.To.Incarnation) {
+    this->perform(Ticket, A.Decisions.onLost(false, false));
+    return;
+  }
+  this->Peers.execute(*To, Spec, [this, Ticket, Id](const PeerResult &Result) {
+    this->onResult(Ticket, Id, Result);
+  });
+}
+
+void Caller::onResult(std::uint64_t Ticket, AttemptId Id,
+                      const PeerResult &Result) {
+  auto Found = this->Calls.find(Ticket);
+  if (Found == this->Calls.end())
+    return;
+  auto &A = Found->second;
+  const auto &Attempt = A.Decisions.attempt();
+  if (!Attempt || !(Attempt->Id == Id)) {
+    this->Counters.count("replies_late");
+    return;
+  }
+  auto To = Attempt->To;
+  switch (Result.Kind) {
+  case PeerResult::Kind::Replied: {
+    for (const auto &Report : Result.Reply.Levels)
+      this->Levels.record(To.Node, Report, this->Now());
+    this->endRoute(A, routeEnd(Result.Reply));
+    this->perform(Ticket, A.Decisions.onReply(Result.Reply));
+    return;
+  }
+  case PeerResult::Kind::Suspected: {
+    auto Step = A.Decisions.onSuspected();
+    if (std::holds_alternative<Call::Wait>(Step))
+      return;
+    this->endRoute(A, CallEnd::Failed);
+    this->perform(Ticket, std::move(Step));
+    return;
+  }
+  case PeerResult::Kind::Lost:
+  case PeerResult::Kind::Malformed: {
+    bool Again = Result.Kind == PeerResult::Kind::Lost &&
+                 this->isReachable(To) && ++A.Resends <= MaxResends;
+    auto Step = A.Decisions.onLost(Result.HandedOver, Again);
+    if (!std::holds_alternative<Call::Send>(Step))
+      this->endRoute(A, CallEnd::Failed);
+    else
+      this->Counters.count("attempts_resent");
+    this->perform(Ticket, std::move(Step));
+    return;
+  }
+  }
+}
+
+void Caller::endRoute(Active &Ended, CallEnd How) {
+  if (!Ended.Routed)
+    return;
+  Ended.Routed = false;
+  auto Time = this->Now();
+  this->Routes.end(Ended.Decisions.attempt()->To.Node, How, Time - Ended.SentAt,
+                   Time);
+}
+
+void Caller::onDeadline(std::uint64_t Ticket) {
+  auto Found = this->Calls.find(Ticket);
+  if (Found == this->Calls.end())
+    return;
+  this->cancelAttempt(Found->second);
+  // A cancelled attempt of our own may have ended the call by now.
+  Found = this->Calls.find(Ticket);
+  if (Found == this->Calls.end())
+    return;
+  this->endRoute(Found->second, CallEnd::Refused);
+  this->perform(Ticket, Found->second.Decisions.onDeadline());
+}
+
+void Caller::cancelAttempt(const Active &Call) {
+  const auto &Attempt = Call.Decisions.attempt();
+  // A keyed request runs on: its client comes back for the answer.
+  bool Keyed = !Call.Request.Spec.Key.value().empty();
+  if (!Attempt || !Call.Routed || Keyed)
+    return;
+  if (Attempt->To.Node == this->Members.self().Node) {
+    this->Own.cancel(Attempt->Id, Attempt->To.Incarnation);
+    return;
+  }
+  const Member *To = this->Members.find(Attempt->To.Node);
+  if (To != nullptr && To->Incarnation == Attempt->To.Incarnation)
+    this->Peers.cancel(*To, Attempt->Id);
+}
+
+void Caller::cancel(std::uint64_t Ticket) {
+  auto Found = this->Calls.find(Ticket);
+  if (Found == this->Calls.end())
+    return;
+  auto Node = this->Calls.extract(Found);
+  this->cancelAttempt(Node.mapped());
+  this->endRoute(Node.mapped(), CallEnd::Refused);
+}
+
+void Caller::finish(std::uint64_t Ticket, Reply Value) {
+  auto Node = this->Calls.extract(Ticket);
+  if (Node.empty())
+    return;
+  this->endRoute(Node.mapped(), CallEnd::Refused);
+  Node.mapped().Done(Value);
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/daemon/KeyedCalls.cpp
@@ -0,0 +1,218 @@
+#include "limpetdrum/daemon/KeyedCalls.h"
+
+#include "limpetdrum/Config.h"
+
+#include <algorithm>
+#include <map>
+
+namespace limpetdrum {
+
+namespace {
+
+constexpr std::size_t KeptBodyBytes = 16U * 1024U * 1024U;
+constexpr Milliseconds ComeBackSoon{1000};
+constexpr Milliseconds ComeBackLate{60000};
+
+/// Whether nothing more will be learned of a key from its holder.
+bool isFinal(const Reply &Value) {
+  if (Value.Outcome != Outcome::Unknown)
+    return true;
+  return Value.Reason == Reason::TargetBroke;
+}
+
+ServiceName serviceOfScoped(const IdempotencyKey &Key) {
+  auto Slash = Key.value().find('/');
+  return Slash == std::string::npos ? ServiceName()
+                                    : serviceOf(Key.value().substr(Slash));
+}
+
+} // namespace
+
+IdempotencyKey scopedKey(const Tenant &Owner, const std::string &Path,
+                         const std::string &ClientKey) {
+  // Tenants are hashed, so that none can write another's keys.
+  return IdempotencyKey(std::to_string(stableHash(Owner.value())) + Path + " " +
+                        ClientKey);
+}
+
+KeyedCalls::KeyedCalls(const Membership &Members, Executor &Own, Caller &Calls,
+                       const InForce &Releases, Metrics &Counters, Clock Now)
+    : Members(Members), Own(Own), Calls(Calls), Releases(Releases),
+      Counters(Counters), Now(std::move(Now)),
+      Keys(LedgerRetention, KeptBodyBytes) {}
+
+NodeLife KeyedCalls::self() const {
+  const auto &Self = this->Members.self();
+  return {Self.Node, Self.Incarnation};
+}
+
+std::optional<KeyNodes> KeyedCalls::nodesOf(const IdempotencyKey &Key,
+                                            const ServiceName &Service) const {
+  std::vector<KeyCandidate> Candidates;
+  for (const auto &M : this->Members.list())
+    if (M.Service == Service && M.Target == TargetState::Ready &&
+        M.Health != Health::Dead)
+      Candidates.push_back({M.Node, M.FailureDomain});
+  return findKeyNodes(Key, Candidates);
+}
+
+void KeyedCalls::start(CallRequest Request, ReplyDone Done) {
+  auto Key = Request.Spec.Key;
+  auto Service = Request.Service;
+  auto Nodes = this->nodesOf(Key, Service);
+  if (!Nodes) {
+    Done(notRun(Reason::NoTarget, ComeBackSoon));
+    return;
+  }
+  Request.Spec.Role = AttemptRole::Witness;
+  if (Nodes->Witness.value_or(Nodes->Home) == this->self().Node) {
+    this->arrive(Request.Spec, std::move(Done));
+    return;
+  }
+  Request.Choose =
+      [this, Key,
+       Service](const std::vector<NodeId> &Tried) -> std::optional<NodeLife> {
+    auto Choice = this->nodesOf(Key, Service);
+    if (!Choice)
+      return std::nullopt;
+    auto Untried = [&Tried](const NodeId &Node) {
+      return std::find(Tried.begin(), Tried.end(), Node) == Tried.end();
+    };
+    if (Choice->Witness && Untried(*Choice->Witness))
+      return this->Calls.lifeOf(*Choice->Witness);
+    if (Untried(Choice->Home))
+      return this->Calls.lifeOf(Choice->Home);
+    return std::nullopt;
+  };
+  this->Calls.start(std::move(Request), std::move(Done));
+}
+
+void KeyedCalls::arrive(const AttemptSpec &Attempt, ReplyDone Done) {
+  auto Candidate = this->self();
+  if (Attempt.Role == AttemptRole::Witness) {
+    auto Nodes = this->nodesOf(Attempt.Key, serviceOf(Attempt.Path));
+    auto Home = Nodes ? this->Calls.lifeOf(Nodes->Home) : std::nullopt;
+    if (!Home) {
+      Done(notRun(Reason::NoTarget, ComeBackSoon));
+      return;
+    }
+    Candidate = *Home;
+  }
+  auto Release = this->Releases.current();
+  const auto *Route = Release ? Release->route(Attempt.Path) : nullptr;
+  auto MostRuns = static_cast<std::uint16_t>(
+      1 + (Route == nullptr ? 0 : Route->Declared.ClientRetries));
+  auto Seen = this->Keys.arrive(Attempt.Key, Candidate, MostRuns, this->Now());
+  switch (Seen.Verdict) {
+  case KeyLedger::Verdict::Replay:
+    this->Counters.count("keys_replayed");
+    Done(Seen.Reply);
+    return;
+  case KeyLedger::Verdict::Spent:
+    Done(notRun(Reason::RetriesSpent, ComeBackLate));
+    return;
+  case KeyLedger::Verdict::Begin:
+  case KeyLedger::Verdict::Open:
+    break;
+  }
+  if (Seen.Holder == this->self()) {
+    this->runHere(Attempt, Seen.Verdict == KeyLedger::Verdict::Begin,
+                  std::move(Done));
+    return;
+  }
+  if (Attempt.Role == AttemptRole::Witness &&
+      this->Calls.isReachable(Seen.Holder)) {
+    this->forward(Attempt, Seen.Holder, std::move(Done));
+    return;
+  }
+  // Its holder is gone, and may have run it.
+  this->Counters.count("keys_unknown");
+  Done(unknownOutcome(Reason::NodeGone, ComeBackSoon));
+}
+
+void KeyedCalls::runHere(const AttemptSpec &Attempt, bool Begins,
+                         ReplyDone Done) {
+  auto Spec = Attempt;
+  Spec.Executor = this->self().Incarnation;
+  if (!Begins) {
+    auto Found = this->RunningHere.find(Spec.Key);
+    if (Found == this->RunningHere.end()) {
+      Done(unknownOutcome(Reason::NodeGone, ComeBackSoon));
+      return;
+    }
+    this->Counters.count("keys_attached");
+    Spec.Id = Found->second;
+    this->Own.execute(Spec, std::move(Done));
+    return;
+  }
+  if (Attempt.Role == AttemptRole::Witness)
+    Spec.Id = this->Calls.nextAttemptId();
+  Spec.Role = AttemptRole::Execute;
+  this->RunningHere[Spec.Key] = Spec.Id;
+  this->Own.execute(
+      Spec, [this, Key = Spec.Key, Done = std::move(Done)](const Reply &Value) {
+        this->Keys.settle(Key, Value, this->Now());
+        this->RunningHere.erase(Key);
+        Done(Value);
+      });
+}
+
+void KeyedCalls::forward(const AttemptSpec &Attempt, const NodeLife &Holder,
+                         ReplyDone Done) {
+  CallRequest Request;
+  Request.Spec = Attempt;
+  Request.Spec.Role = AttemptRole::Execute;
+  Request.Runs = RunSemantics::Once;
+  Request.Service = serviceOf(Attempt.Path);
+  Request.Movable = false;
+  Request.Choose = [Holder](const std::vector<NodeId> & /*Tried*/) {
+    return std::optional<NodeLife>(Holder);
+  };
+  this->Calls.start(
+      std::move(Request),
+      [this, Key = Attempt.Key, Done = std::move(Done)](const Reply &Value) {
+        if (isFinal(Value))
+          this->Keys.settle(Key, Value, this->Now());
+        Done(Value);
+      });
+}
+
+void KeyedCalls::adopt(
+    const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records) {
+  for (const auto &[Key, Record] : Records)
+    this->Keys.adopt(Key, Record);
+  this->Counters.count("keys_adopted", "", "", Records.size());
+}
+
+void KeyedCalls::handOver(const std::optional<NodeId> &OnlyTo,
+                          const SendRecords &Send,
+                          const std::function<void(bool)> &OnDone) const {
+  std::map<NodeId, std::vector<std::pair<IdempotencyKey, KeyRecord>>> ByNode;
+  for (const auto &Record : this->Keys.records()) {
+    auto Nodes = this->nodesOf(Record.first, serviceOfScoped(Record.first));
+    if (!Nodes)
+      continue;
+    for (const auto &Node : {Nodes->Home, Nodes->Witness.value_or(Nodes->Home)})
+      if (Node != this->self().Node && (!OnlyTo || Node == *OnlyTo)) {
+        ByNode[Node].push_back(Record);
+        if (!Nodes->Witness)
+          break;
+      }
+  }
+  if (ByNode.empty()) {
+    OnDone(true);
+    return;
+  }
+  auto Left = std::make_shared<std::size_t>(ByNode.size());
+  auto AllTaken = std::make_shared<bool>(true);
+  for (const auto &[Node, Records] : ByNode)
+    Send(*this->Members.find(Node), Records, [Left, AllTaken, OnDone](bool Ok) {
+      *AllTaken = *AllTaken && Ok;
+      if (--*Left == 0)
+        OnDone(*AllTaken);
+    });
+}
+
+void KeyedCalls::sweep() { this->Keys.sweep(this->Now()); }
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/daemon/Node.cpp
@@ -0,0 +1,396 @@
+#include "NodeState.h"
+
+#include "limpetdrum/daemon/Codec.h"
+#include "limpetdrum/process/Error.h"
+#include "limpetdrum/request/KeyHome.h"
+
+#include <algorithm>
+#include <easylogging++.h>
+#include <map>
+
+namespace limpetdrum {
+
+namespace {
+
+constexpr Microseconds AdmissionTick{10'000};
+constexpr Microseconds GossipTick{50'000};
+constexpr Microseconds LivenessTick{50'000};
+constexpr Microseconds LeaveTick{50'000};
+constexpr std::chrono::seconds Housekeeping{1};
+constexpr std::chrono::seconds ContactSearch{5};
+/// The keeper of a domain's contacts looks at every so many searches.
+constexpr unsigned KeeperPause = 6;
+/// Time for the news of a node's end to go out before the process ends.
+constexpr Milliseconds FarewellTime{500};
+constexpr std::size_t MaxContacts = 4;
+/// Contacts of its own failure domain that a new node asks.
+constexpr std::size_t OwnContacts = 2;
+/// The platform object with a few RPC endpoints for each failure domain.
+constexpr const char *ContactsObject = "contacts";
+
+/// Later lives of a node have higher incarnations.
+Incarnation newIncarnation() {
+  auto Wall = std::chrono::system_clock::now().time_since_epoch();
+  return Incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Microseconds>(Wall).count()));
+}
+
+std::uint64_t seedOf(const NodeId &Node, Incarnation Life,
+                     std::uint64_t Purpose) {
+  return stableHash(Node.value(), Life.value() * 16 + Purpose);
+}
+
+Member selfOf(const Settings &Chosen) {
+  Member Self;
+  Self.Node = Chosen.Node;
+  Self.Incarnation = newIncarnation();
+  Self.FailureDomain = Chosen.FailureDomain;
+  Self.Region = Chosen.Region;
+  Self.Rpc = Chosen.Rpc;
+  Self.Gossip = Chosen.Gossip;
+  return Self;
+}
+
+MembershipOptions membershipOptions(const Settings &Chosen) {
+  MembershipOptions Options;
+  Options.Period = Chosen.GossipPeriod;
+  return Options;
+}
+
+Executor::Options executorOptions(const Settings &Chosen, const Member &Self) {
+  return {Self.Incarnation, Chosen.ShedByClass,
+          seedOf(Self.Node, Self.Incarnation, 1)};
+}
+
+Entrance::Options entranceOptions(const Settings &Chosen, const Member &Self) {
+  return {Chosen.ShedAtEntry, Chosen.BoundRetries,
+          seedOf(Self.Node, Self.Incarnation, 2)};
+}
+
+using ContactMap = std::map<std::string, std::vector<Endpoint>>;
+
+ContactMap parseContacts(const std::string &Text) {
+  ContactMap Result;
+  auto Parsed = nlohmann::json::parse(Text, nullptr, false);
+  if (!Parsed.is_object())
+    return Result;
+  for (const auto &[Domain, List] : Parsed.items())
+    for (const auto &Entry : List)
+      try {
+        Result[Domain].push_back(parseEndpoint(Entry.get<std::string>()));
+      } catch (const std::exception &) {
+        continue; // what does not read as an endpoint is written over
+      }
+  return Result;
+}
+
+std::string printContacts(const ContactMap &Contacts) {
+  nlohmann::json Result = nlohmann::json::object();
+  for (const auto &[Domain, List] : Contacts)
+    for (const auto &Contact : List)
+      Result[Domain].push_back(toString(Contact));
+  return Result.dump();
+}
+
+bool contains(const std::vector<Endpoint> &List, Endpoint Value) {
+  return std::find(List.begin(), List.end(), Value) != List.end();
+}
+
+/// Whether a list is as long as it should be, and all of it alive.
+bool covers(const std::vector<Endpoint> &Listed,
+            const std::vector<Endpoint> &Wanted) {
+  return Listed.size() == Wanted.size() &&
+         std::all_of(Listed.begin(), Listed.end(), [&](Endpoint Contact) {
+           return contains(Wanted, Contact);
+         });
+}
+
+} // namespace
+
+Node::State::State(EventLoop &Loop, const Settings &Chosen,
+                   std::function<void()> OnLeft)
+    : Loop(Loop), Chosen(Chosen), OnLeft(std::move(OnLeft)),
+      Now([&Loop]() { return Loop.now(); }),
+      Members(selfOf(Chosen), membershipOptions(Chosen),
+              stableHash(Chosen.Node.value(), newIncarnation().value())),
+      Target(Loop), Peers(Loop, this->Counters),
+      Platform(Loop, Chosen.Platform),
+      Routes(Chosen.FailureDomain, Chosen.Region,
+             stableHash(Chosen.Node.value(), newIncarnation().value() + 1)),
+      Own(executorOptions(Chosen, this->Members.self()), this->Target,
+          this->Releases, this->Levels, this->Counters, this->Now),
+      Calls(this->Members, this->Routes, this->Levels, this->Own, this->Peers,
+            this->Counters, this->Now,
+            [&Loop](Microseconds Delay, std::function<void()> Action) {
+              return Loop.after(Delay, std::move(Action));
+            }),
+      Keyed(this->Members, this->Own, this->Calls, this->Releases,
+            this->Counters, this->Now),
+      Entry(entranceOptions(Chosen, this->Members.self()), this->Own,
+            this->Calls, this->Keyed, this->Levels, this->Releases,
+            this->Counters, this->Now),
+      Feed(Loop, this->Platform, this->Peers, this->Members, this->Releases,
+           this->Counters,
+           stableHash(Chosen.Node.value(), newIncarnation().value() + 2),
+           [this]() {
+             this->InForceSince = this->Now();
+             this->Members.setRevision(this->Releases.revision());
+           }) {}
+
+void Node::State::start() {
+  this->Gossip = std::make_unique<DatagramSocket>(
+      this->Loop, this->Chosen.Gossip,
+      [this](const std::string &Bytes) { this->onDatagram(Bytes); });
+  this->Rpc = std::make_unique<RpcServer>(this->Loop, this->Chosen.Rpc,
+                                          makeRpcService(*this));
+  this->Ingress = std::make_unique<HttpServer>(
+      this->Loop, this->Chosen.Ingress,
+      [this](std::shared_ptr<HttpExchange> Exchange) {
+        this->Entry.onClient(std::move(Exchange));
+      });
+  this->Egress = std::make_unique<HttpServer>(
+      this->Loop, this->Chosen.Egress,
+      [this](const std::shared_ptr<HttpExchange> &Exchange) {
+        this->onEgress(Exchange);
+      });
+  this->Admin = std::make_unique<HttpServer>(
+      this->Loop, this->Chosen.Admin,
+      [this](const std::shared_ptr<HttpExchange> &Exchange) {
+        this->onAdmin(Exchange);
+      });
+  auto Every = [this](Microseconds Period, std::function<void()> Action) {
+    this->Timers.push_back(this->Loop.every(Period, std::move(Action)));
+  };
+  Every(AdmissionTick, [this]() { this->Own.tick(); });
+  Every(GossipTick, [this]() { this->perform(this->Members.tick(Now())); });
+  Every(LivenessTick, [this]() { this->Peers.tick(); });
+  Every(Housekeeping, [this]() { this->Keyed.sweep(); });
+  Every(ContactSearch, [this]() { this->searchContacts(); });
+  this->findContacts();
+  this->Feed.start();
+}
+
+void Node::State::perform(const Membership::Output &Out) {
+  for (const auto &Sent : Out.Send) {
+    auto Bytes = codec::encode(Sent.Message);
+    this->Counters.count("gossip_bytes_sent", "", "", Bytes.size());
+    this->Gossip->send(Sent.To, Bytes);
+  }
+  for (const auto &M : Out.Changed) {
+    if (M.Health == Health::Dead || M.Target == TargetState::Left)
+      this->Routes.forget(M.Node);
+    bool NewHome = M.Target == TargetState::Ready &&
+                   M.Health == Health::Alive &&
+                   M.Service == this->Own.service();
+    if (NewHome)
+      this->Keyed.handOver(
+          M.Node,
+          [this](const Member &To, const auto &Records, auto OnDone) {
+            this->sendRecords(To, Records, OnDone);
+          },
+          [](bool) {});
+  }
+  if (Out.NewerReleaseAt)
+    this->Feed.fetchFrom(*Out.NewerReleaseAt);
+  if (Out.SyncWith)
+    if (const Member *With = this->Members.find(*Out.SyncWith))
+      this->synchronizeWith(With->Rpc);
+  if (this->Members.isSuperseded() && !this->IsLeaving) {
+    LOG(ERROR) << "a later process runs under the name "
+               << this->Chosen.Node.value() << "; leaving";
+    this->leave();
+  }
+}
+
+void Node::State::onDatagram(const std::string &Bytes) {
+  this->Counters.count("gossip_bytes_received", "", "", Bytes.size());
+  auto Message = codec::decode(Bytes);
+  if (!Message) {
+    this->Counters.count("gossip_malformed");
+    return;
+  }
+  this->Sightings[Message->From] = {Message->Revision, this->Now()};
+  this->perform(this->Members.receive(*Message, this->Now()));
+}
+
+void Node::State::synchronizeWith(Endpoint Contact) {
+  this->Counters.count("member_synchronizations");
+  this->Peers.synchronize(
+      Contact, this->Members.list(),
+      [this](const std::optional<std::vector<Member>> &Theirs) {
+        if (Theirs)
+          this->perform(this->Members.merge(*Theirs, this->Now()));
+      });
+}
+
+void Node::State::searchContacts() {
+  bool Alone = this->Members.others().empty();
+  bool Due = this->keepsContacts() && ++this->SearchesSkipped >= KeeperPause;
+  if (!Alone && !Due)
+    return;
+  this->SearchesSkipped = 0;
+  this->findContacts();
+}
+
+void Node::State::findContacts() {
+  for (const auto &Contact : this->Chosen.Contacts)
+    if (Contact != this->Chosen.Rpc)
+      this->synchronizeWith(Contact);
+  this->Platform.read(ContactsObject, [this](const PlatformObject &Object) {
+    this->onContacts(Object);
+  });
+}
+
+void Node::State::onContacts(const PlatformObject &Object) {
+  if (!Object.Reached)
+    return;
+  auto Contacts = parseContacts(Object.Value.value_or("{}"));
+  for (const auto &Entry : Contacts) {
+    std::size_t Most =
+        Entry.first == this->Chosen.FailureDomain.value() ? OwnContacts : 1;
+    for (const auto &Contact : Entry.second)
+      if (Contact != this->Chosen.Rpc && Most > 0) {
+        this->synchronizeWith(Contact);
+        --Most;
+      }
+  }
+  auto Wanted = this->wantedContacts();
+  auto &Listed = Contacts[this->Chosen.FailureDomain.value()];
+  bool Alone = this->Members.others().empty();
+  if (Alone && !contains(Listed, this->Chosen.Rpc))
+    Listed.insert(Listed.begin(), this->Chosen.Rpc);
+  else if (this->keepsContacts() && !covers(Listed, Wanted))
+    Listed = Wanted;
+  else
+    return;
+  if (Listed.size() > MaxContacts)
+    Listed.resize(MaxContacts);
+  this->Platform.write(ContactsObject, printContacts(Contacts), Object.Version,
+                       [this](PlatformWrite How) {
+                         if (How == PlatformWrite::Conflict)
+                           this->findContacts();
+                       });
+}
+
+std::vector<Endpoint> Node::State::wantedContacts() const {
+  std::vector<Endpoint> Wanted = {this->Chosen.Rpc};
+  for (const auto &[Node, M] : this->Members.others())
+    if (M.FailureDomain == this->Chosen.FailureDomain &&
+        M.Health == Health::Alive && M.Target != TargetState::Left &&
+        Wanted.size() < MaxContacts)
+      Wanted.push_back(M.Rpc);
+  return Wanted;
+}
+
+bool Node::State::keepsContacts() const {
+  std::vector<NodeId> Names = {this->Chosen.Node};
+  for (const auto &[Node, M] : this->Members.others())
+    if (M.FailureDomain == this->Chosen.FailureDomain &&
+        M.Health == Health::Alive)
+      Names.push_back(Node);
+  return rankByHash("contacts", std::move(Names), 1).front() ==
+         this->Chosen.Node;
+}
+
+void Node::State::onEgress(const std::shared_ptr<HttpExchange> &Exchange) {
+  const std::string Prefix = "/limpetdrum/v1/";
+  if (Exchange->path().compare(0, Prefix.size(), Prefix) != 0) {
+    this->Entry.onTarget(Exchange);
+    return;
+  }
+  auto What = Exchange->path().substr(Prefix.size());
+  if (What == "announce") {
+    this->onAnnounce(Exchange);
+  } else if (What == "leave") {
+    this->leave();
+    Exchange->reply(202, {}, "");
+  } else {
+    Exchange->reply(404, {}, "POST announce or leave\n");
+  }
+}
+
+void Node::State::onAnnounce(const std::shared_ptr<HttpExchange> &Exchange) {
+  try {
+    auto Body = nlohmann::json::parse(Exchange->body());
+    auto Service = Body.at("service").get<std::string>();
+    auto Announced = Body.at("slots").get<std::uint16_t>();
+    auto Where = parseEndpoint(Body.at("address").get<std::string>());
+    auto WarmUp = Milliseconds(Body.value("warm-up-ms", 0U));
+    if (Service.empty() || Announced == 0)
+      throw ValueError("the announcement has no service or no slots",
+                       "send a service and slots of 1 or more");
+    if (this->IsLeaving) {
+      Exchange->reply(409, {}, "this node is leaving\n");
+      return;
+    }
+    this->Target.setEndpoint(Where);
+    this->Own.onAnnounced(ServiceName(Service), Slots(Announced), WarmUp);
+    this->Members.announce(ServiceName(Service), Slots(Announced),
+                           TargetState::Ready);
+    LOG(INFO) << "target of " << Service << " ready with " << Announced
+              << " slots";
+    Exchange->reply(200, {}, "");
+  } catch (const nlohmann::json::exception &E) {
+    this->Counters.count("announcements_malformed");
+    Exchange->reply(400, {}, std::string(E.what()) + "\n");
+  } catch (const ValueError &E) {
+    this->Counters.count("announcements_malformed");
+    Exchange->reply(400, {}, std::string(E.what()) + "\n");
+  }
+}
+
+void Node::State::sendRecords(
+    const Member &To,
+    const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records,
+    std::function<void(bool)> OnDone) {
+  this->Peers.handOver(To.Rpc, Records, std::move(OnDone));
+}
+
+void Node::State::leave() {
+  if (this->IsLeaving)
+    return;
+  this->IsLeaving = true;
+  this->LeaveBegan = this->Now();
+  const auto &Self = this->Members.self();
+  this->Members.announce(Self.Service, Self.Slots, TargetState::Draining);
+  LOG(INFO) << "leaving";
+  this->Timers.push_back(
+      this->Loop.every(LeaveTick, [this]() { this->continueLeaving(); }));
+}
+
+void Node::State::continueLeaving() {
+  auto Passed = this->Now() - this->LeaveBegan;
+  if (Passed < this->Chosen.LeaveGrace || this->HandedOver)
+    return;
+  this->Own.refuseNewWork();
+  bool Idle = this->Own.running() == 0 && this->Calls.inFlight() == 0 &&
+              this->Entry.open() == 0;
+  if (!Idle && Passed < this->Chosen.DrainLimit)
+    return;
+  this->HandedOver = true;
+  this->Keyed.handOver(
+      std::nullopt,
+      [this](const Member &To, const auto &Records, auto OnDone) {
+        this->sendRecords(To, Records, OnDone);
+      },
+      [this](bool AllTaken) {
+        if (!AllTaken)
+          this->Counters.count("hand_overs_failed");
+        const auto &Self = this->Members.self();
+        this->Members.announce(Self.Service, Self.Slots, TargetState::Left);
+        LOG(INFO) << "left";
+        this->Leaving = this->Loop.after(FarewellTime, this->OnLeft);
+      });
+}
+
+Node::Node(EventLoop &Loop, const Settings &Chosen,
+           std::function<void()> OnLeft)
+    : Impl(std::make_unique<State>(Loop, Chosen, std::move(OnLeft))) {
+  this->Impl->start();
+}
+
+Node::~Node() = default;
+
+void Node::leave() { this->Impl->leave(); }
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/daemon/RpcService.cpp
@@ -0,0 +1,108 @@
+#include "NodeState.h"
+
+#include "limpetdrum/daemon/Codec.h"
+#include "limpetdrum/process/Error.h"
+
+#include <kj/debug.h>
+
+namespace limpetdrum {
+
+namespace {
+
+/// The node's side of the interface in Node.capnp.
+class RpcService final : public rpc::Node::Server {
+public:
+  explicit RpcService(Node::State &Of) : Of(Of) {}
+
+protected:
+  kj::Promise<void> execute(ExecuteContext Context) override {
+    AttemptSpec Spec;
+    try {
+      Spec = codec::read(Context.getParams().getAttempt());
+    } catch (const ValueError &E) {
+      this->Of.Counters.count("rpc_malformed");
+      return KJ_EXCEPTION(FAILED, E.what());
+    }
+    Context.releaseParams();
+    auto Pair = kj::newPromiseAndFulfiller<void>();
+    auto Fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+        kj::mv(Pair.fulfiller));
+    auto SharedContext = std::make_shared<ExecuteContext>(Context);
+    auto Done = [Fulfiller, SharedContext](const Reply &Value) {
+      // The caller may have hung up.
+      if (!(*Fulfiller)->isWaiting())
+        return;
+      codec::write(SharedContext->getResults().initReply(), Value);
+      (*Fulfiller)->fulfill();
+    };
+    if (Spec.Key.value().empty())
+      this->Of.Own.execute(Spec, Done);
+    else
+      this->Of.Keyed.arrive(Spec, Done);
+    return kj::mv(Pair.promise);
+  }
+
+  kj::Promise<void> cancel(CancelContext Context) override {
+    auto Params = Context.getParams();
+    bool NotRun = this->Of.Own.cancel(codec::read(Params.getId()),
+                                      Incarnation(Params.getIncarnation()));
+    Context.getResults().setNotRun(NotRun);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> probe(ProbeContext Context) override {
+    Context.getResults().setIncarnation(
+        this->Of.Members.self().Incarnation.value());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> release(ReleaseContext Context) override {
+    auto Current = this->Of.Releases.current();
+    bool Newer = Current &&
+                 Current->revision() > Revision(Context.getParams().getAbove());
+    Context.getResults().setState(Newer ? Current->text() : "");
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> synchronize(SynchronizeContext Context) override {
+    std::vector<Member> Theirs;
+    try {
+      for (auto Record : Context.getParams().getMembers())
+        Theirs.push_back(codec::read(Record));
+    } catch (const ValueError &E) {
+      this->Of.Counters.count("rpc_malformed");
+      return KJ_EXCEPTION(FAILED, E.what());
+    }
+    this->Of.perform(this->Of.Members.merge(Theirs, this->Of.Now()));
+    auto Mine = this->Of.Members.list();
+    auto List =
+        Context.getResults().initMembers(static_cast<unsigned>(Mine.size()));
+    for (unsigned I = 0; I < List.size(); ++I)
+      codec::write(List[I], Mine[I]);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> handOver(HandOverContext Context) override {
+    std::vector<std::pair<IdempotencyKey, KeyRecord>> Records;
+    try {
+      for (auto Record : Context.getParams().getRecords())
+        Records.push_back(codec::read(Record, this->Of.Now()));
+    } catch (const ValueError &E) {
+      this->Of.Counters.count("rpc_malformed");
+      return KJ_EXCEPTION(FAILED, E.what());
+    }
+    this->Of.Keyed.adopt(Records);
+    return kj::READY_NOW;
+  }
+
+private:
+  Node::State &Of;
+};
+
+} // namespace
+
+rpc::Node::Client makeRpcService(Node::State &Of) {
+  return kj::heap<RpcService>(Of);
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/process/Settings.cpp
@@ -0,0 +1,65 @@
+#include "limpetdrum/process/Settings.h"
+
+#include "limpetdrum/process/Error.h"
+#include "limpetdrum/process/YamlMap.h"
+
+namespace limpetdrum {
+
+namespace {
+
+bool readSwitch(YamlMap &Map, const std::string &Key) {
+  return Map.choice(Key, {"off", "on"}, 1) == 1;
+}
+
+void readListen(Settings &Result, YamlMap Listen) {
+  Result.Ingress = Listen.endpoint("ingress");
+  Result.Egress = Listen.endpoint("egress");
+  Result.Rpc = Listen.endpoint("rpc");
+  Result.Gossip = Listen.endpoint("gossip");
+  Result.Admin = Listen.endpoint("admin");
+  Listen.finish();
+}
+
+std::vector<Endpoint> readContacts(YamlMap &Map) {
+  std::vector<Endpoint> Contacts;
+  for (const auto &Text : Map.texts("contacts")) {
+    try {
+      Contacts.push_back(parseEndpoint(Text));
+    } catch (const ValueError &E) {
+      throw SourceError(Map.where("contacts"), E.what(), E.remedy());
+    }
+  }
+  return Contacts;
+}
+
+} // namespace
+
+Settings parseSettings(const std::string &Text, const std::string &File) {
+  YamlMap Map(parseYaml(Text, File), File);
+  Settings Result;
+  Result.Node = NodeId(Map.text("node"));
+  Result.Region = Region(Map.text("region"));
+  Result.FailureDomain = FailureDomain(Map.text("failure-domain"));
+  readListen(Result, Map.map("listen"));
+  Result.Platform = Map.endpoint("platform");
+  Result.Contacts = readContacts(Map);
+  Result.LeaveGrace = Map.duration("leave-grace", Result.LeaveGrace);
+  Result.DrainLimit = Map.duration("drain-limit", Result.DrainLimit);
+  Result.GossipPeriod = Map.duration("gossip-period", Result.GossipPeriod);
+  auto Mechanisms = Map.map("mechanisms");
+  Result.ShedAtEntry = readSwitch(Mechanisms, "shed-at-entry");
+  Result.ShedByClass = readSwitch(Mechanisms, "shed-by-class");
+  Result.BoundRetries = readSwitch(Mechanisms, "bound-retries");
+  Mechanisms.finish();
+  Map.finish();
+  if (Result.DrainLimit < Result.LeaveGrace)
+    throw SourceError(Map.where("drain-limit"),
+                      "'drain-limit' is shorter than 'leave-grace'",
+                      "make it the longer of the two");
+  if (Result.GossipPeriod < Milliseconds(50))
+    throw SourceError(Map.where("gossip-period"),
+                      "'gossip-period' is under 50ms", "write 50ms or more");
+  return Result;
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/process/YamlMap.cpp
@@ -0,0 +1,212 @@
+#include "limpetdrum/process/YamlMap.h"
+
+#include "limpetdrum/process/Error.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace limpetdrum {
+
+namespace {
+
+SourceLocation locate(const YAML::Node &Node, const std::string &File) {
+  auto Mark = Node.Mark();
+  return {File, Mark.line + 1, Mark.column + 1};
+}
+
+std::uint64_t parseNumber(const std::string &Text, SourceLocation Where,
+                          std::uint64_t Least, std::uint64_t Most) {
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto Result = std::from_chars(Text.data(), End, Value);
+  if (Result.ec != std::errc() || Result.ptr != End || Value < Least ||
+      Value > Most)
+    throw SourceError(std::move(Where),
+                      "'" + Text + "' is not a whole number in range",
+                      "write a number from " + std::to_string(Least) + " to " +
+                          std::to_string(Most));
+  return Value;
+}
+
+} // namespace
+
+YAML::Node parseYaml(const std::string &Text, const std::string &File) {
+  try {
+    return YAML::Load(Text);
+  } catch (const YAML::Exception &E) {
+    throw SourceError({File, E.mark.line + 1, E.mark.column + 1}, E.msg,
+                      "write a YAML document");
+  }
+}
+
+std::string readFile(const std::string &Path) {
+  std::ifstream Stream(Path, std::ios::binary);
+  std::ostringstream Text;
+  if (!Stream || !(Text << Stream.rdbuf()))
+    throw ValueError("cannot read '" + Path + "'",
+                     "name a file that exists and can be read");
+  return Text.str();
+}
+
+YamlMap::YamlMap(YAML::Node Node, std::string File)
+    : Node(std::move(Node)), File(std::move(File)) {
+  if (!this->Node.IsMap())
+    throw SourceError(this->where(), "a mapping is expected",
+                      "write 'key: value' lines");
+  std::set<std::string> Seen;
+  for (const auto &Entry : this->Node) {
+    auto Key = this->scalar(Entry.first, "key");
+    if (!Seen.insert(Key).second)
+      throw SourceError(locate(Entry.first, this->File),
+                        "the key '" + Key + "' stands twice",
+                        "remove one of the two");
+  }
+}
+
+bool YamlMap::has(const std::string &Key) const {
+  return this->Node[Key].IsDefined();
+}
+
+YAML::Node YamlMap::find(const std::string &Key) {
+  this->Known.insert(Key);
+  return this->Node[Key];
+}
+
+YAML::Node YamlMap::require(const std::string &Key) {
+  auto Found = this->find(Key);
+  if (!Found.IsDefined())
+    throw SourceError(this->where(), "the key '" + Key + "' is missing",
+                      "add '" + Key + ": …'");
+  return Found;
+}
+
+std::string YamlMap::scalar(const YAML::Node &Value,
+                            const std::string &Key) const {
+  if (!Value.IsScalar())
+    throw SourceError(locate(Value, this->File),
+                      "'" + Key + "' is not a single value",
+                      "write one value after the colon");
+  return Value.Scalar();
+}
+
+std::string YamlMap::text(const std::string &Key) {
+  auto Found = this->require(Key);
+  auto Text = this->scalar(Found, Key);
+  if (Text.empty())
+    throw SourceError(locate(Found, this->File), "'" + Key + "' is empty",
+                      "write a text");
+  return Text;
+}
+
+std::string YamlMap::text(const std::string &Key, const std::string &Default) {
+  return this->find(Key).IsDefined() ? this->text(Key) : Default;
+}
+
+std::uint64_t YamlMap::number(const std::string &Key, std::uint64_t Least,
+                              std::uint64_t Most) {
+  auto Found = this->require(Key);
+  return parseNumber(this->scalar(Found, Key), locate(Found, this->File), Least,
+                     Most);
+}
+
+std::uint64_t YamlMap::number(const std::string &Key, std::uint64_t Least,
+                              std::uint64_t Most, std::uint64_t Default) {
+  return this->find(Key).IsDefined() ? this->number(Key, Least, Most) : Default;
+}
+
+Milliseconds YamlMap::duration(const std::string &Key, Milliseconds Default) {
+  auto Found = this->find(Key);
+  if (!Found.IsDefined())
+    return Default;
+  auto Text = this->scalar(Found, Key);
+  auto Where = locate(Found, this->File);
+  constexpr std::uint64_t Longest = 86'400'000;
+  auto EndsWith = [&](const std::string &Unit) {
+    return Text.size() > Unit.size() &&
+           Text.compare(Text.size() - Unit.size(), Unit.size(), Unit) == 0;
+  };
+  if (EndsWith("ms"))
+    return Milliseconds(
+        parseNumber(Text.substr(0, Text.size() - 2), Where, 0, Longest));
+  if (EndsWith("s"))
+    return std::chrono::seconds(
+        parseNumber(Text.substr(0, Text.size() - 1), Where, 0, Longest / 1000));
+  throw SourceError(Where, "'" + Text + "' is not a time span",
+                    "write a number with its unit, as 250ms or 2s");
+}
+
+Endpoint YamlMap::endpoint(const std::string &Key) {
+  auto Found = this->require(Key);
+  try {
+    return parseEndpoint(this->scalar(Found, Key));
+  } catch (const ValueError &E) {
+    throw SourceError(locate(Found, this->File), E.what(), E.remedy());
+  }
+}
+
+std::size_t YamlMap::choice(const std::string &Key,
+                            const std::vector<std::string> &Words,
+                            std::size_t Default) {
+  auto Found = this->find(Key);
+  if (!Found.IsDefined())
+    return Default;
+  auto Text = this->scalar(Found, Key);
+  std::string Choices;
+  for (std::size_t I = 0; I < Words.size(); ++I) {
+    if (Words[I] == Text)
+      return I;
+    Choices += (I == 0 ? "" : ", ") + Words[I];
+  }
+  throw SourceError(locate(Found, this->File), "'" + Text + "' is no " + Key,
+                    "write one of " + Choices);
+}
+
+std::vector<YAML::Node> YamlMap::list(const std::string &Key) {
+  auto Found = this->find(Key);
+  std::vector<YAML::Node> Elements;
+  if (!Found.IsDefined() || Found.IsNull())
+    return Elements;
+  if (!Found.IsSequence())
+    throw SourceError(locate(Found, this->File), "'" + Key + "' is no list",
+                      "write '- …' lines or [a, b]");
+  for (const auto &Element : Found)
+    Elements.push_back(Element);
+  return Elements;
+}
+
+std::vector<std::string> YamlMap::texts(const std::string &Key) {
+  std::vector<std::string> Texts;
+  for (const auto &Element : this->list(Key))
+    Texts.push_back(this->scalar(Element, Key));
+  return Texts;
+}
+
+YamlMap YamlMap::map(const std::string &Key) {
+  auto Found = this->find(Key);
+  if (!Found.IsDefined() || Found.IsNull())
+    return YamlMap(YAML::Node(YAML::NodeType::Map), this->File);
+  return YamlMap(Found, this->File);
+}
+
+void YamlMap::finish() const {
+  for (const auto &Entry : this->Node) {
+    auto Key = Entry.first.Scalar();
+    if (this->Known.count(Key) != 0)
+      continue;
+    std::string Names;
+    for (const auto &Name : this->Known)
+      Names += (Names.empty() ? "" : ", ") + Name;
+    throw SourceError(locate(Entry.first, this->File),
+                      "the key '" + Key + "' is unknown",
+                      "remove it or write one of " + Names);
+  }
+}
+
+SourceLocation YamlMap::where(const std::string &Key) const {
+  return locate(this->Node[Key], this->File);
+}
+
+SourceLocation YamlMap::where() const { return locate(this->Node, this->File); }
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/request/Admission.cpp
@@ -0,0 +1,209 @@
+#include "limpetdrum/request/Admission.h"
+
+#include <algorithm>
+
+namespace limpetdrum {
+
+namespace {
+
+/// The queue holds this share of the limit: the wait stays under a service
+/// time, and after a surge there is no standing queue to work off.
+constexpr double QueueShare = 0.5;
+constexpr std::size_t LeastQueue = 4;
+/// A tenant beyond this multiple of its fair share goes last in its class.
+constexpr double ShareTolerance = 1.5;
+
+} // namespace
+
+Admission::Admission(Slots Announced, AdmissionSwitches Switches)
+    : Switches(Switches), Limit(Announced) {}
+
+void Admission::announce(Slots Announced, Milliseconds WarmUp, TimePoint Now) {
+  this->Limit.announce(Announced, WarmUp, Now);
+}
+
+Admission::Key Admission::placeOf(const Arrival &Value) {
+  Key Place;
+  Place.Order = ++this->LastOrder;
+  if (!this->Switches.OrderByClass)
+    return Place;
+  Place.Rank = Value.Rank.value();
+  Place.Cohort = Value.Cohort;
+  auto Total = static_cast<double>(this->Running.size() + this->Queue.size());
+  auto Found = this->Tenants.find(Value.Tenant);
+  if (Found != this->Tenants.end() && this->Tenants.size() > 1) {
+    double Fair = Total / static_cast<double>(this->Tenants.size());
+    Place.OverShare =
+        static_cast<double>(Found->second) > Fair * ShareTolerance;
+  }
+  return Place;
+}
+
+std::size_t Admission::queueCapacity(TimePoint Now) const noexcept {
+  auto Share = static_cast<double>(this->Limit.limit(Now)) * QueueShare;
+  return std::max(LeastQueue, static_cast<std::size_t>(Share));
+}
+
+Microseconds Admission::waitBehind(std::size_t Ahead,
+                                   TimePoint Now) const noexcept {
+  if (this->Running.size() < this->Limit.limit(Now))
+    return Microseconds(0);
+  auto PerSlot = this->Limit.typicalLatency() /
+                 static_cast<std::int64_t>(this->Limit.limit(Now));
+  return PerSlot * static_cast<std::int64_t>(Ahead + 1);
+}
+
+Microseconds Admission::expectedWait(TimePoint Now) const noexcept {
+  return this->waitBehind(this->Queue.size(), Now);
+}
+
+AdmissionDecisions Admission::arrive(const Arrival &Value, TimePoint Now) {
+  AdmissionDecisions Decisions;
+  this->Level.onArrival(position(Value.Rank, Value.Cohort));
+  Queued Entry{this->placeOf(Value), Value};
+  ++this->Tenants[Value.Tenant];
+  this->QueuedPlaces.emplace(Value.Id, Entry.Place);
+  this->Queue.insert(std::move(Entry));
+  this->fill(Now, Decisions);
+  this->makeRoom(Value.Id, Now, Decisions);
+  return Decisions;
+}
+
+void Admission::makeRoom(AttemptId Newest, TimePoint Now,
+                         AdmissionDecisions &Decisions) {
+  auto Found = this->QueuedPlaces.find(Newest);
+  if (Found != this->QueuedPlaces.end()) {
+    Queued Probe{Found->second, {}};
+    auto Entry = this->Queue.find(Probe);
+    auto Ahead =
+        static_cast<std::size_t>(std::distance(this->Queue.begin(), Entry));
+    auto Expected = this->waitBehind(Ahead, Now) + this->Limit.typicalLatency();
+    bool TooLate = Now + Expected > Entry->Value.Deadline;
+    if (TooLate && !this->cancelLower(Entry->Place, Decisions))
+      this->refuse(*Entry, Reason::DeadlineTooNear, Decisions);
+  }
+  while (this->Queue.size() > this->queueCapacity(Now) + this->Cancelling) {
+    const auto &Last = *this->Queue.rbegin();
+    if (this->cancelLower(Last.Place, Decisions))
+      continue;
+    bool IsNewest = Last.Value.Id == Newest;
+    this->refuse(Last, IsNewest ? Reason::Overload : Reason::Displaced,
+                 Decisions);
+  }
+}
+
+bool Admission::cancelLower(const Key &Place, AdmissionDecisions &Decisions) {
+  if (this->CancellableRunning.empty())
+    return false;
+  auto Lowest = std::prev(this->CancellableRunning.end());
+  if (Lowest->Place.Rank <= Place.Rank)
+    return false;
+  Decisions.Cancel.push_back(Lowest->Id);
+  this->CancellableRunning.erase(Lowest);
+  ++this->Cancelling;
+  return true;
+}
+
+void Admission::dispatch(const Queued &Entry, TimePoint Now,
+                         AdmissionDecisions &Decisions) {
+  const auto &Value = Entry.Value;
+  this->Running.emplace(
+      Value.Id, Served{Entry.Place, Now, Value.Tenant, Value.Cancellable});
+  if (Value.Cancellable)
+    this->CancellableRunning.insert({Entry.Place, Value.Id});
+  Decisions.Dispatch.push_back(Value.Id);
+}
+
+void Admission::fill(TimePoint Now, AdmissionDecisions &Decisions) {
+  while (!this->Queue.empty() &&
+         this->Running.size() < this->Limit.limit(Now)) {
+    auto First = this->Queue.begin();
+    if (First->Value.Deadline <= Now) {
+      this->refuse(*First, Reason::DeadlineTooNear, Decisions);
+      continue;
+    }
+    this->dispatch(*First, Now, Decisions);
+    this->QueuedPlaces.erase(First->Value.Id);
+    this->Queue.erase(First);
+  }
+}
+
+void Admission::refuse(const Queued &Entry, Reason Why,
+                       AdmissionDecisions &Decisions) {
+  this->Level.onRefused();
+  Decisions.Refuse.push_back({Entry.Value.Id, Why});
+  this->erase(this->Queue.find(Entry));
+}
+
+void Admission::erase(std::set<Queued>::iterator Entry) {
+  this->leaveTenant(Entry->Value.Tenant);
+  this->QueuedPlaces.erase(Entry->Value.Id);
+  this->Queue.erase(Entry);
+}
+
+void Admission::leaveTenant(const Tenant &Name) {
+  auto Found = this->Tenants.find(Name);
+  if (Found != this->Tenants.end() && --Found->second == 0)
+    this->Tenants.erase(Found);
+}
+
+AdmissionDecisions Admission::complete(AttemptId Id, Completion How,
+                                       TimePoint Now) {
+  AdmissionDecisions Decisions;
+  auto Found = this->Running.find(Id);
+  if (Found == this->Running.end())
+    return Decisions;
+  const auto &Done = Found->second;
+  bool Saturated = this->Running.size() >= this->Limit.limit(Now);
+  bool WasCancelled =
+      Done.Cancellable && this->CancellableRunning.erase({Done.Place, Id}) == 0;
+  if (WasCancelled)
+    --this->Cancelling;
+  else if (How != Completion::Abandoned)
+    this->Limit.onCompletion(
+        std::chrono::duration_cast<Microseconds>(Now - Done.Start),
+        How == Completion::Shed, Saturated, Now);
+  this->leaveTenant(Done.Tenant);
+  this->Running.erase(Found);
+  this->fill(Now, Decisions);
+  return Decisions;
+}
+
+bool Admission::withdraw(AttemptId Id) {
+  auto Found = this->QueuedPlaces.find(Id);
+  if (Found == this->QueuedPlaces.end())
+    return false;
+  this->erase(this->Queue.find(Queued{Found->second, {}}));
+  return true;
+}
+
+AdmissionDecisions Admission::tick(std::size_t RankCount, TimePoint Now) {
+  AdmissionDecisions Decisions;
+  this->fill(Now, Decisions);
+  std::vector<Queued> Late;
+  for (const auto &Entry : this->Queue)
+    if (Entry.Value.Deadline <= Now + this->Limit.typicalLatency())
+      Late.push_back(Entry);
+  std::size_t Kept = 0;
+  for (const auto &Entry : Late) {
+    bool Alive = Entry.Value.Deadline > Now;
+    if (Alive &&
+        (Kept < this->Cancelling || this->cancelLower(Entry.Place, Decisions)))
+      ++Kept;
+    else
+      this->refuse(Entry, Reason::DeadlineTooNear, Decisions);
+  }
+  auto Most = static_cast<double>(this->Limit.limit(Now));
+  auto Used = static_cast<double>(this->Running.size());
+  this->Level.tick(std::max(0.0, 1 - Used / Most), RankCount, Now);
+  return Decisions;
+}
+
+AdmissionDecisions Admission::refuseQueued(Reason Why) {
+  AdmissionDecisions Decisions;
+  while (!this->Queue.empty())
+    this->refuse(*this->Queue.begin(), Why, Decisions);
+  return Decisions;
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/request/AttemptLedger.cpp
@@ -0,0 +1,71 @@
+#include "limpetdrum/request/AttemptLedger.h"
+
+#include <algorithm>
+
+namespace limpetdrum {
+
+AttemptLedger::AttemptLedger(Microseconds Retention) : Retention(Retention) {}
+
+AttemptLedger::Arrival AttemptLedger::arrive(AttemptId Id, TimePoint Now) {
+  this->sweep(Now);
+  auto Found = this->Entries.find(Id);
+  if (Found != this->Entries.end()) {
+    if (Found->second.State == State::Ended)
+      return {Verdict::Replay, Found->second.Reply};
+    return {Verdict::Pending, nullptr};
+  }
+  auto Old = this->Forgotten.find(Id.Caller);
+  if (Old != this->Forgotten.end() && Id.Sequence <= Old->second)
+    return {Verdict::Stale, nullptr};
+  this->Entries.emplace(Id, Entry{State::Queued, nullptr});
+  return {Verdict::Fresh, nullptr};
+}
+
+void AttemptLedger::dispatch(AttemptId Id) {
+  auto Found = this->Entries.find(Id);
+  if (Found != this->Entries.end() && Found->second.State == State::Queued)
+    Found->second.State = State::Running;
+}
+
+void AttemptLedger::finish(AttemptId Id, std::shared_ptr<const Reply> Value,
+                           TimePoint Now) {
+  auto Found = this->Entries.find(Id);
+  if (Found == this->Entries.end() || Found->second.State == State::Ended)
+    return;
+  Found->second.State = State::Ended;
+  Found->second.Reply = std::move(Value);
+  this->Expiries.push_back({Now + this->Retention, Id});
+}
+
+bool AttemptLedger::revoke(AttemptId Id, TimePoint Now) {
+  auto Seen = this->arrive(Id, Now);
+  if (Seen.Verdict == Verdict::Replay)
+    return Seen.Reply->Outcome == Outcome::NotRun;
+  if (Seen.Verdict == Verdict::Stale || this->isRunning(Id))
+    return false;
+  auto Tombstone = notRun(Reason::Cancelled, Milliseconds(0));
+  this->finish(Id, std::make_shared<const Reply>(std::move(Tombstone)), Now);
+  return true;
+}
+
+bool AttemptLedger::isQueued(AttemptId Id) const {
+  auto Found = this->Entries.find(Id);
+  return Found != this->Entries.end() && Found->second.State == State::Queued;
+}
+
+bool AttemptLedger::isRunning(AttemptId Id) const {
+  auto Found = this->Entries.find(Id);
+  return Found != this->Entries.end() && Found->second.State == State::Running;
+}
+
+void AttemptLedger::sweep(TimePoint Now) {
+  while (!this->Expiries.empty() && this->Expiries.front().At <= Now) {
+    auto Id = this->Expiries.front().Id;
+    this->Expiries.pop_front();
+    this->Entries.erase(Id);
+    auto &Highest = this->Forgotten[Id.Caller];
+    Highest = std::max(Highest, Id.Sequence);
+  }
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/request/KeyLedger.cpp
@@ -0,0 +1,93 @@
+#include "limpetdrum/request/KeyLedger.h"
+
+namespace limpetdrum {
+
+namespace {
+
+constexpr std::uint16_t GoneStatus = 410;
+
+} // namespace
+
+KeyLedger::KeyLedger(Microseconds Retention, std::size_t BodyBytes)
+    : Retention(Retention), BodyBytesLeft(BodyBytes) {}
+
+KeyLedger::Arrival KeyLedger::arrive(const IdempotencyKey &Key,
+                                     const NodeLife &Candidate,
+                                     std::uint16_t MostRuns, TimePoint Now) {
+  this->sweep(Now);
+  auto [Found, IsNew] = this->Records.try_emplace(Key);
+  auto &Record = Found->second;
+  if (IsNew) {
+    Record.Holder = Candidate;
+    Record.Expiry = Now + this->Retention;
+    Record.Runs = 1;
+    this->Expiries.emplace_back(Record.Expiry, Key);
+    return {Verdict::Begin, Candidate, {}};
+  }
+  if (!Record.Settled)
+    return {Verdict::Open, Record.Holder, {}};
+  if (Record.Reply.Outcome != Outcome::NotRun)
+    return {Verdict::Replay, Record.Holder, Record.Reply};
+  if (Record.Runs >= MostRuns)
+    return {Verdict::Spent, Record.Holder, {}};
+  Record.Holder = Candidate;
+  Record.Settled = false;
+  ++Record.Runs;
+  return {Verdict::Begin, Candidate, {}};
+}
+
+void KeyLedger::settle(const IdempotencyKey &Key, const Reply &Value,
+                       TimePoint /*Now*/) {
+  auto Found = this->Records.find(Key);
+  if (Found == this->Records.end() || Found->second.Settled)
+    return;
+  Found->second.Settled = true;
+  this->keepBody(Found->second, Value);
+}
+
+void KeyLedger::keepBody(KeyRecord &Record, const Reply &Value) {
+  Record.Reply = Value;
+  Record.Reply.Levels.clear();
+  if (Value.Body.size() <= this->BodyBytesLeft) {
+    this->BodyBytesLeft -= Value.Body.size();
+    return;
+  }
+  Record.Reply.Body.clear();
+  Record.Reply.Status = GoneStatus;
+}
+
+std::vector<std::pair<IdempotencyKey, KeyRecord>> KeyLedger::records() const {
+  return {this->Records.begin(), this->Records.end()};
+}
+
+void KeyLedger::adopt(const IdempotencyKey &Key, KeyRecord Value) {
+  auto [Found, IsNew] = this->Records.try_emplace(Key);
+  if (!IsNew && (Found->second.Settled || !Value.Settled))
+    return;
+  auto Taken = std::move(Value.Reply);
+  Found->second = std::move(Value);
+  if (Found->second.Settled)
+    this->keepBody(Found->second, Taken);
+  if (IsNew)
+    this->Expiries.emplace_back(Found->second.Expiry, Key);
+}
+
+std::optional<KeyRecord> KeyLedger::find(const IdempotencyKey &Key) const {
+  auto Found = this->Records.find(Key);
+  if (Found == this->Records.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void KeyLedger::sweep(TimePoint Now) {
+  while (!this->Expiries.empty() && this->Expiries.front().first <= Now) {
+    auto Found = this->Records.find(this->Expiries.front().second);
+    if (Found != this->Records.end()) {
+      this->BodyBytesLeft += Found->second.Reply.Body.size();
+      this->Records.erase(Found);
+    }
+    this->Expiries.pop_front();
+  }
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/request/Reply.cpp
@@ -0,0 +1,41 @@
+#include "limpetdrum/request/Reply.h"
+
+#include <array>
+
+namespace limpetdrum {
+
+namespace {
+
+constexpr std::array<const char *, ReasonCount> ReasonNames = {
+    "none",          "overload",     "level-at-entry", "displaced",
+    "deadline",      "cancelled",    "no-target",      "draining",
+    "retries-spent", "target-broke", "node-gone",      "timed-out"};
+
+constexpr std::array<const char *, 3> OutcomeNames = {"answered", "not-run",
+                                                      "unknown"};
+
+} // namespace
+
+const char *toString(Reason Value) noexcept {
+  return ReasonNames[static_cast<std::size_t>(Value)];
+}
+
+const char *toString(Outcome Value) noexcept {
+  return OutcomeNames[static_cast<std::size_t>(Value)];
+}
+
+Reply notRun(Reason Why, Milliseconds RetryAfter) {
+  Reply Result;
+  Result.Outcome = Outcome::NotRun;
+  Result.Reason = Why;
+  Result.RetryAfter = RetryAfter;
+  return Result;
+}
+
+Reply unknownOutcome(Reason Why, Milliseconds RetryAfter) {
+  Reply Result = notRun(Why, RetryAfter);
+  Result.Outcome = Outcome::Unknown;
+  return Result;
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/request/Router.cpp
@@ -0,0 +1,126 @@
+#include "limpetdrum/request/Router.h"
+
+#include <algorithm>
+
+namespace limpetdrum {
+
+namespace {
+
+constexpr double LatencyWeight = 0.1;
+constexpr double FirstLatency = 1000; // microseconds
+constexpr double SameRegionHandicap = 1.25;
+constexpr double OtherRegionHandicap = 4.0;
+constexpr unsigned FailuresToEject = 5;
+constexpr Milliseconds FirstEjection{1000};
+constexpr unsigned MaxDoublings = 5;
+
+bool contains(const std::vector<NodeId> &Names, const NodeId &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+} // namespace
+
+Router::Router(FailureDomain OwnDomain, Region OwnRegion, std::uint64_t Seed)
+    : OwnDomain(std::move(OwnDomain)), OwnRegion(std::move(OwnRegion)),
+      Random(Seed) {}
+
+double Router::cost(const RouteCandidate &Candidate) {
+  const auto &S = this->Known[Candidate.Node];
+  double Latency = S.Latency == 0 ? FirstLatency : S.Latency;
+  double Handicap = 1;
+  if (Candidate.Region != this->OwnRegion)
+    Handicap = OtherRegionHandicap;
+  else if (Candidate.FailureDomain != this->OwnDomain)
+    Handicap = SameRegionHandicap;
+  return static_cast<double>(S.InFlight + 1) * Latency * Handicap;
+}
+
+bool Router::usable(const NodeId &Node, TimePoint Now) const {
+  auto Found = this->Known.find(Node);
+  if (Found == this->Known.end())
+    return true;
+  const auto &S = Found->second;
+  if (Now < S.EjectedUntil)
+    return false;
+  // Back from ejection: one call at a time until one succeeds.
+  return S.Ejections == 0 || S.Failures < FailuresToEject || S.InFlight == 0;
+}
+
+bool Router::isEjected(const NodeId &Node, TimePoint Now) const {
+  return !this->usable(Node, Now);
+}
+
+std::optional<NodeId>
+Router::pick(const std::vector<RouteCandidate> &Candidates,
+             const std::vector<NodeId> &Excluded, TimePoint Now) {
+  std::vector<const RouteCandidate *> Left;
+  for (const auto &Candidate : Candidates)
+    if (!contains(Excluded, Candidate.Node))
+      Left.push_back(&Candidate);
+  std::vector<const RouteCandidate *> Usable;
+  for (const auto *Candidate : Left)
+    if (this->usable(Candidate->Node, Now))
+      Usable.push_back(Candidate);
+  // With most of them ejected the fault is elsewhere: use them all.
+  if (Usable.size() * 2 < Left.size())
+    Usable = Left;
+  if (Usable.empty())
+    return std::nullopt;
+  const auto *First = Usable[this->Random() % Usable.size()];
+  const auto *Second = Usable[this->Random() % Usable.size()];
+  if (this->cost(*Second) < this->cost(*First))
+    First = Second;
+  this->begin(First->Node);
+  return First->Node;
+}
+
+void Router::begin(const NodeId &Node) { ++this->Known[Node].InFlight; }
+
+void Router::end(const NodeId &Node, CallEnd How, Microseconds Latency,
+                 TimePoint Now) {
+  auto &S = this->Known[Node];
+  if (S.InFlight > 0)
+    --S.InFlight;
+  if (How == CallEnd::Failed) {
+    if (++S.Failures < FailuresToEject)
+      return;
+    auto Doublings = std::min(S.Ejections, MaxDoublings);
+    S.EjectedUntil = Now + FirstEjection * (1U << Doublings);
+    ++S.Ejections;
+    return;
+  }
+  S.Failures = 0;
+  S.Ejections = 0;
+  if (How != CallEnd::Served)
+    return;
+  auto New = static_cast<double>(Latency.count());
+  S.Latency =
+      S.Latency == 0 ? New : S.Latency + LatencyWeight * (New - S.Latency);
+}
+
+void Router::forget(const NodeId &Node) { this->Known.erase(Node); }
+
+std::vector<RouteCandidate> subset(std::vector<RouteCandidate> Candidates,
+                                   const NodeId &Self,
+                                   const FailureDomain &OwnDomain,
+                                   const Region &OwnRegion, std::size_t Most) {
+  if (Candidates.size() <= Most)
+    return Candidates;
+  auto Distance = [&](const RouteCandidate &C) {
+    if (C.FailureDomain == OwnDomain)
+      return 0;
+    return C.Region == OwnRegion ? 1 : 2;
+  };
+  auto Seed = stableHash(Self.value());
+  std::sort(Candidates.begin(), Candidates.end(),
+            [&](const RouteCandidate &A, const RouteCandidate &B) {
+              if (Distance(A) != Distance(B))
+                return Distance(A) < Distance(B);
+              return stableHash(A.Node.value(), Seed) >
+                     stableHash(B.Node.value(), Seed);
+            });
+  Candidates.resize(Most);
+  return Candidates;
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/version/ReleaseNote.cpp
@@ -0,0 +1,185 @@
+#include "limpetdrum/version/ReleaseNote.h"
+
+#include "ReleaseYaml.h"
+#include "limpetdrum/Config.h"
+
+#include <cstdio>
+
+namespace limpetdrum {
+
+namespace {
+
+/// Lost answers are resolved by the ids of this many publications.
+constexpr std::size_t PublicationsKept = 256;
+
+std::vector<Located<std::string>> readNames(YamlMap &Map,
+                                            const std::string &Key) {
+  std::vector<Located<std::string>> Names;
+  for (const auto &Name : Map.texts(Key))
+    Names.push_back({Name, Map.where(Key)});
+  return Names;
+}
+
+template <typename Map, typename T>
+void addAll(Map &Into, const std::vector<Located<T>> &Values,
+            const std::string &Kind) {
+  for (const auto &[Value, Where] : Values) {
+    std::string Name;
+    if constexpr (std::is_same_v<T, Service>)
+      Name = Value.Name.value();
+    else
+      Name = Value.Name;
+    if (!Into.emplace(Name, Value).second)
+      throw SourceError(Where, Kind + " '" + Name + "' is in force already",
+                        "move it below 'changed'");
+  }
+}
+
+template <typename Map, typename T>
+void changeAll(Map &Into, const std::vector<Located<T>> &Values,
+               const std::string &Kind) {
+  for (const auto &[Value, Where] : Values) {
+    std::string Name;
+    if constexpr (std::is_same_v<T, Service>)
+      Name = Value.Name.value();
+    else
+      Name = Value.Name;
+    auto Found = Into.find(Name);
+    if (Found == Into.end())
+      throw SourceError(Where, Kind + " '" + Name + "' is not in force",
+                        "move it below 'added'");
+    Found->second = Value;
+  }
+}
+
+template <typename Map>
+void withdrawAll(Map &From, const std::vector<Located<std::string>> &Names,
+                 const std::string &Kind) {
+  for (const auto &[Name, Where] : Names)
+    if (From.erase(Name) == 0)
+      throw SourceError(Where, Kind + " '" + Name + "' is not in force",
+                        "remove it from 'withdrawn'");
+}
+
+/// Where the note names a service, for errors about the folded outcome.
+SourceLocation locationOf(const ReleaseNote &Note, const std::string &Name) {
+  for (const auto *Section : {&Note.Added, &Note.Changed})
+    for (const auto &Service : Section->Services)
+      if (Service.Value.Name.value() == Name)
+        return Service.Where;
+  for (const auto *Names : {&Note.WithdrawnServices, &Note.WithdrawnClasses})
+    if (!Names->empty())
+      return Names->front().Where;
+  return Note.Where;
+}
+
+/// Walks the calls of every route, depth first.
+class GraphCheck {
+public:
+  GraphCheck(const Release &Value, const ReleaseNote &Note)
+      : Value(Value), Note(Note) {}
+
+  void run() {
+    for (const auto &[Name, Service] : this->Value.Services)
+      for (const auto &Route : Service.Routes) {
+        this->checkClass(Name, Route);
+        this->visit(Name, Route.Path);
+      }
+  }
+
+private:
+  enum class Mark : std::uint8_t { None, Open, Done };
+
+  void checkClass(const std::string &Name, const Route &R) const {
+    if (this->Value.Classes.count(R.Class) == 0)
+      throw SourceError(locationOf(this->Note, Name),
+                        "'" + R.Path + "' has the class '" + R.Class +
+                            "', which is not in force",
+                        "add the class, or keep it");
+  }
+
+  void visit(const std::string &Caller, const std::string &Path) {
+    const Route *R = findRoute(this->Value, Path);
+    if (R == nullptr)
+      throw SourceError(locationOf(this->Note, Caller),
+                        "service '" + Caller + "' calls '" + Path +
+                            "', which is not in force",
+                        "add that route, or withdraw the call first");
+    auto &Seen = this->Marks[Path];
+    if (Seen == Mark::Open)
+      throw SourceError(locationOf(this->Note, Caller),
+                        "'" + Path + "' calls itself through '" + Caller + "'",
+                        "break the cycle of calls");
+    if (Seen == Mark::Done)
+      return;
+    Seen = Mark::Open;
+    for (const auto &Callee : R->Calls)
+      this->visit(serviceOf(Path).value(), Callee);
+    this->Marks[Path] = Mark::Done;
+  }
+
+  const Release &Value;
+  const ReleaseNote &Note;
+  std::map<std::string, Mark> Marks;
+};
+
+} // namespace
+
+ConflictError::ConflictError(const ReleaseNote &Note, Revision InForce)
+    : SourceError(Note.Where,
+                  "the note is against revision " +
+                      std::to_string(Note.Against.value()) + ", but revision " +
+                      std::to_string(InForce.value()) + " is in force",
+                  "read it with 'limpetctl in-force', adapt the note and write "
+                  "'against: " +
+                      std::to_string(InForce.value()) + "'") {}
+
+ReleaseNote parseReleaseNote(const std::string &Text, const std::string &File) {
+  YamlMap Map(parseYaml(Text, File), File);
+  ReleaseNote Note;
+  Note.Where = Map.where();
+  Note.Against = Revision(Map.number("against", 0, UINT64_MAX));
+  char Id[33];
+  std::snprintf(Id, sizeof(Id), "%016llx%016llx",
+                static_cast<unsigned long long>(stableHash(Text, 1)),
+                static_cast<unsigned long long>(stableHash(Text, 2)));
+  Note.PublicationId = Id;
+  auto Added = Map.map("added");
+  Note.Added = impl::readSection(Added, File);
+  Added.finish();
+  auto Changed = Map.map("changed");
+  Note.Changed = impl::readSection(Changed, File);
+  Changed.finish();
+  auto Withdrawn = Map.map("withdrawn");
+  Note.WithdrawnClasses = readNames(Withdrawn, "classes");
+  Note.WithdrawnServices = readNames(Withdrawn, "services");
+  Withdrawn.finish();
+  Map.finish();
+  return Note;
+}
+
+Release fold(const Release &Base, const ReleaseNote &Note) {
+  if (Base.Revision != Note.Against)
+    throw ConflictError(Note, Base.Revision);
+  Release Next = Base;
+  Next.Revision = Revision(Base.Revision.value() + 1);
+  addAll(Next.Classes, Note.Added.Classes, "class");
+  addAll(Next.Services, Note.Added.Services, "service");
+  changeAll(Next.Classes, Note.Changed.Classes, "class");
+  changeAll(Next.Services, Note.Changed.Services, "service");
+  withdrawAll(Next.Services, Note.WithdrawnServices, "service");
+  withdrawAll(Next.Classes, Note.WithdrawnClasses, "class");
+  GraphCheck(Next, Note).run();
+  Next.Publications.push_back({Note.PublicationId, Next.Revision});
+  if (Next.Publications.size() > PublicationsKept)
+    Next.Publications.erase(Next.Publications.begin());
+  auto Size = toYaml(Next).size();
+  if (Size > MaxPlatformValueBytes)
+    throw SourceError(Note.Where,
+                      "the release would take " + std::to_string(Size) +
+                          " bytes, more than the platform holds",
+                      "withdraw services or shorten names");
+  return Next;
+}
+
+} // namespace limpetdrum
--- /dev/null
+++ b/lib/version/ReleaseYaml.h
@@ -0,0 +1,14 @@
+#ifndef LIMPETDRUM_LIB_VERSION_RELEASEYAML_H
+#define LIMPETDRUM_LIB_VERSION_RELEASEYAML_H
+
+#include "limpetdrum/process/YamlMap.h"
+#include "limpetdrum/version/ReleaseNote.h"
+
+namespace limpetdrum::impl {
+
+/// \brief Reads the `classes` and `services` below \p Map.
+[[nodiscard]] NoteSection readSection(YamlMap &Map, const std::string &File);
+
+} // namespace limpetdrum::impl
+
+#endif
--- /dev/null
+++ b/standins/Load.cpp
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/unittests/AdmissionTest.cpp
@@ -0,0 +1,193 @@
+#include "limpetdrum/request/Admission.h"
+#include "FakeClock.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+constexpr std::uint8_t Order = 0;
+constexpr std::uint8_t Browse = 1;
+
+Arrival request(std::uint64_t Number, std::uint8_t Rank, const FakeClock &Clock,
+                Milliseconds Deadline = Milliseconds(2000)) {
+  Arrival A;
+  A.Id = attempt(Number);
+  A.Rank = ClassRank(Rank);
+  A.Cohort = static_cast<float>(Number % 100) / 100;
+  A.Deadline = Clock.now() + Deadline;
+  A.Cancellable = Rank == Browse;
+  return A;
+}
+
+/// Serves a target for an Admission and checks the rule of the brief: no
+/// order is refused while a browse runs or waits there.
+class Bench {
+public:
+  explicit Bench(std::uint16_t Slots, AdmissionSwitches Switches = {})
+      : Gate(Slots_(Slots), Switches) {}
+
+  void arrive(const Arrival &A) {
+    this->Ranks[A.Id] = A.Rank.value();
+    this->apply(this->Gate.arrive(A, this->Clock.now()), A.Id);
+  }
+  void complete(AttemptId Id, Completion How = Completion::Served) {
+    this->Inside.erase(Id);
+    this->apply(this->Gate.complete(Id, How, this->Clock.now()), {});
+  }
+  void tick() { this->apply(this->Gate.tick(2, this->Clock.now()), {}); }
+
+  static Slots Slots_(std::uint16_t Count) { return Slots(Count); }
+
+  FakeClock Clock;
+  Admission Gate;
+  std::map<AttemptId, std::uint8_t> Ranks;
+  std::map<AttemptId, std::uint8_t> Inside; ///< queued or running
+  std::vector<AttemptId> Running;
+  std::size_t RefusedOrders = 0;
+  std::size_t RefusedBrowses = 0;
+  std::size_t Violations = 0;
+
+private:
+  void apply(const AdmissionDecisions &D, std::optional<AttemptId> Newest) {
+    if (Newest)
+      this->Inside[*Newest] = this->Ranks[*Newest];
+    for (const auto &R : D.Refuse)
+      this->Inside.erase(R.Id);
+    for (const auto &Id : D.Cancel)
+      this->Inside.erase(Id);
+    for (const auto &Id : D.Dispatch)
+      this->Running.push_back(Id);
+    for (const auto &R : D.Refuse)
+      this->judge(R);
+    for (const auto &Id : D.Cancel) {
+      this->Running.erase(
+          std::find(this->Running.begin(), this->Running.end(), Id));
+      this->complete(Id, Completion::Abandoned);
+    }
+  }
+
+  void judge(const AdmissionDecisions::Refusal &R) {
+    if (this->Ranks[R.Id] == Browse) {
+      ++this->RefusedBrowses;
+      return;
+    }
+    ++this->RefusedOrders;
+    for (const auto &Entry : this->Inside)
+      this->Violations += Entry.second == Browse ? 1 : 0;
+  }
+};
+
+/// Random arrivals at three times the capacity, mostly browses.
+void surge(Bench &B, std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed);
+  for (std::uint64_t I = 1; I <= 4000; ++I) {
+    std::uint8_t Rank = Random() % 3 == 0 ? Order : Browse;
+    B.arrive(request(I, Rank, B.Clock));
+    if (Random() % 3 == 0 && !B.Running.empty()) {
+      auto At = Random() % B.Running.size();
+      auto Id = B.Running[At];
+      B.Running.erase(B.Running.begin() + static_cast<std::ptrdiff_t>(At));
+      B.complete(Id);
+    }
+    B.Clock.advance(Milliseconds(1));
+    if (I % 10 == 0)
+      B.tick();
+  }
+}
+
+} // namespace
+
+TEST_CASE("Admission dispatches up to the announced slots", "[admission]") {
+  Bench B(3);
+  for (std::uint64_t I = 1; I <= 5; ++I)
+    B.arrive(request(I, Order, B.Clock));
+  CHECK(B.Running.size() == 3);
+  CHECK(B.Gate.queued() == 2);
+}
+
+TEST_CASE("Admission serves the queue by class, then cohort", "[admission]") {
+  Bench B(1);
+  B.arrive(request(1, Order, B.Clock));
+  B.arrive(request(50, Browse, B.Clock));
+  B.arrive(request(40, Order, B.Clock));
+  B.arrive(request(30, Order, B.Clock));
+  B.complete(attempt(1));
+  B.complete(attempt(30));
+  CHECK(B.Running ==
+        std::vector<AttemptId>{attempt(1), attempt(30), attempt(40)});
+}
+
+TEST_CASE("Admission lets an order displace the lowest browse", "[admission]") {
+  Bench B(1);
+  B.arrive(request(1, Order, B.Clock));
+  for (std::uint64_t I = 10; I < 14; ++I)
+    B.arrive(request(I, Browse, B.Clock));
+  auto D = B.Gate.arrive(request(20, Order, B.Clock), B.Clock.now());
+  REQUIRE(D.Refuse.size() == 1);
+  CHECK(D.Refuse[0].Id == attempt(13));
+  CHECK(D.Refuse[0].Why == Reason::Displaced);
+}
+
+TEST_CASE("Admission cancels a running browse before it refuses an order",
+          "[admission]") {
+  Bench B(1);
+  B.arrive(request(1, Browse, B.Clock));
+  for (std::uint64_t I = 10; I < 15; ++I)
+    B.arrive(request(I, Order, B.Clock));
+  CHECK(B.RefusedOrders == 0);
+  CHECK(B.Running == std::vector<AttemptId>{attempt(10)});
+}
+
+TEST_CASE("Admission refuses at once what cannot meet its deadline",
+          "[admission]") {
+  Bench B(1);
+  B.arrive(request(1, Order, B.Clock));
+  B.Clock.advance(Milliseconds(100));
+  B.complete(attempt(1));
+  B.arrive(request(2, Order, B.Clock));
+  auto D = B.Gate.arrive(request(3, Order, B.Clock, Milliseconds(150)),
+                         B.Clock.now());
+  REQUIRE(D.Refuse.size() == 1);
+  CHECK(D.Refuse[0].Why == Reason::DeadlineTooNear);
+}
+
+TEST_CASE("Admission never refuses an order while a browse is inside",
+          "[admission][property]") {
+  for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+    Bench B(20);
+    surge(B, Seed);
+    INFO("seed " << Seed);
+    REQUIRE(B.Violations == 0);
+    REQUIRE(B.RefusedBrowses > 0);
+  }
+}
+
+TEST_CASE("Admission without order by class breaks that rule",
+          "[admission][property]") {
+  Bench B(20, AdmissionSwitches{false});
+  surge(B, 1);
+  CHECK(B.Violations > 0);
+}
+
+TEST_CASE("Admission keeps one tenant from crowding out another",
+          "[admission]") {
+  Bench B(4);
+  std::uint64_t Number = 0;
+  auto Arrive = [&](const char *Name) {
+    auto A = request(++Number, Browse, B.Clock);
+    A.Tenant = Tenant(Name);
+    B.arrive(A);
+  };
+  Arrive("small");
+  for (int I = 0; I < 7; ++I)
+    Arrive("large");
+  // The queue is full of the large tenant's; its newest gives way.
+  Arrive("small");
+  CHECK(B.Inside.count(attempt(Number)) == 1);
+  CHECK(B.RefusedBrowses == 1);
+}
