Keep the RPC server alive when a caller disconnects

Cause: kj's then() keeps a reference to a callable that is passed as an lvalue; the one that forgets a closed connection was a local variable.

UBSan named the line. RpcTest failed so under UBSan with the old line and passes now. Also adds the bench: real processes, load, run log, relay.

--- /dev/null
+++ b/benchmarks/Overload.cpp
@@ -0,0 +1,382 @@
+// Whole requests under overload: the deep service slows, demand surges,
+// clients retry hard. Compares limpetdrum with no control, and with each of
+// its mechanisms switched off, in interleaved runs.
+#include "Fleet.h"
+#include "limpetdrum/process/Error.h"
+
+#include <algorithm>
+#include <csignal>
+#include <easylogging++.h>
+#include <filesystem>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iomanip>
+#include <iostream>
+#include <unistd.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+DEFINE_string(deployment, "fjordkulde", "fjordkulde or alliance");
+DEFINE_string(modes, "all-on,no-control", "which to compare, in this order");
+DEFINE_double(surge, 5, "demand in the trigger, as a multiple");
+DEFINE_double(slowdown, 3, "service time of the deep service in the trigger");
+DEFINE_int32(repeats, 1, "runs of each mode");
+DEFINE_int32(before_s, 5, "seconds before the trigger");
+DEFINE_int32(trigger_s, 8, "seconds of the trigger");
+DEFINE_int32(after_s, 12, "seconds after it");
+DEFINE_uint64(seed, 1, "of the first repeat");
+DEFINE_string(output, "", "folder for a series of each run, for plots");
+DEFINE_bool(heed, false, "clients heed Retry-After");
+DEFINE_int32(base_port, 24000, "first of the ports used");
+DEFINE_bool(verbose, false, "also print how tries were refused");
+DEFINE_string(check, "", "compare with these bounds: quick");
+
+namespace {
+
+using namespace limpetdrum;
+using namespace limpetdrum::bench;
+
+/// A deployment of the brief, its slots scaled down in step.
+struct Deployment {
+  FleetSpec Fleet;
+  std::vector<StreamSpec> Streams;
+  std::string DeepService;
+};
+
+StreamSpec stream(const std::string &Name, const std::string &Path, double Rate,
+                  bool Keyed) {
+  StreamSpec S;
+  S.Name = Name;
+  S.Path = Path;
+  S.Rate = Rate;
+  S.Keyed = Keyed;
+  return S;
+}
+
+Deployment fjordkulde() {
+  Deployment D;
+  D.Fleet.Domains = {"a", "b", "c"};
+  D.Fleet.Services = {{"catalogue", 3, 27, 0, 20, 160, 0},
+                      {"ordering", 3, 27, 0, 20, 160, 0},
+                      {"delivery", 3, 27, 0, 20, 160, 0},
+                      {"planning", 3, 5, 0, 50, 58, 0}};
+  D.Fleet.Note = R"(against: 0
+added:
+  classes:
+    - {name: order, importance: 1}
+    - {name: confirmation, importance: 1}
+    - {name: check, importance: 2}
+    - {name: browse, importance: 3}
+  services:
+    - name: catalogue
+      routes: [{path: /catalogue/browse, class: browse}]
+    - name: ordering
+      routes: [{path: /ordering/place, class: order, runs: once, calls: [/delivery/reserve]}]
+    - name: delivery
+      routes:
+        - {path: /delivery/reserve, class: order, runs: once, calls: [/planning/find]}
+        - {path: /delivery/confirm, class: confirmation, runs: once, calls: [/planning/find]}
+        - {path: /delivery/check, class: check, calls: [/planning/find]}
+    - name: planning
+      routes: [{path: /planning/find, class: check}]
+)";
+  D.Streams = {stream("browse", "/catalogue/browse", 100, false),
+               stream("check", "/delivery/check", 120, false),
+               stream("order", "/ordering/place", 30, true),
+               stream("confirmation", "/delivery/confirm", 15, true)};
+  D.DeepService = "planning";
+  return D;
+}
+
+Deployment alliance() {
+  Deployment D;
+  D.Fleet.Domains = {"a", "b", "c"};
+  D.Fleet.Services = {{"intake", 4, 23, 0, 20, 150, 0},
+                      {"parts", 3, 32, 0, 20, 190, 0},
+                      {"invoicing", 3, 32, 0, 20, 190, 0},
+                      {"supplies", 3, 7, 0, 50, 70, 0}};
+  D.Fleet.Note = R"(against: 0
+added:
+  classes:
+    - {name: reservation, importance: 1}
+    - {name: invoice, importance: 1}
+    - {name: lookup, importance: 2}
+  services:
+    - name: intake
+      routes:
+        - {path: /intake/record, class: lookup, calls: [/parts/lookup]}
+        - {path: /intake/repair, class: reservation, runs: once, calls: [/parts/reserve]}
+    - name: parts
+      routes:
+        - {path: /parts/lookup, class: lookup, calls: [/supplies/find]}
+        - {path: /parts/reserve, class: reservation, runs: once, calls: [/supplies/find]}
+    - name: invoicing
+      routes: [{path: /invoicing/issue, class: invoice, runs: once, calls: [/parts/reserve]}]
+    - name: supplies
+      routes: [{path: /supplies/find, class: lookup}]
+)";
+  D.Streams = {stream("lookup", "/intake/record", 170, false),
+               stream("reservation", "/intake/repair", 40, true),
+               stream("invoice", "/invoicing/issue", 25, true)};
+  D.DeepService = "supplies";
+  return D;
+}
+
+const std::map<std::string, Deployment (*)()> Deployments = {
+    {"fjordkulde", fjordkulde}, {"alliance", alliance}};
+
+struct RunFigures {
+  std::string Mode;
+  std::map<std::string, double> CompletedShare; ///< of requests in the trigger
+  std::map<std::string, double> TriggerRate;    ///< whole requests a second
+  double DeepGoodput = 0;  ///< whole requests through the deep service
+  double DeepCapacity = 0; ///< what it could serve in the trigger
+  double EarningRate = 0;  ///< earning requests begun a second
+  double EarningDone = 0;
+  double WastedShare = 0;     ///< runs of the deep service for nothing
+  double RecoverySeconds = 0; ///< -1: not within the run
+  std::uint64_t WrongAnswers = 0;
+  std::uint64_t RunTwice = 0;
+  std::uint64_t RanAfterNotRun = 0;
+  bool LogWhole = true;
+};
+
+bool earns(const StreamSpec &S) { return S.Keyed; }
+
+class Trial {
+public:
+  Trial(const Deployment &Chosen, const std::string &Mode, std::uint64_t Seed)
+      : Chosen(Chosen), Mode(Mode), Load(this->Loop, Seed),
+        Processes(this->Loop, this->fleetSpec()) {}
+
+  RunFigures run() {
+    this->Processes.startPlatform();
+    this->Processes.startAll();
+    if (!this->Processes.publishFirst(Milliseconds(20000)))
+      throw ValueError("the fleet did not come up",
+                       "read the logs in the work folder");
+    this->Processes.aim(this->Load);
+    for (auto S : this->Chosen.Streams) {
+      S.HeedsRetryAfter = FLAGS_heed;
+      this->Load.start(S);
+    }
+    this->Start = this->tenthNow();
+    this->Processes.runFor(std::chrono::seconds(FLAGS_before_s));
+    this->TriggerBegin = this->tenthNow();
+    this->slowDeep(FLAGS_slowdown);
+    this->Load.setSurge(FLAGS_surge);
+    auto StartedBefore = this->deepTotals();
+    this->Processes.runFor(std::chrono::seconds(FLAGS_trigger_s));
+    auto StartedAfter = this->deepTotals();
+    this->slowDeep(1);
+    this->Load.setSurge(1);
+    this->TriggerEnd = this->tenthNow();
+    this->Processes.runFor(std::chrono::seconds(FLAGS_after_s));
+    this->Load.stop();
+    static_cast<void>(this->Processes.runUntil(
+        [this]() { return this->Load.open() == 0; }, Milliseconds(15000)));
+    this->Processes.runFor(Milliseconds(300));
+    return this->figures(StartedAfter - StartedBefore);
+  }
+
+  void printRefusals() {
+    for (auto &[Name, R] : this->Load.results()) {
+      std::cout << "    " << Name << " " << R.Started << " begun, " << R.Tries
+                << " tries:";
+      for (const auto &[Why, Count] : R.Refusals)
+        std::cout << "  " << Why << " " << Count;
+      std::cout << "\n";
+    }
+    for (auto &M : this->Processes.members()) {
+      auto S = this->Processes.ask(this->Processes.admin(*M), "/status");
+      if (S.is_object())
+        std::cout << "    " << M->Name << " running " << S["running"] << "/"
+                  << S["limit"] << " threshold " << S["threshold"] << "\n";
+    }
+  }
+
+  void writeSeries(const std::string &Path) {
+    std::ofstream Out(Path);
+    Out << "# second then whole requests/s of each class\n# t";
+    for (const auto &Entry : this->Load.results())
+      Out << " " << Entry.first;
+    Out << "\n";
+    auto Last = this->TriggerEnd + FLAGS_after_s * 10;
+    for (auto T = this->Start; T < Last; T += 5) {
+      Out << static_cast<double>(T - this->TriggerEnd) / 10;
+      for (auto &Entry : this->Load.results())
+        Out << " " << this->completed(Entry.second, T, T + 5) * 2;
+      Out << "\n";
+    }
+  }
+
+private:
+  FleetSpec fleetSpec() const {
+    auto Spec = this->Chosen.Fleet;
+    Spec.ProgramFolder =
+        std::filesystem::canonical("/proc/self/exe").parent_path();
+    Spec.WorkFolder =
+        Spec.ProgramFolder + "/run/overload-" + std::to_string(getpid());
+    Spec.BasePort = static_cast<std::uint16_t>(FLAGS_base_port);
+    if (this->Mode == "no-control") {
+      Spec.Nodes = false;
+    } else if (this->Mode.compare(0, 3, "no-") == 0) {
+      Spec.Off = {this->Mode.substr(3)};
+    }
+    return Spec;
+  }
+
+  void slowDeep(double Factor) {
+    for (auto &M : this->Processes.members())
+      if (M->Service.Name == this->Chosen.DeepService)
+        this->Processes.ask(this->Processes.target(*M),
+                            "/control?slow=" + std::to_string(Factor));
+  }
+
+  std::int64_t tenthNow() const {
+    return (this->Loop.now() - this->Began) / Milliseconds(100);
+  }
+
+  double deepTotals() {
+    double Started = 0;
+    for (auto &M : this->Processes.members())
+      if (M->Service.Name == this->Chosen.DeepService)
+        Started += this->Processes.ask(this->Processes.target(*M), "/control")
+                       .value("started", 0.0);
+    return Started;
+  }
+
+  static double completed(const StreamResult &R, std::int64_t From,
+                          std::int64_t To) {
+    double Sum = 0;
+    for (auto It = R.CompletedAt.lower_bound(From);
+         It != R.CompletedAt.end() && It->first < To; ++It)
+      Sum += static_cast<double>(It->second);
+    return Sum;
+  }
+
+  static double started(const StreamResult &R, std::int64_t From,
+                        std::int64_t To) {
+    double Sum = 0;
+    for (auto It = R.StartedAt.lower_bound(From);
+         It != R.StartedAt.end() && It->first < To; ++It)
+      Sum += static_cast<double>(It->second);
+    return Sum;
+  }
+
+  double allCompleted(std::int64_t From, std::int64_t To) {
+    double Sum = 0;
+    for (auto &Entry : this->Load.results())
+      Sum += completed(Entry.second, From, To);
+    return Sum;
+  }
+
+  /// From the end of the trigger until a second's goodput is 95% of before.
+  double recovery() {
+    constexpr std::int64_t Second = 10;
+    auto Settled = this->Start + 2 * Second;
+    double Before = this->allCompleted(Settled, this->TriggerBegin) /
+                    static_cast<double>(this->TriggerBegin - Settled);
+    auto Last = this->TriggerEnd + FLAGS_after_s * Second;
+    for (auto T = this->TriggerEnd; T + Second <= Last; ++T) {
+      double Rate = this->allCompleted(T, T + Second) / Second;
+      if (Rate >= 0.95 * Before)
+        return static_cast<double>(T - this->TriggerEnd) / 10;
+    }
+    return -1;
+  }
+
+  RunFigures figures(double DeepStarted) {
+    RunFigures F;
+    F.Mode = this->Mode;
+    double Seconds = FLAGS_trigger_s;
+    const ServiceSpec *Deep = nullptr;
+    for (const auto &S : this->Chosen.Fleet.Services)
+      if (S.Name == this->Chosen.DeepService)
+        Deep = &S;
+    F.DeepCapacity = Deep->Targets * Deep->Slots * 1000.0 /
+                     (Deep->ServiceMillis * FLAGS_slowdown);
+    for (const auto &S : this->Chosen.Streams) {
+      auto &R = this->Load.results()[S.Name];
+      double Done = completed(R, this->TriggerBegin, this->TriggerEnd);
+      double Begun = started(R, this->TriggerBegin, this->TriggerEnd);
+      F.TriggerRate[S.Name] = Done / Seconds;
+      F.CompletedShare[S.Name] = Begun == 0 ? 0 : Done / Begun;
+      if (S.Path.find("/catalogue/") != 0)
+        F.DeepGoodput += Done / Seconds;
+      if (earns(S)) {
+        F.EarningRate += Begun / Seconds;
+        F.EarningDone += Done / Seconds;
+      }
+      F.WrongAnswers += R.WrongAnswers;
+    }
+    double Useful = F.DeepGoodput * Seconds;
+    F.WastedShare =
+        DeepStarted == 0 ? 0 : std::max(0.0, 1 - Useful / DeepStarted);
+    F.RecoverySeconds = this->recovery();
+    for (const auto &[Run, Count] : this->Processes.runs()) {
+      F.RunTwice += Count > 1 ? 1 : 0;
+      F.RanAfterNotRun += this->Load.neverRun().count(Run);
+    }
+    F.LogWhole = this->Processes.logIsWhole();
+    return F;
+  }
+
+  EventLoop Loop;
+  const Deployment &Chosen;
+  std::string Mode;
+  TimePoint Began = this->Loop.now();
+  LoadGenerator Load;
+  Fleet Processes;
+  std::int64_t Start = 0;
+  std::int64_t TriggerBegin = 0;
+  std::int64_t TriggerEnd = 0;
+};
+
+void print(const RunFigures &F) {
+  std::cout << std::fixed << std::setprecision(1) << F.Mode << ": deep goodput "
+            << F.DeepGoodput << "/s of " << F.DeepCapacity << "/s ("
+            << 100 * F.DeepGoodput / F.DeepCapacity << "%), earning done "
+            << F.EarningDone << "/s of " << F.EarningRate << "/s begun, wasted "
+            << 100 * F.WastedShare << "%, recovery " << F.RecoverySeconds
+            << " s, wrong " << F.WrongAnswers << ", twice " << F.RunTwice
+            << ", ran after not-run " << F.RanAfterNotRun
+            << (F.LogWhole ? "" : ", run log incomplete") << "\n  ";
+  for (const auto &[Name, Rate] : F.TriggerRate)
+    std::cout << Name << " " << Rate << "/s ("
+              << 100 * F.CompletedShare.at(Name) << "%)  ";
+  std::cout << std::endl;
+}
+
+std::vector<std::string> modes() {
+  std::vector<std::string> Names;
+  std::istringstream Text(FLAGS_modes);
+  for (std::string Name; std::getline(Text, Name, ',');)
+    Names.push_back(Name);
+  return Names;
+}
+
+} // namespace
+
+int main(int ArgCount, char **Args) {
+  gflags::SetUsageMessage("whole requests under overload");
+  gflags::ParseCommandLineFlags(&ArgCount, &Args, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    auto Chosen = Deployments.at(FLAGS_deployment)();
+    for (int I = 0; I < FLAGS_repeats; ++I)
+      for (const auto &Mode : modes()) {
+        Trial One(Chosen, Mode, FLAGS_seed + static_cast<unsigned>(I));
+        print(One.run());
+        if (FLAGS_verbose)
+          One.printRefusals();
+        if (!FLAGS_output.empty())
+          One.writeSeries(FLAGS_output + "/" + FLAGS_deployment + "-" + Mode +
+                          "-" + std::to_string(I) + ".dat");
+      }
+    return 0;
+  } catch (const std::exception &E) {
+    std::cerr << E.what() << "\n";
+    return 1;
+  }
+}
--- a/include/limpetdrum/connection/Datagram.h
+++ b/include/limpetdrum/connection/Datagram.h
@@ -9,7 +9,7 @@
 
 namespace limpetdrum {
 
-/// \brief A UDP socket on the loop.
+/// \brief A UDP socket on the loop; port 0 stands for any.
 class DatagramSocket {
 public:
   using Handler = std::function<void(const std::string &Bytes)>;
--- a/include/limpetdrum/process/Settings.h
+++ b/include/limpetdrum/process/Settings.h
@@ -13,11 +13,12 @@
   NodeId Node;
   limpetdrum::Region Region;
   limpetdrum::FailureDomain FailureDomain;
-  Endpoint Ingress; ///< HTTP, where clients send requests
-  Endpoint Egress;  ///< HTTP, where the node's own target calls out
-  Endpoint Rpc;     ///< Cap'n Proto, where other nodes call
-  Endpoint Gossip;  ///< UDP, the membership protocol
-  Endpoint Admin;   ///< HTTP, metrics and status
+  Endpoint Ingress;       ///< HTTP, where clients send requests
+  Endpoint Egress;        ///< HTTP, where the node's own target calls out
+  Endpoint Rpc;           ///< Cap'n Proto, where other nodes call
+  Endpoint Gossip;        ///< UDP, the membership protocol
+  Endpoint Admin;         ///< HTTP, metrics and status
+  Endpoint AdvertisedRpc; ///< where others reach Rpc, if not there
   Endpoint Platform;
   std::vector<Endpoint> Contacts; ///< RPC endpoints of other nodes
   Milliseconds LeaveGrace{3000};  ///< from leaving to refusing new work
--- a/include/limpetdrum/process/YamlMap.h
+++ b/include/limpetdrum/process/YamlMap.h
@@ -35,7 +35,7 @@
 class YamlMap {
 public:
   /// \throws SourceError if \p Node is no mapping or a key stands twice.
-  YamlMap(YAML::Node Node, std::string File);
+  YamlMap(const YAML::Node &Node, std::string File);
 
   [[nodiscard]] bool has(const std::string &Key) const;
 
--- a/lib/connection/PlatformClient.cpp
+++ b/lib/connection/PlatformClient.cpp
@@ -59,11 +59,10 @@
   else
     Call.Headers.emplace_back("If-Match", Version);
   this->Client.send(Call, [Done](const HttpAnswer &Answer) {
-    if (Answer.Outcome != HttpOutcome::Answered)
-      Done(PlatformWrite::Lost);
-    else if (Answer.Status == 412)
+    bool Answered = Answer.Outcome == HttpOutcome::Answered;
+    if (Answered && Answer.Status == 412)
       Done(PlatformWrite::Conflict);
-    else if (Answer.Status == 200 || Answer.Status == 201)
+    else if (Answered && (Answer.Status == 200 || Answer.Status == 201))
       Done(PlatformWrite::Done);
     else
       Done(PlatformWrite::Lost);
--- a/lib/connection/RpcClient.cpp
+++ b/lib/connection/RpcClient.cpp
@@ -122,10 +122,10 @@
           Self->Connections.erase(Key);
       });
     };
-    Connection->Watch =
-        Connection->Network.onDisconnect()
-            .then(Forget, [Forget](kj::Exception &&) { Forget(); })
-            .eagerlyEvaluate(nullptr);
+    Connection->Watch = Connection->Network.onDisconnect()
+                            .then([Forget]() { Forget(); },
+                                  [Forget](kj::Exception &&) { Forget(); })
+                            .eagerlyEvaluate(nullptr);
     this->Connections.emplace(Key, std::move(Connection));
   }
 };
--- a/lib/daemon/Entrance.cpp
+++ b/lib/daemon/Entrance.cpp
@@ -159,7 +159,7 @@
         Spec.TimeLeft,
         std::chrono::duration_cast<Microseconds>(Above.Deadline - this->Now()));
   }
-  if (!Key.empty()) {
+  if (!Key.empty() && Declared.Runs == RunSemantics::Once) {
     Spec.Key = scopedKey(Spec.Tenant, Spec.Path, Key);
     // A retry of a key falls into the same cohort.
     if (!E->Parent)
--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -46,7 +46,7 @@
   Self.Incarnation = newIncarnation();
   Self.FailureDomain = Chosen.FailureDomain;
   Self.Region = Chosen.Region;
-  Self.Rpc = Chosen.Rpc;
+  Self.Rpc = Chosen.AdvertisedRpc;
   Self.Gossip = Chosen.Gossip;
   return Self;
 }
@@ -234,7 +234,7 @@
 
 void Node::State::findContacts() {
   for (const auto &Contact : this->Chosen.Contacts)
-    if (Contact != this->Chosen.Rpc)
+    if (Contact != this->Chosen.AdvertisedRpc)
       this->synchronizeWith(Contact);
   this->Platform.read(ContactsObject, [this](const PlatformObject &Object) {
     this->onContacts(Object);
@@ -249,7 +249,7 @@
     std::size_t Most =
         Entry.first == this->Chosen.FailureDomain.value() ? OwnContacts : 1;
     for (const auto &Contact : Entry.second)
-      if (Contact != this->Chosen.Rpc && Most > 0) {
+      if (Contact != this->Chosen.AdvertisedRpc && Most > 0) {
         this->synchronizeWith(Contact);
         --Most;
       }
@@ -257,8 +257,8 @@
   auto Wanted = this->wantedContacts();
   auto &Listed = Contacts[this->Chosen.FailureDomain.value()];
   bool Alone = this->Members.others().empty();
-  if (Alone && !contains(Listed, this->Chosen.Rpc))
-    Listed.insert(Listed.begin(), this->Chosen.Rpc);
+  if (Alone && !contains(Listed, this->Chosen.AdvertisedRpc))
+    Listed.insert(Listed.begin(), this->Chosen.AdvertisedRpc);
   else if (this->keepsContacts() && !covers(Listed, Wanted))
     Listed = Wanted;
   else
@@ -273,7 +273,7 @@
 }
 
 std::vector<Endpoint> Node::State::wantedContacts() const {
-  std::vector<Endpoint> Wanted = {this->Chosen.Rpc};
+  std::vector<Endpoint> Wanted = {this->Chosen.AdvertisedRpc};
   for (const auto &[Node, M] : this->Members.others())
     if (M.FailureDomain == this->Chosen.FailureDomain &&
         M.Health == Health::Alive && M.Target != TargetState::Left &&
--- a/lib/process/Settings.cpp
+++ b/lib/process/Settings.cpp
@@ -18,6 +18,7 @@
   Result.Gossip = Listen.endpoint("gossip");
   Result.Admin = Listen.endpoint("admin");
   Listen.finish();
+  Result.AdvertisedRpc = Result.Rpc;
 }
 
 std::vector<Endpoint> readContacts(YamlMap &Map) {
@@ -41,6 +42,8 @@
   Result.Region = Region(Map.text("region"));
   Result.FailureDomain = FailureDomain(Map.text("failure-domain"));
   readListen(Result, Map.map("listen"));
+  if (Map.has("advertised-rpc"))
+    Result.AdvertisedRpc = Map.endpoint("advertised-rpc");
   Result.Platform = Map.endpoint("platform");
   Result.Contacts = readContacts(Map);
   Result.LeaveGrace = Map.duration("leave-grace", Result.LeaveGrace);
--- a/lib/process/YamlMap.cpp
+++ b/lib/process/YamlMap.cpp
@@ -49,8 +49,8 @@
   return Text.str();
 }
 
-YamlMap::YamlMap(YAML::Node Node, std::string File)
-    : Node(std::move(Node)), File(std::move(File)) {
+YamlMap::YamlMap(const YAML::Node &Node, std::string File)
+    : Node(Node), File(std::move(File)) {
   if (!this->Node.IsMap())
     throw SourceError(this->where(), "a mapping is expected",
                       "write 'key: value' lines");
--- a/standins/Target.cpp
+++ b/standins/Target.cpp
@@ -1,6 +1,7 @@
 // A stand-in for a target: it waits instead of computing, calls other
 // services through its node, and keeps a log of what it ran.
 #include "limpetdrum/Limpetdrum.h"
+#include "limpetdrum/connection/Datagram.h"
 #include "limpetdrum/daemon/Executor.h"
 
 #include <csignal>
@@ -28,6 +29,7 @@
 DEFINE_int32(direct_retries, 3, "without a node: retries of each call");
 DEFINE_int32(direct_timeout_ms, 1000, "without a node: limit of each call");
 DEFINE_int32(answer_bytes, 200, "length of an answer");
+DEFINE_string(log_to, "", "UDP address that hears of each keyed run");
 DEFINE_uint64(seed, 1, "for service times");
 
 namespace {
@@ -58,6 +60,9 @@
   explicit Target(EventLoop &Loop)
       : Loop(Loop), Calls(parsePaths(FLAGS_calls)),
         Direct(parsePaths(FLAGS_direct)), Random(FLAGS_seed) {
+    if (!FLAGS_log_to.empty())
+      this->RunLog = std::make_unique<DatagramSocket>(
+          Loop, Endpoint{0x7f000001, 0}, [](const std::string &) {});
     if (!FLAGS_node.empty())
       this->Node =
           std::make_unique<HttpClient>(Loop, parseEndpoint(FLAGS_node));
@@ -137,7 +142,7 @@
     ++this->Started;
     auto Key = Job->Exchange->header(header::IdempotencyKey);
     if (!Key.empty())
-      ++this->RunsOfKey[Job->Exchange->path() + " " + Key];
+      this->logRun(Job->Exchange->path() + " " + Key);
     std::uniform_real_distribution<double> Spread(0.5, 1.5);
     auto Span = FLAGS_service_ms * this->SlowFactor * Spread(this->Random);
     this->BusyMillis += Span;
@@ -151,6 +156,15 @@
     this->Jobs[Job.get()] = Job;
   }
 
+  /// Tells the outside, where the log survives this process.
+  void logRun(const std::string &Run) {
+    ++this->RunsOfKey[Run];
+    if (this->RunLog)
+      this->RunLog->send(parseEndpoint(FLAGS_log_to),
+                         FLAGS_listen + " " + std::to_string(++this->Logged) +
+                             " " + Run);
+  }
+
   void callNext(const WorkPtr &Job) {
     if (Job->Done)
       return;
@@ -164,6 +178,9 @@
     Call.Method = "POST";
     Call.Path = Callee;
     Call.Body = Job->Exchange->body();
+    auto Key = Job->Exchange->header(header::IdempotencyKey);
+    if (!Key.empty())
+      Call.Headers.emplace_back(header::IdempotencyKey, Key);
     Job->Through = this->Node.get();
     if (this->Node) {
       Call.Headers.emplace_back(header::Attempt,
@@ -252,6 +269,8 @@
   std::deque<WorkPtr> Waiting;
   std::map<Work *, WorkPtr> Jobs;
   std::map<std::string, std::uint64_t> RunsOfKey;
+  std::unique_ptr<DatagramSocket> RunLog;
+  std::uint64_t Logged = 0;
   int Running = 0;
   double SlowFactor = 1;
   double BusyMillis = 0;
--- /dev/null
+++ b/standins/bench/Process.cpp
@@ -0,0 +1,73 @@
+#include "Process.h"
+
+#include "limpetdrum/process/Error.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace limpetdrum::bench {
+
+Process::Process(const std::vector<std::string> &Command,
+                 const std::string &Log) {
+  std::vector<char *> Args;
+  for (const auto &Arg : Command)
+    Args.push_back(const_cast<char *>(Arg.c_str()));
+  Args.push_back(nullptr);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  constexpr mode_t Mode = 0644;
+  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, Log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, Mode);
+  posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  int Result =
+      posix_spawn(&this->Id, Args[0], &Actions, nullptr, Args.data(), environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  if (Result != 0)
+    throw ValueError("cannot start " + Command.front(),
+                     "build all programs first");
+}
+
+Process::~Process() {
+  if (this->status())
+    return;
+  kill(this->Id, SIGKILL);
+  int Status = 0;
+  waitpid(this->Id, &Status, 0);
+}
+
+void Process::signal(int Number) const {
+  if (!this->Ended)
+    kill(this->Id, Number);
+}
+
+std::optional<int> Process::status() {
+  int Status = 0;
+  if (!this->Ended && waitpid(this->Id, &Status, WNOHANG) == this->Id)
+    this->Ended =
+        WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+  return this->Ended;
+}
+
+double Process::processorSeconds() const {
+  std::ifstream Stat("/proc/" + std::to_string(this->Id) + "/stat");
+  std::string Text((std::istreambuf_iterator<char>(Stat)), {});
+  // The fields after the command's name, which is in parentheses.
+  std::istringstream Fields(Text.substr(Text.rfind(')') + 1));
+  std::string Skipped;
+  constexpr int FieldsBeforeTimes = 11;
+  for (int I = 0; I < FieldsBeforeTimes; ++I)
+    Fields >> Skipped;
+  double User = 0;
+  double System = 0;
+  Fields >> User >> System;
+  return (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+} // namespace limpetdrum::bench
