Steer the admission level by the queue's occupancy

Cause: the level fell to a quantile at every single refusal of a 100 ms window (3 to 4 arrivals a target), and rose slowly: slots idled. Ruled out: capacity lost to timers (150 ms became under 151 ms).

--- a/include/limpetdrum/request/AdmissionLevel.h
+++ b/include/limpetdrum/request/AdmissionLevel.h
@@ -7,34 +7,46 @@
 
 namespace limpetdrum {
 
+/// \brief How full a target's node is, sampled between two windows.
+struct Occupancy {
+  double IdleShare = 0;  ///< of the concurrency limit, 0 to 1
+  double QueueShare = 0; ///< of the queue's capacity, 0 to 1
+};
+
 /// \brief The threshold that a target's node tells its callers.
 ///
-/// Requests at positions below it should be sent; see position(). In each
-/// window with refusals it falls to the quantile of the arrivals that could be
-/// served; without refusals it rises, faster the more of the limit is idle.
+/// Requests at positions below it should be sent; see position(). It keeps
+/// the short queue part full: enough waits that no slot idles, and little
+/// enough that hardly any is refused. Refusals bring it down to the quantile
+/// of the arrivals that could be served; idle slots raise it fast.
 class AdmissionLevel {
 public:
   void onArrival(float Position) noexcept;
   /// \brief A request was refused for load.
-  void onRefused() noexcept { ++this->Refused; }
+  void onRefused() noexcept;
   /// \brief Ends the window if it is time.
-  /// \param IdleShare the unused share of the concurrency limit, 0 to 1.
   /// \param RankCount the ranks that the release in force makes.
-  void tick(double IdleShare, std::size_t RankCount, TimePoint Now) noexcept;
+  void tick(const Occupancy &Now, std::size_t RankCount,
+            TimePoint Time) noexcept;
 
   [[nodiscard]] float threshold() const noexcept { return this->Threshold; }
 
 private:
   static constexpr std::size_t BinsPerRank = 64;
 
+  void lower() noexcept;
+  void raise(const Occupancy &Mean) noexcept;
   [[nodiscard]] float quantile(double Share) const noexcept;
-  void clear(TimePoint Now) noexcept;
-
-  std::array<std::uint32_t, MaxRanks * BinsPerRank> Bins{};
-  std::size_t Arrivals = 0;
-  std::size_t Refused = 0;
-  double IdleSum = 0;
-  std::size_t IdleSamples = 0;
+  [[nodiscard]] double arrivalsBelow(float Position) const noexcept;
+  void beginWindow(TimePoint Time) noexcept;
+
+  /// Arrivals by position, fading with time.
+  std::array<float, MaxRanks * BinsPerRank> Bins{};
+  double Arrivals = 0;
+  double Refused = 0;
+  bool RefusedNow = false; ///< in this window
+  Occupancy Sum;
+  std::size_t Samples = 0;
   TimePoint Start{};
   float Threshold = MaxRanks;
 };
--- a/lib/request/Admission.cpp
+++ b/lib/request/Admission.cpp
@@ -8,7 +8,7 @@
 
 /// The queue holds this share of the limit: the wait stays under a service
 /// time, and after a surge there is no standing queue to work off.
-constexpr double QueueShare = 0.5;
+constexpr double QueueShare = 1.0;
 constexpr std::size_t LeastQueue = 4;
 /// A tenant beyond this multiple of its fair share goes last in its class.
 constexpr double ShareTolerance = 1.5;
@@ -195,7 +195,11 @@
   }
   auto Most = static_cast<double>(this->Limit.limit(Now));
   auto Used = static_cast<double>(this->Running.size());
-  this->Level.tick(std::max(0.0, 1 - Used / Most), RankCount, Now);
+  Occupancy Full;
+  Full.IdleShare = std::max(0.0, 1 - Used / Most);
+  Full.QueueShare = static_cast<double>(this->Queue.size()) /
+                    static_cast<double>(this->queueCapacity(Now));
+  this->Level.tick(Full, RankCount, Now);
   return Decisions;
 }
 
--- a/lib/request/AdmissionLevel.cpp
+++ b/lib/request/AdmissionLevel.cpp
@@ -7,8 +7,15 @@
 namespace {
 
 constexpr Milliseconds WindowLength{100};
-/// A little below what was served, so that the queue empties.
-constexpr double ServedShare = 0.98;
+/// What is left of old arrivals after each window.
+constexpr float Fading = 0.8F;
+/// Refusals up to this share are the price of a full queue.
+constexpr double RefusalsBorne = 0.02;
+/// The share of the queue that is kept filled.
+constexpr double QueueHigh = 0.6;
+constexpr double QueueLow = 0.25;
+/// The most that a full queue takes off the arrivals in one window.
+constexpr double FullQueueCut = 0.05;
 constexpr double RiseWhenFull = 0.01;
 constexpr double RiseWhenIdle = 0.5;
 /// Enough requests always pass to learn of a recovery.
@@ -26,34 +33,66 @@
 
 void AdmissionLevel::onArrival(float Position) noexcept {
   auto Bin = static_cast<std::size_t>(Position * BinsPerRank);
-  ++this->Bins[std::min(Bin, this->Bins.size() - 1)];
-  ++this->Arrivals;
+  this->Bins[std::min(Bin, this->Bins.size() - 1)] += 1;
+  this->Arrivals += 1;
 }
 
-void AdmissionLevel::tick(double IdleShare, std::size_t RankCount,
-                          TimePoint Now) noexcept {
-  this->IdleSum += IdleShare;
-  ++this->IdleSamples;
-  if (Now - this->Start < WindowLength)
+void AdmissionLevel::onRefused() noexcept {
+  this->Refused += 1;
+  this->RefusedNow = true;
+}
+
+void AdmissionLevel::tick(const Occupancy &Now, std::size_t RankCount,
+                          TimePoint Time) noexcept {
+  this->Sum.IdleShare += Now.IdleShare;
+  this->Sum.QueueShare += Now.QueueShare;
+  ++this->Samples;
+  if (Time - this->Start < WindowLength)
     return;
-  auto Most = static_cast<float>(RankCount);
-  if (this->Refused > 0) {
-    auto Offered = static_cast<double>(this->Arrivals);
-    double Served = std::max(0.0, Offered - static_cast<double>(this->Refused));
-    float Fitting = this->quantile(ServedShare * Served / Offered);
-    this->Threshold = std::min(this->Threshold, Fitting);
-  } else {
-    double Idle = this->IdleSum / static_cast<double>(this->IdleSamples);
-    this->Threshold +=
-        static_cast<float>(RiseWhenFull + RiseWhenIdle * Idle * Idle);
+  auto Count = static_cast<double>(this->Samples);
+  Occupancy Mean{this->Sum.IdleShare / Count, this->Sum.QueueShare / Count};
+  if (this->RefusedNow)
+    this->lower();
+  if (Mean.QueueShare > QueueHigh) {
+    double Excess = (Mean.QueueShare - QueueHigh) / (1 - QueueHigh);
+    double Kept = 1 - FullQueueCut * Excess;
+    double Below = this->arrivalsBelow(this->Threshold);
+    if (Below > 0)
+      this->Threshold = std::min(
+          this->Threshold, this->quantile(Kept * Below / this->Arrivals));
+  } else if (!this->RefusedNow && Mean.QueueShare < QueueLow) {
+    this->raise(Mean);
   }
-  this->Threshold = std::clamp(this->Threshold, LeastThreshold,
-                               std::max(Most, LeastThreshold));
-  this->clear(Now);
+  auto Most = std::max(static_cast<float>(RankCount), LeastThreshold);
+  this->Threshold = std::clamp(this->Threshold, LeastThreshold, Most);
+  this->beginWindow(Time);
+}
+
+void AdmissionLevel::lower() noexcept {
+  double Share = this->Refused / this->Arrivals;
+  if (Share > RefusalsBorne)
+    this->Threshold = std::min(this->Threshold,
+                               this->quantile(1 + RefusalsBorne - Share));
+}
+
+void AdmissionLevel::raise(const Occupancy &Mean) noexcept {
+  double Empty = 1 - Mean.QueueShare / QueueLow;
+  double Idle = Mean.IdleShare * Mean.IdleShare;
+  this->Threshold +=
+      static_cast<float>(RiseWhenFull * Empty + RiseWhenIdle * Idle);
+}
+
+double AdmissionLevel::arrivalsBelow(float Position) const noexcept {
+  double Sum = 0;
+  auto Last = std::min(this->Bins.size(),
+                       static_cast<std::size_t>(Position * BinsPerRank));
+  for (std::size_t I = 0; I < Last; ++I)
+    Sum += this->Bins[I];
+  return Sum;
 }
 
 float AdmissionLevel::quantile(double Share) const noexcept {
-  double Wanted = Share * static_cast<double>(this->Arrivals);
+  double Wanted = Share * this->Arrivals;
   double Seen = 0;
   for (std::size_t I = 0; I < this->Bins.size(); ++I) {
     Seen += this->Bins[I];
@@ -63,13 +102,15 @@
   return MaxRanks;
 }
 
-void AdmissionLevel::clear(TimePoint Now) noexcept {
-  this->Bins.fill(0);
-  this->Arrivals = 0;
-  this->Refused = 0;
-  this->IdleSum = 0;
-  this->IdleSamples = 0;
-  this->Start = Now;
+void AdmissionLevel::beginWindow(TimePoint Time) noexcept {
+  for (auto &Bin : this->Bins)
+    Bin *= Fading;
+  this->Arrivals *= Fading;
+  this->Refused *= Fading;
+  this->RefusedNow = false;
+  this->Sum = Occupancy();
+  this->Samples = 0;
+  this->Start = Time;
 }
 
 } // namespace limpetdrum
