--- a/include/limpetdrum/request/AdmissionLevel.h
+++ b/include/limpetdrum/request/AdmissionLevel.h
@@ -44,7 +44,7 @@
   std::array<float, MaxRanks * BinsPerRank> Bins{};
   double Arrivals = 0;
   double Refused = 0;
-  bool RefusedNow = false; ///< in this window
+  std::size_t RefusedNow = 0; ///< in this window
   Occupancy Sum;
   std::size_t Samples = 0;
   TimePoint Start{};
--- a/lib/request/AdmissionLevel.cpp
+++ b/lib/request/AdmissionLevel.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Milliseconds WindowLength{100};
+/// So many refusals end a window at once.
+constexpr std::size_t RefusalBurst = 4;
 /// What is left of old arrivals after each window.
 constexpr float Fading = 0.8F;
 /// Refusals up to this share are the price of a full queue.
@@ -39,7 +41,7 @@
 
 void AdmissionLevel::onRefused() noexcept {
   this->Refused += 1;
-  this->RefusedNow = true;
+  ++this->RefusedNow;
 }
 
 void AdmissionLevel::tick(const Occupancy &Now, std::size_t RankCount,
@@ -47,11 +49,12 @@
   this->Sum.IdleShare += Now.IdleShare;
   this->Sum.QueueShare += Now.QueueShare;
   ++this->Samples;
-  if (Time - this->Start < WindowLength)
+  bool Burst = this->RefusedNow >= RefusalBurst;
+  if (Time - this->Start < WindowLength && !Burst)
     return;
   auto Count = static_cast<double>(this->Samples);
   Occupancy Mean{this->Sum.IdleShare / Count, this->Sum.QueueShare / Count};
-  if (this->RefusedNow)
+  if (this->RefusedNow > 0)
     this->lower();
   if (Mean.QueueShare > QueueHigh) {
     double Excess = (Mean.QueueShare - QueueHigh) / (1 - QueueHigh);
@@ -60,7 +63,7 @@
     if (Below > 0)
       this->Threshold = std::min(
           this->Threshold, this->quantile(Kept * Below / this->Arrivals));
-  } else if (!this->RefusedNow && Mean.QueueShare < QueueLow) {
+  } else if (this->RefusedNow == 0 && Mean.QueueShare < QueueLow) {
     this->raise(Mean);
   }
   auto Most = std::max(static_cast<float>(RankCount), LeastThreshold);
@@ -107,7 +110,7 @@
     Bin *= Fading;
   this->Arrivals *= Fading;
   this->Refused *= Fading;
-  this->RefusedNow = false;
+  this->RefusedNow = 0;
   this->Sum = Occupancy();
   this->Samples = 0;
   this->Start = Time;
