Keep a witness's not-run from undoing what another node knows

Cause: two faults found by scenarios/kill-node.yaml, which kills the node of an ordering target under load. (1) A call for a key that an earlier call had begun was refused a connection, and was taken as proof that the key had not run. (2) A record handed over with 'not run' replaced an open run.

--- a/benchmarks/Overload.cpp
+++ b/benchmarks/Overload.cpp
@@ -314,8 +314,8 @@
     F.WastedShare =
         DeepStarted == 0 ? 0 : std::max(0.0, 1 - Useful / DeepStarted);
     F.RecoverySeconds = this->recovery();
-    for (const auto &[Run, Count] : this->Processes.runs()) {
-      F.RunTwice += Count > 1 ? 1 : 0;
+    for (const auto &[Run, Places] : this->Processes.runs()) {
+      F.RunTwice += Places.size() > 1 ? 1 : 0;
       F.RanAfterNotRun += this->Load.neverRun().count(Run);
     }
     F.LogWhole = this->Processes.logIsWhole();
--- a/include/limpetdrum/daemon/Caller.h
+++ b/include/limpetdrum/daemon/Caller.h
@@ -22,6 +22,7 @@
   RunSemantics Runs = RunSemantics::Idempotent;
   ServiceName Service;
   bool Movable = true; ///< whether other nodes may be tried
+  bool MayHaveRun = false; ///< by an earlier call for the same key
   PinnedChoice Choose; ///< empty: the router chooses
 };
 
@@ -63,7 +64,10 @@
         : Request(std::move(Request)),
           Decisions(this->Request.Runs, this->Request.Movable,
                     this->Request.Spec.Retries, Ratio),
-          Done(std::move(Done)) {}
+          Done(std::move(Done)) {
+      if (this->Request.MayHaveRun)
+        this->Decisions.assumeMayHaveRun();
+    }
   };
 
   void perform(std::uint64_t Ticket, Call::Step Step);
--- a/include/limpetdrum/daemon/KeyedCalls.h
+++ b/include/limpetdrum/daemon/KeyedCalls.h
@@ -40,7 +40,7 @@
   nodesOf(const IdempotencyKey &Key, const ServiceName &Service) const;
   [[nodiscard]] NodeLife self() const;
   void runHere(const AttemptSpec &Attempt, bool Begins, ReplyDone Done);
-  void forward(const AttemptSpec &Attempt, const NodeLife &Holder,
+  void forward(const AttemptSpec &Attempt, const NodeLife &Holder, bool Begins,
                ReplyDone Done);
 
   const Membership &Members;
--- a/include/limpetdrum/request/Call.h
+++ b/include/limpetdrum/request/Call.h
@@ -38,6 +38,9 @@
   Call(RunSemantics Runs, bool Movable, std::uint16_t Retries,
        RetryRatio &Ratio);
 
+  /// \brief Another call for the same key may have run already: this one
+  ///   never proves "not run".
+  void assumeMayHaveRun() noexcept { this->MayHaveRun = true; }
   [[nodiscard]] Step start() const;
   /// \param To the chosen life, or nothing if there is none.
   /// \param Id a new id for this attempt.
--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -115,14 +115,14 @@
   case KeyLedger::Verdict::Open:
     break;
   }
+  bool Begins = Seen.Verdict == KeyLedger::Verdict::Begin;
   if (Seen.Holder == this->self()) {
-    this->runHere(Attempt, Seen.Verdict == KeyLedger::Verdict::Begin,
-                  std::move(Done));
+    this->runHere(Attempt, Begins, std::move(Done));
     return;
   }
   if (Attempt.Role == AttemptRole::Witness &&
       this->Calls.isReachable(Seen.Holder)) {
-    this->forward(Attempt, Seen.Holder, std::move(Done));
+    this->forward(Attempt, Seen.Holder, Begins, std::move(Done));
     return;
   }
   // Its holder is gone, and may have run it.
@@ -158,13 +158,14 @@
 }
 
 void KeyedCalls::forward(const AttemptSpec &Attempt, const NodeLife &Holder,
-                         ReplyDone Done) {
+                         bool Begins, ReplyDone Done) {
   CallRequest Request;
   Request.Spec = Attempt;
   Request.Spec.Role = AttemptRole::Execute;
   Request.Runs = RunSemantics::Once;
   Request.Service = serviceOf(Attempt.Path);
   Request.Movable = false;
+  Request.MayHaveRun = !Begins;
   Request.Choose = [Holder](const std::vector<NodeId> & /*Tried*/) {
     return std::optional<NodeLife>(Holder);
   };
--- a/lib/request/KeyLedger.cpp
+++ b/lib/request/KeyLedger.cpp
@@ -6,6 +6,13 @@
 
 constexpr std::uint16_t GoneStatus = 410;
 
+/// How much a record says of whether its key has run.
+int evidence(const KeyRecord &Record) {
+  if (!Record.Settled)
+    return 1;
+  return Record.Reply.Outcome == Outcome::NotRun ? 0 : 2;
+}
+
 } // namespace
 
 KeyLedger::KeyLedger(Microseconds Retention, std::size_t BodyBytes)
@@ -62,7 +69,7 @@
 
 void KeyLedger::adopt(const IdempotencyKey &Key, KeyRecord Value) {
   auto [Found, IsNew] = this->Records.try_emplace(Key);
-  if (!IsNew && (Found->second.Settled || !Value.Settled))
+  if (!IsNew && evidence(Value) <= evidence(Found->second))
     return;
   auto Taken = std::move(Value.Reply);
   Found->second = std::move(Value);
--- a/standins/bench/Fleet.cpp
+++ b/standins/bench/Fleet.cpp
@@ -104,7 +104,7 @@
   if (Number != Last + 1 && Number != 1)
     this->LogWhole = false;
   Last = Number;
-  ++this->Runs[Run];
+  this->Runs[Run].push_back(From);
 }
 
 Fleet::Member &Fleet::member(const std::string &Name) {
@@ -290,7 +290,7 @@
   }
 }
 
-nlohmann::json Fleet::ask(Endpoint Where, const std::string &Path) {
+std::string Fleet::askText(Endpoint Where, const std::string &Path) {
   std::optional<HttpAnswer> Got;
   HttpClient Client(this->Loop, Where);
   HttpCall Call;
@@ -302,9 +302,14 @@
   });
   while (!Got)
     this->Loop.run();
-  if (Got->Outcome != HttpOutcome::Answered)
+  return Got->Outcome == HttpOutcome::Answered ? Got->Body : "";
+}
+
+nlohmann::json Fleet::ask(Endpoint Where, const std::string &Path) {
+  auto Text = this->askText(Where, Path);
+  if (Text.empty())
     return nullptr;
-  return nlohmann::json::parse(Got->Body, nullptr, false);
+  return nlohmann::json::parse(Text, nullptr, false);
 }
 
 void Fleet::runFor(Milliseconds Span) {
--- a/standins/bench/Fleet.h
+++ b/standins/bench/Fleet.h
@@ -82,8 +82,9 @@
 
   /// \brief Points a load generator at the entries of all paths.
   void aim(LoadGenerator &Load) const;
-  /// \brief How often each `path key` ran, over all lives of targets.
-  [[nodiscard]] const std::map<std::string, unsigned> &runs() const noexcept {
+  /// \brief Where each `path key` ran, over all lives of targets.
+  [[nodiscard]] const std::map<std::string, std::vector<std::string>> &
+  runs() const noexcept {
     return this->Runs;
   }
   /// \brief Whether a log entry of a target was lost on the way here.
@@ -92,6 +93,8 @@
   /// \brief A GET that waits for its answer, running the loop.
   /// \returns a null value if none came.
   nlohmann::json ask(Endpoint Where, const std::string &Path);
+  /// \returns an empty text if no answer came.
+  std::string askText(Endpoint Where, const std::string &Path);
   void runFor(Milliseconds Span);
   /// \brief Runs the loop until a condition holds.
   /// \returns false if it did not within \p Limit.
@@ -110,7 +113,7 @@
   std::vector<std::unique_ptr<Member>> Members;
   std::unique_ptr<Process> Platform;
   std::unique_ptr<DatagramSocket> RunLog;
-  std::map<std::string, unsigned> Runs;
+  std::map<std::string, std::vector<std::string>> Runs;
   std::map<std::string, std::uint64_t> LastLogged;
   std::map<std::string, std::vector<std::string>> Calls; ///< by path
   bool LogWhole = true;
--- /dev/null
+++ b/unittests/CallTest.cpp
@@ -0,0 +1,114 @@
+#include "FakeClock.h"
+#include "limpetdrum/request/Call.h"
+
+#include <catch2/catch.hpp>
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+const NodeLife First{NodeId("a"), Incarnation(1)};
+const NodeLife Second{NodeId("b"), Incarnation(1)};
+
+const Reply *finished(const Call::Step &Step) {
+  const auto *End = std::get_if<Call::Finish>(&Step);
+  return End == nullptr ? nullptr : &End->Reply;
+}
+
+Reply answer() {
+  Reply R;
+  R.Outcome = Outcome::Answered;
+  R.Status = 200;
+  return R;
+}
+
+} // namespace
+
+TEST_CASE("Call sends one attempt and gives its answer", "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Once, true, 2, Ratio);
+  CHECK(std::holds_alternative<Call::Pick>(C.start()));
+  auto Step = C.onPicked(First, attempt(1));
+  REQUIRE(std::holds_alternative<Call::Send>(Step));
+  auto Last = C.onReply(answer());
+  REQUIRE(finished(Last) != nullptr);
+  CHECK(finished(Last)->Status == 200);
+  CHECK(C.retries() == 0);
+}
+
+TEST_CASE("Call sends the same attempt again to the same life", "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Once, true, 2, Ratio);
+  static_cast<void>(C.onPicked(First, attempt(1)));
+  auto Step = C.onLost(true, true);
+  REQUIRE(std::holds_alternative<Call::Send>(Step));
+  CHECK(std::get<Call::Send>(Step).Id == attempt(1));
+}
+
+TEST_CASE("Call moves a once-only request on a proven not-run only",
+          "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Once, true, 2, Ratio);
+  static_cast<void>(C.onPicked(First, attempt(1)));
+  SECTION("refused by the node") {
+    auto Step = C.onReply(notRun(Reason::Draining, Milliseconds(0)));
+    CHECK(std::holds_alternative<Call::Pick>(Step));
+  }
+  SECTION("never handed over") {
+    CHECK(std::holds_alternative<Call::Pick>(C.onLost(false, false)));
+  }
+  SECTION("handed over, and the node is gone") {
+    auto Step = C.onLost(true, false);
+    REQUIRE(finished(Step) != nullptr);
+    CHECK(finished(Step)->Outcome == Outcome::Unknown);
+  }
+  SECTION("handed over once, refused when it is sent again") {
+    static_cast<void>(C.onLost(true, true));
+    auto Step = C.onLost(false, false);
+    REQUIRE(finished(Step) != nullptr);
+    CHECK(finished(Step)->Outcome == Outcome::Unknown);
+  }
+  SECTION("the deadline passes") {
+    auto Step = C.onDeadline();
+    REQUIRE(finished(Step) != nullptr);
+    CHECK(finished(Step)->Outcome == Outcome::Unknown);
+  }
+}
+
+TEST_CASE("Call tries an idempotent request elsewhere when a node is silent",
+          "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Idempotent, true, 2, Ratio);
+  static_cast<void>(C.onPicked(First, attempt(1)));
+  CHECK(std::holds_alternative<Call::Pick>(C.onSuspected()));
+  static_cast<void>(C.onPicked(Second, attempt(2)));
+  // The first attempt may have run, whatever becomes of the second.
+  auto Step = C.onReply(notRun(Reason::DeadlineTooNear, Milliseconds(5)));
+  REQUIRE(finished(Step) != nullptr);
+  CHECK(finished(Step)->Outcome == Outcome::Unknown);
+}
+
+TEST_CASE("Call for a key that may have run never proves not-run", "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Once, false, 2, Ratio);
+  C.assumeMayHaveRun();
+  static_cast<void>(C.onPicked(First, attempt(1)));
+  auto Step = C.onLost(false, false);
+  REQUIRE(finished(Step) != nullptr);
+  CHECK(finished(Step)->Outcome == Outcome::Unknown);
+}
+
+TEST_CASE("Call spends its budget and then ends", "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Idempotent, true, 3, Ratio);
+  unsigned Sent = 0;
+  Call::Step Step = Call::Pick{};
+  while (std::holds_alternative<Call::Pick>(Step)) {
+    // The grant of each attempt is lost with its node.
+    static_cast<void>(C.onPicked(First, attempt(++Sent)));
+    Step = C.onLost(true, false);
+  }
+  CHECK(finished(Step) != nullptr);
+  CHECK(Sent <= 1 + 3);
+}
