Take keyed attempts at their own node through the key ledger

Cause: when the witness of a key could not be reached, the entry fell back to the key's home; if that was the entry's own node, the caller handed the attempt to the executor directly, past the key ledger, and a client's retry ran again. Ruled out: libevent sending a request again, a wrong 'not run' of the target.

--- a/include/limpetdrum/daemon/Caller.h
+++ b/include/limpetdrum/daemon/Caller.h
@@ -36,6 +36,12 @@
          Executor &Own, PeerPort &Peers, Metrics &Counters, Clock Now,
          LaterPort Later);
 
+  /// \brief How an attempt arrives at this very node: as from a peer.
+  using LocalArrival = std::function<void(const AttemptSpec &, ReplyDone)>;
+  void setLocalArrival(LocalArrival Arrive) {
+    this->ArriveHere = std::move(Arrive);
+  }
+
   /// \returns a ticket for cancel().
   std::uint64_t start(CallRequest Request, ReplyDone Done);
   /// \brief The caller left: ends the work below; \p Done is not called.
@@ -89,6 +95,7 @@
   Metrics &Counters;
   Clock Now;
   LaterPort Later;
+  LocalArrival ArriveHere;
   RetryRatio Ratio;
   std::uint64_t LastTicket = 0;
   std::uint64_t LastSequence = 0;
--- a/include/limpetdrum/daemon/KeyedCalls.h
+++ b/include/limpetdrum/daemon/KeyedCalls.h
@@ -22,7 +22,7 @@
 
   /// \brief A keyed request enters the fleet here.
   void start(CallRequest Request, ReplyDone Done);
-  /// \brief A keyed attempt arrives from another node.
+  /// \brief An attempt arrives, from another node or from this one.
   void arrive(const AttemptSpec &Attempt, ReplyDone Done);
   /// \brief Takes over records from a node that leaves or makes room.
   void adopt(const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records);
@@ -39,6 +39,7 @@
   [[nodiscard]] std::optional<KeyNodes>
   nodesOf(const IdempotencyKey &Key, const ServiceName &Service) const;
   [[nodiscard]] NodeLife self() const;
+  void arriveKeyed(const AttemptSpec &Attempt, ReplyDone Done);
   void runHere(const AttemptSpec &Attempt, bool Begins, ReplyDone Done);
   void forward(const AttemptSpec &Attempt, const NodeLife &Holder, bool Begins,
                ReplyDone Done);
--- a/lib/daemon/Caller.cpp
+++ b/lib/daemon/Caller.cpp
@@ -32,7 +32,10 @@
                Executor &Own, PeerPort &Peers, Metrics &Counters, Clock Now,
                LaterPort Later)
     : Members(Members), Routes(Routes), Levels(Levels), Own(Own), Peers(Peers),
-      Counters(Counters), Now(std::move(Now)), Later(std::move(Later)) {}
+      Counters(Counters), Now(std::move(Now)), Later(std::move(Later)),
+      ArriveHere([&Own](const AttemptSpec &Spec, ReplyDone Done) {
+        Own.execute(Spec, std::move(Done));
+      }) {}
 
 AttemptId Caller::nextAttemptId() {
   return {this->Members.self().Incarnation, ++this->LastSequence};
@@ -122,7 +125,7 @@
   A.SentAt = this->Now();
   auto Id = Attempt.Id;
   if (Attempt.To.Node == this->Members.self().Node) {
-    this->Own.execute(Spec, [this, Ticket, Id](const Reply &Value) {
+    this->ArriveHere(Spec, [this, Ticket, Id](const Reply &Value) {
       PeerResult Result;
       Result.Kind = PeerResult::Kind::Replied;
       Result.Reply = Value;
--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -39,7 +39,11 @@
                        const InForce &Releases, Metrics &Counters, Clock Now)
     : Members(Members), Own(Own), Calls(Calls), Releases(Releases),
       Counters(Counters), Now(std::move(Now)),
-      Keys(LedgerRetention, KeptBodyBytes) {}
+      Keys(LedgerRetention, KeptBodyBytes) {
+  Calls.setLocalArrival([this](const AttemptSpec &Attempt, ReplyDone Done) {
+    this->arrive(Attempt, std::move(Done));
+  });
+}
 
 NodeLife KeyedCalls::self() const {
   const auto &Self = this->Members.self();
@@ -88,6 +92,13 @@
 }
 
 void KeyedCalls::arrive(const AttemptSpec &Attempt, ReplyDone Done) {
+  if (Attempt.Key.value().empty())
+    this->Own.execute(Attempt, std::move(Done));
+  else
+    this->arriveKeyed(Attempt, std::move(Done));
+}
+
+void KeyedCalls::arriveKeyed(const AttemptSpec &Attempt, ReplyDone Done) {
   auto Candidate = this->self();
   if (Attempt.Role == AttemptRole::Witness) {
     auto Nodes = this->nodesOf(Attempt.Key, serviceOf(Attempt.Path));
--- a/lib/daemon/RpcService.cpp
+++ b/lib/daemon/RpcService.cpp
@@ -35,10 +35,7 @@
       codec::write(SharedContext->getResults().initReply(), Value);
       (*Fulfiller)->fulfill();
     };
-    if (Spec.Key.value().empty())
-      this->Of.Own.execute(Spec, Done);
-    else
-      this->Of.Keyed.arrive(Spec, Done);
+    this->Of.Keyed.arrive(Spec, Done);
     return kj::mv(Pair.promise);
   }
 
--- /dev/null
+++ b/unittests/KeyedCallsTest.cpp
@@ -0,0 +1,141 @@
+#include "FakeClock.h"
+#include "limpetdrum/daemon/KeyedCalls.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+using trompeloeil::_;
+
+class MockTarget : public TargetPort {
+public:
+  MAKE_MOCK2(send, std::uint64_t(const HttpCall &, HttpClient::Callback),
+             override);
+  MAKE_MOCK1(cancel, void(std::uint64_t), override);
+};
+
+class MockPeers : public PeerPort {
+public:
+  MAKE_MOCK3(execute, void(const Member &, const AttemptSpec &, Done),
+             override);
+  MAKE_MOCK2(cancel, void(const Member &, AttemptId), override);
+};
+
+constexpr const char *Release = R"(revision: 1
+classes: [{name: order, importance: 1}]
+services:
+  - name: ordering
+    routes: [{path: /ordering/place, class: order, runs: once}]
+)";
+
+Member member(const std::string &Name, const std::string &Domain) {
+  Member M;
+  M.Node = NodeId(Name);
+  M.Incarnation = Incarnation(1);
+  M.FailureDomain = FailureDomain(Domain);
+  M.Region = Region("home");
+  M.Service = ServiceName("ordering");
+  M.Target = TargetState::Ready;
+  return M;
+}
+
+/// A node of a service with one other node, without any I/O.
+struct Bench {
+  FakeClock Clock;
+  Metrics Counters;
+  InForce Releases;
+  LevelTable Levels;
+  Membership Members{member("here", "a"), {}, 1};
+  MockTarget Target;
+  MockPeers Peers;
+  limpetdrum::Clock Now = [this]() { return this->Clock.now(); };
+  Router Routes{FailureDomain("a"), Region("home"), 1};
+  Executor Own{{Incarnation(1), true, 1}, Target, Releases,
+               Levels,                    Counters, Now};
+  Caller Calls{Members,  Routes, Levels, Own, Peers, Counters, Now,
+               [](Microseconds, std::function<void()>) { return Timer(); }};
+  KeyedCalls Keyed{Members, Own, Calls, Releases, Counters, Now};
+  unsigned Answers = 0;
+  std::vector<HttpClient::Callback> AtTarget;
+
+  Bench() {
+    this->Releases.offer(Release);
+    this->Members.announce(ServiceName("ordering"), Slots(5),
+                           TargetState::Ready);
+    this->Own.onAnnounced(ServiceName("ordering"), Slots(5), Milliseconds(0));
+    static_cast<void>(
+        this->Members.merge({member("there", "b")}, this->Clock.now()));
+  }
+
+  /// A key whose home is this node, and whose witness is the other.
+  static std::string keyWithHomeHere() {
+    std::vector<KeyCandidate> Both = {{NodeId("here"), FailureDomain("a")},
+                                      {NodeId("there"), FailureDomain("b")}};
+    for (int I = 0;; ++I) {
+      auto Name = std::to_string(I);
+      auto Key = scopedKey(Tenant(), "/ordering/place", Name);
+      if (findKeyNodes(Key, Both)->Home == NodeId("here"))
+        return Name;
+    }
+  }
+
+  void ask(const std::string &Key) {
+    CallRequest R;
+    R.Spec.Path = "/ordering/place";
+    R.Spec.Key = scopedKey(Tenant(), R.Spec.Path, Key);
+    R.Spec.TimeLeft = std::chrono::seconds(2);
+    R.Spec.Retries = 3;
+    R.Runs = RunSemantics::Once;
+    R.Service = ServiceName("ordering");
+    this->Keyed.start(R, [this](const Reply &Value) {
+      this->Answers += Value.Outcome == Outcome::Answered ? 1 : 0;
+    });
+  }
+};
+
+PeerResult refusedConnection() {
+  PeerResult Lost;
+  Lost.Kind = PeerResult::Kind::Lost;
+  Lost.HandedOver = false;
+  return Lost;
+}
+
+} // namespace
+
+TEST_CASE("KeyedCalls runs a key once when its witness cannot be reached",
+          "[keys]") {
+  Bench B;
+  auto Key = Bench::keyWithHomeHere();
+  ALLOW_CALL(B.Peers, execute(_, _, _)).SIDE_EFFECT(_3(refusedConnection()));
+  REQUIRE_CALL(B.Target, send(_, _))
+      .TIMES(1)
+      .LR_SIDE_EFFECT(B.AtTarget.push_back(_2))
+      .RETURN(1);
+  B.ask(Key);
+  B.ask(Key);
+  HttpAnswer Answer;
+  Answer.Outcome = HttpOutcome::Answered;
+  Answer.Status = 200;
+  B.AtTarget.front()(Answer);
+  B.ask(Key);
+  CHECK(B.Answers == 3);
+}
+
+TEST_CASE("KeyedCalls says unknown of a key whose holder is gone",
+          "[keys]") {
+  Bench B;
+  auto Key = Bench::keyWithHomeHere();
+  KeyRecord Elsewhere;
+  Elsewhere.Holder = {NodeId("there"), Incarnation(0)};
+  Elsewhere.Expiry = B.Clock.now() + std::chrono::minutes(5);
+  B.Keyed.adopt({{scopedKey(Tenant(), "/ordering/place", Key), Elsewhere}});
+  FORBID_CALL(B.Target, send(_, _));
+  ALLOW_CALL(B.Peers, execute(_, _, _)).SIDE_EFFECT(_3(refusedConnection()));
+  B.ask(Key);
+  CHECK(B.Answers == 0);
+  CHECK(B.Counters.counter("keys_unknown") == 1);
+}
