Move a key to another home when the first is proven not to have run it

Cause: the witness kept to a home that refused connections until it was known to be dead, some 5 s; a third of the orders failed for so long.

--- a/include/limpetdrum/daemon/KeyedCalls.h
+++ b/include/limpetdrum/daemon/KeyedCalls.h
@@ -37,12 +37,20 @@
 
 private:
   [[nodiscard]] std::optional<KeyNodes>
-  nodesOf(const IdempotencyKey &Key, const ServiceName &Service) const;
+  nodesOf(const IdempotencyKey &Key, const ServiceName &Service,
+          const std::vector<NodeId> &Except = {}) const;
+  [[nodiscard]] std::optional<NodeLife>
+  candidateFor(const AttemptSpec &Attempt,
+               const std::vector<NodeId> &Tried) const;
   [[nodiscard]] NodeLife self() const;
-  void arriveKeyed(const AttemptSpec &Attempt, ReplyDone Done);
+  /// \param Tried homes that are proven not to have run it.
+  void arriveKeyed(const AttemptSpec &Attempt, const std::vector<NodeId> &Tried,
+                   ReplyDone Done);
   void runHere(const AttemptSpec &Attempt, bool Begins, ReplyDone Done);
   void forward(const AttemptSpec &Attempt, const NodeLife &Holder, bool Begins,
-               ReplyDone Done);
+               std::vector<NodeId> Tried, ReplyDone Done);
+  void onForwarded(const AttemptSpec &Attempt, const std::vector<NodeId> &Tried,
+                   bool Begins, const Reply &Value, const ReplyDone &Done);
 
   const Membership &Members;
   Executor &Own;
--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -20,6 +20,17 @@
   return Value.Reason == Reason::TargetBroke;
 }
 
+/// Whether another home may do better than one that said "not run".
+bool worthMoving(const Reply &Value) {
+  return Value.Outcome == Outcome::NotRun &&
+         (Value.Reason == Reason::NodeGone || Value.Reason == Reason::NoTarget ||
+          Value.Reason == Reason::Draining);
+}
+
+bool contains(const std::vector<NodeId> &Names, const NodeId &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
 ServiceName serviceOfScoped(const IdempotencyKey &Key) {
   auto Slash = Key.value().find('/');
   return Slash == std::string::npos ? ServiceName()
@@ -51,11 +62,12 @@
 }
 
 std::optional<KeyNodes> KeyedCalls::nodesOf(const IdempotencyKey &Key,
-                                            const ServiceName &Service) const {
+                                            const ServiceName &Service,
+                    const std::vector<NodeId> &Except) const {
   std::vector<KeyCandidate> Candidates;
   for (const auto &M : this->Members.list())
     if (M.Service == Service && M.Target == TargetState::Ready &&
-        M.Health != Health::Dead)
+        M.Health != Health::Dead && !contains(Except, M.Node))
       Candidates.push_back({M.Node, M.FailureDomain});
   return findKeyNodes(Key, Candidates);
 }
@@ -79,12 +91,9 @@
     auto Choice = this->nodesOf(Key, Service);
     if (!Choice)
       return std::nullopt;
-    auto Untried = [&Tried](const NodeId &Node) {
-      return std::find(Tried.begin(), Tried.end(), Node) == Tried.end();
-    };
-    if (Choice->Witness && Untried(*Choice->Witness))
+    if (Choice->Witness && !contains(Tried, *Choice->Witness))
       return this->Calls.lifeOf(*Choice->Witness);
-    if (Untried(Choice->Home))
+    if (!contains(Tried, Choice->Home))
       return this->Calls.lifeOf(Choice->Home);
     return std::nullopt;
   };
@@ -95,25 +104,31 @@
   if (Attempt.Key.value().empty())
     this->Own.execute(Attempt, std::move(Done));
   else
-    this->arriveKeyed(Attempt, std::move(Done));
+    this->arriveKeyed(Attempt, {}, std::move(Done));
 }
 
-void KeyedCalls::arriveKeyed(const AttemptSpec &Attempt, ReplyDone Done) {
-  auto Candidate = this->self();
-  if (Attempt.Role == AttemptRole::Witness) {
-    auto Nodes = this->nodesOf(Attempt.Key, serviceOf(Attempt.Path));
-    auto Home = Nodes ? this->Calls.lifeOf(Nodes->Home) : std::nullopt;
-    if (!Home) {
-      Done(notRun(Reason::NoTarget, ComeBackSoon));
-      return;
-    }
-    Candidate = *Home;
+std::optional<NodeLife>
+KeyedCalls::candidateFor(const AttemptSpec &Attempt,
+                         const std::vector<NodeId> &Tried) const {
+  if (Attempt.Role == AttemptRole::Execute)
+    return this->self();
+  auto Nodes = this->nodesOf(Attempt.Key, serviceOf(Attempt.Path), Tried);
+  return Nodes ? this->Calls.lifeOf(Nodes->Home) : std::nullopt;
+}
+
+void KeyedCalls::arriveKeyed(const AttemptSpec &Attempt,
+                             const std::vector<NodeId> &Tried,
+                             ReplyDone Done) {
+  auto Candidate = this->candidateFor(Attempt, Tried);
+  if (!Candidate) {
+    Done(notRun(Reason::NoTarget, ComeBackSoon));
+    return;
   }
   auto Release = this->Releases.current();
   const auto *Route = Release ? Release->route(Attempt.Path) : nullptr;
   auto MostRuns = static_cast<std::uint16_t>(
       1 + (Route == nullptr ? 0 : Route->Declared.ClientRetries));
-  auto Seen = this->Keys.arrive(Attempt.Key, Candidate, MostRuns, this->Now());
+  auto Seen = this->Keys.arrive(Attempt.Key, *Candidate, MostRuns, this->Now());
   switch (Seen.Verdict) {
   case KeyLedger::Verdict::Replay:
     this->Counters.count("keys_replayed");
@@ -133,7 +148,7 @@
   }
   if (Attempt.Role == AttemptRole::Witness &&
       this->Calls.isReachable(Seen.Holder)) {
-    this->forward(Attempt, Seen.Holder, Begins, std::move(Done));
+    this->forward(Attempt, Seen.Holder, Begins, Tried, std::move(Done));
     return;
   }
   // Its holder is gone, and may have run it.
@@ -169,7 +184,8 @@
 }
 
 void KeyedCalls::forward(const AttemptSpec &Attempt, const NodeLife &Holder,
-                         bool Begins, ReplyDone Done) {
+                         bool Begins, std::vector<NodeId> Tried,
+                         ReplyDone Done) {
   CallRequest Request;
   Request.Spec = Attempt;
   Request.Spec.Role = AttemptRole::Execute;
@@ -180,13 +196,30 @@
   Request.Choose = [Holder](const std::vector<NodeId> & /*Tried*/) {
     return std::optional<NodeLife>(Holder);
   };
-  this->Calls.start(
-      std::move(Request),
-      [this, Key = Attempt.Key, Done = std::move(Done)](const Reply &Value) {
-        if (isFinal(Value))
-          this->Keys.settle(Key, Value, this->Now());
-        Done(Value);
-      });
+  Tried.push_back(Holder.Node);
+  auto Deadline = this->Now() + Attempt.TimeLeft;
+  this->Calls.start(std::move(Request),
+                    [this, Attempt, Begins, Deadline, Tried = std::move(Tried),
+                     Done = std::move(Done)](const Reply &Value) {
+                      auto Left = Attempt;
+                      Left.TimeLeft = Deadline - this->Now();
+                      this->onForwarded(Left, Tried, Begins, Value, Done);
+                    });
+}
+
+void KeyedCalls::onForwarded(const AttemptSpec &Attempt,
+                             const std::vector<NodeId> &Tried, bool Begins,
+                             const Reply &Value, const ReplyDone &Done) {
+  if (isFinal(Value))
+    this->Keys.settle(Attempt.Key, Value, this->Now());
+  bool Moves = Begins && worthMoving(Value) && Attempt.TimeLeft.count() > 0 &&
+               this->candidateFor(Attempt, Tried);
+  if (!Moves) {
+    Done(Value);
+    return;
+  }
+  this->Counters.count("keys_moved");
+  this->arriveKeyed(Attempt, Tried, Done);
 }
 
 void KeyedCalls::adopt(
