Send urgent news first, and less of the rest

Change: drains, leaves and deaths go first; 4 rounds for all; who joins passes on nothing but itself.

--- a/include/limpetdrum/process/Membership.h
+++ b/include/limpetdrum/process/Membership.h
@@ -59,7 +59,7 @@
   Milliseconds FlushPeriod{100}; ///< between two rounds of news
   std::size_t Fanout = 3;        ///< nodes told in a round
   std::size_t Helpers = 3;       ///< nodes asked to probe in our stead
-  std::size_t UpdatesPerMessage = 8;
+  std::size_t UpdatesPerMessage = 12;
   Milliseconds SyncPause{10000}; ///< between two whole exchanges
   std::chrono::minutes KeepDead{10};
 };
@@ -148,7 +148,6 @@
   [[nodiscard]] std::vector<NodeId> choose(std::size_t Count,
                                            const NodeId &Except);
   [[nodiscard]] std::optional<NodeId> nextToProbe();
-  [[nodiscard]] unsigned newsRounds() const;
   [[nodiscard]] Microseconds patience() const;
   [[nodiscard]] Microseconds suspicionTime() const;
 
--- a/lib/process/Membership.cpp
+++ b/lib/process/Membership.cpp
@@ -12,10 +12,18 @@
 constexpr unsigned MaxDistrust = 8;
 constexpr unsigned PeriodsBetweenKnocks = 5;
 constexpr double SuspicionPeriods = 3;
-constexpr unsigned ExtraRounds = 3;
+/// With a fanout of 3, a piece of news misses a node with a chance of e^-12.
+constexpr unsigned NewsRounds = 4;
 /// Longer silences between two ticks mean that this process was paused.
 constexpr int PauseInPeriods = 2;
 
+/// News that keeps work away from a node goes before all other.
+bool isUrgent(const Member *About) {
+  return About != nullptr && (About->Health == Health::Dead ||
+                              About->Target == TargetState::Draining ||
+                              About->Target == TargetState::Left);
+}
+
 std::uint64_t hashOf(const Member &M) {
   auto Known = M.Health == Health::Dead ? 1U : 0U;
   return stableHash(M.Node.value(),
@@ -57,7 +65,7 @@
   if (InForce <= this->InForce)
     return;
   this->InForce = InForce;
-  this->RevisionRounds = this->newsRounds();
+  this->RevisionRounds = NewsRounds;
 }
 
 const Member *Membership::find(const NodeId &Node) const {
@@ -81,13 +89,6 @@
   return Sum;
 }
 
-unsigned Membership::newsRounds() const {
-  double Size = static_cast<double>(this->Others.size()) + 2;
-  double Base = static_cast<double>(this->Options.Fanout) + 1;
-  return ExtraRounds +
-         static_cast<unsigned>(std::ceil(std::log(Size) / std::log(Base)));
-}
-
 Microseconds Membership::patience() const {
   return this->Options.Period * (1 + static_cast<int>(this->Distrust));
 }
@@ -102,12 +103,12 @@
 }
 
 void Membership::spread(const NodeId &About) {
-  for (auto &Entry : this->Pending)
-    if (Entry.About == About) {
-      Entry.RoundsLeft = this->newsRounds();
-      return;
-    }
-  this->Pending.push_back({About, this->newsRounds()});
+  // The newest goes first: after a mass restart the queue is long.
+  this->Pending.erase(
+      std::remove_if(this->Pending.begin(), this->Pending.end(),
+                     [&About](const News &N) { return N.About == About; }),
+      this->Pending.end());
+  this->Pending.insert(this->Pending.begin(), {About, NewsRounds});
 }
 
 void Membership::applyAboutSelf(const Member &Update) {
@@ -318,9 +319,14 @@
   this->NextFlush = Now + this->Options.FlushPeriod;
   if (this->RevisionRounds > 0)
     --this->RevisionRounds;
-  std::stable_sort(
-      this->Pending.begin(), this->Pending.end(),
-      [](const News &A, const News &B) { return A.RoundsLeft > B.RoundsLeft; });
+  std::stable_sort(this->Pending.begin(), this->Pending.end(),
+                   [this](const News &A, const News &B) {
+                     bool UrgentA = isUrgent(this->find(A.About));
+                     bool UrgentB = isUrgent(this->find(B.About));
+                     if (UrgentA != UrgentB)
+                       return UrgentA;
+                     return A.RoundsLeft > B.RoundsLeft;
+                   });
   for (const auto &To : this->choose(this->Options.Fanout, this->Self.Node))
     this->send(To, this->message(GossipKind::Rumor, 0), Out);
   auto Sent = std::min(this->Pending.size(), this->Options.UpdatesPerMessage);
@@ -408,8 +414,17 @@
 Membership::Output Membership::merge(const std::vector<Member> &Members,
                                      TimePoint Now) {
   Output Out;
+  bool Joins = this->Others.empty();
   for (const auto &Update : Members)
     this->apply(Update, Now, Out);
+  // To a node that joins all is new, and to nobody else.
+  if (Joins)
+    this->Pending.erase(std::remove_if(this->Pending.begin(),
+                                       this->Pending.end(),
+                                       [this](const News &N) {
+                                         return N.About != this->Self.Node;
+                                       }),
+                        this->Pending.end());
   return Out;
 }
 
