Prove the graceful leave without a lost or refused request

Cause: the scenario let clients go on to call an ingress that had gone, so it could not ask for every request.

--- a/standins/Scenario.cpp
+++ b/standins/Scenario.cpp
@@ -100,6 +100,7 @@
         {"thaw", &Scenario::thawNode},
         {"leave", &Scenario::leaveNode},
         {"restart", &Scenario::restart},
+        {"forget", &Scenario::forget},
         {"cut", &Scenario::cutConnections},
         {"platform", &Scenario::controlPlatform},
         {"slow", &Scenario::slowService},
@@ -187,6 +188,12 @@
     this->named(Step, "leave").Node->signal(SIGTERM);
   }
 
+  /// Clients learn that a node is gone, and send it nothing more.
+  void forget(YamlMap &Step) {
+    this->named(Step, "forget").TakesClients = false;
+    this->Processes.aim(this->Load);
+  }
+
   void restart(YamlMap &Step) {
     auto &M = this->named(Step, "restart");
     M.Node.reset();
--- a/standins/bench/Fleet.cpp
+++ b/standins/bench/Fleet.cpp
@@ -281,6 +281,8 @@
     std::vector<Endpoint> Entries;
     for (const auto &M : this->Members) {
       bool Own = serviceOf(Entry.first).value() == M->Service.Name;
+      if (!M->TakesClients)
+        continue;
       if (this->Spec.Nodes)
         Entries.push_back(this->ingress(*M));
       else if (Own)
--- a/standins/bench/Fleet.h
+++ b/standins/bench/Fleet.h
@@ -56,6 +56,7 @@
     std::unique_ptr<Process> Target;
     std::unique_ptr<bench::Relay> Relay;
     unsigned Lives = 0;
+    bool TakesClients = true;
   };
 
   Fleet(EventLoop &Loop, FleetSpec Spec);
