--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -173,10 +173,13 @@
 void Node::State::perform(const Membership::Output &Out) {
   for (const auto &Sent : Out.Send) {
     auto Bytes = codec::encode(Sent.Message);
+    this->Counters.count("gossip_datagrams_sent");
     this->Counters.count("gossip_bytes_sent", "", "", Bytes.size());
     this->Gossip->send(Sent.To, Bytes);
   }
   for (const auto &M : Out.Changed) {
+    LOG(INFO) << "member " << M.Node.value() << " " << toString(M.Target) << " "
+              << toString(M.Health);
     if (M.Health == Health::Dead || M.Target == TargetState::Left)
       this->Routes.forget(M.Node);
     bool NewHome = M.Target == TargetState::Ready &&
--- a/standins/bench/Process.cpp
+++ b/standins/bench/Process.cpp
@@ -6,7 +6,6 @@
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
-#include <sstream>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -56,18 +55,11 @@
 }
 
 double Process::processorSeconds() const {
-  std::ifstream Stat("/proc/" + std::to_string(this->Id) + "/stat");
-  std::string Text((std::istreambuf_iterator<char>(Stat)), {});
-  // The fields after the command's name, which is in parentheses.
-  std::istringstream Fields(Text.substr(Text.rfind(')') + 1));
-  std::string Skipped;
-  constexpr int FieldsBeforeTimes = 11;
-  for (int I = 0; I < FieldsBeforeTimes; ++I)
-    Fields >> Skipped;
-  double User = 0;
-  double System = 0;
-  Fields >> User >> System;
-  return (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  // Nanoseconds on a processor, by the scheduler's own clock.
+  std::ifstream Stat("/proc/" + std::to_string(this->Id) + "/schedstat");
+  double Nanoseconds = 0;
+  Stat >> Nanoseconds;
+  return Nanoseconds / 1e9;
 }
 
 } // namespace limpetdrum::bench
--- /dev/null
+++ b/unittests/CodecTest.cpp
@@ -0,0 +1,96 @@
+#include "limpetdrum/daemon/Codec.h"
+#include "FakeClock.h"
+#include "limpetdrum/Config.h"
+#include "limpetdrum/process/Error.h"
+
+#include <capnp/message.h>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+GossipMessage rumor(std::size_t Updates) {
+  GossipMessage M;
+  M.Kind = GossipKind::Rumor;
+  M.From = NodeId("ordering-1");
+  M.Revision = Revision(7);
+  for (std::size_t I = 0; I < Updates; ++I) {
+    Member Update;
+    Update.Node = NodeId("node-" + std::to_string(I));
+    Update.Incarnation = Incarnation(1'700'000'000'000'000 + I);
+    Update.Service = ServiceName("ordering");
+    Update.FailureDomain = FailureDomain("trondelag-a");
+    Update.Region = Region("trondelag");
+    Update.Rpc = {0x0a000007, 7402};
+    Update.Target = TargetState::Draining;
+    M.Updates.push_back(Update);
+  }
+  return M;
+}
+
+} // namespace
+
+TEST_CASE("Codec carries a datagram", "[codec]") {
+  auto Back = codec::decode(codec::encode(rumor(3)));
+  REQUIRE(Back);
+  CHECK(Back->From == NodeId("ordering-1"));
+  CHECK(Back->Revision == Revision(7));
+  REQUIRE(Back->Updates.size() == 3);
+  CHECK(Back->Updates[2].Target == TargetState::Draining);
+  CHECK(Back->Updates[2].Rpc == Endpoint{0x0a000007, 7402});
+}
+
+TEST_CASE("Codec keeps datagrams below their bound", "[codec]") {
+  auto Bytes = codec::encode(rumor(100));
+  CHECK(Bytes.size() <= MaxDatagramBytes);
+  REQUIRE(codec::decode(Bytes));
+  CHECK(codec::decode(Bytes)->Updates.size() > 5);
+}
+
+TEST_CASE("Codec refuses cut and altered datagrams without harm", "[codec]") {
+  auto Whole = codec::encode(rumor(5));
+  std::mt19937_64 Random(3);
+  for (std::size_t Size = 0; Size < Whole.size(); ++Size)
+    static_cast<void>(codec::decode(Whole.substr(0, Size)));
+  for (int I = 0; I < 20000; ++I) {
+    auto Altered = Whole;
+    for (int Changes = 0; Changes < 4; ++Changes)
+      Altered[Random() % Altered.size()] = static_cast<char>(Random());
+    static_cast<void>(codec::decode(Altered));
+  }
+  CHECK_FALSE(codec::decode(""));
+  CHECK_FALSE(codec::decode("hello"));
+}
+
+TEST_CASE("Codec refuses attempts out of range", "[codec]") {
+  capnp::MallocMessageBuilder Message;
+  auto Out = Message.initRoot<rpc::Attempt>();
+  SECTION("cohort") { Out.setCohort(2); }
+  SECTION("not a number") { Out.setCohort(std::nanf("")); }
+  SECTION("rank") { Out.setClassRank(200); }
+  SECTION("key") { Out.setKey(std::string(5000, 'k')); }
+  SECTION("body") { Out.initBody(MaxBodyBytes + 1); }
+  CHECK_THROWS_AS(codec::read(Out.asReader()), ValueError);
+}
+
+TEST_CASE("Codec carries a reply and a key record", "[codec]") {
+  FakeClock Clock;
+  capnp::MallocMessageBuilder Message;
+  KeyRecord Record;
+  Record.Holder = {NodeId("a"), Incarnation(3)};
+  Record.Settled = true;
+  Record.Reply.Outcome = Outcome::Answered;
+  Record.Reply.Body = "pallet";
+  Record.Expiry = Clock.now() + Milliseconds(500);
+  auto Out = Message.initRoot<rpc::KeyRecord>();
+  codec::write(Out, IdempotencyKey("k"), Record, Clock.now());
+  Clock.advance(Milliseconds(100));
+  auto [Key, Back] = codec::read(Out.asReader(), Clock.now());
+  CHECK(Key == IdempotencyKey("k"));
+  CHECK(Back.Holder == Record.Holder);
+  CHECK(Back.Reply.Body == "pallet");
+  CHECK(Back.Expiry == Clock.now() + Milliseconds(500));
+}
--- /dev/null
+++ b/unittests/RouterTest.cpp
@@ -0,0 +1,109 @@
+#include "limpetdrum/request/Router.h"
+#include "FakeClock.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+std::vector<RouteCandidate> candidates(int Count) {
+  std::vector<RouteCandidate> All;
+  for (int I = 0; I < Count; ++I)
+    All.push_back({NodeId("n" + std::to_string(I)),
+                   FailureDomain("d" + std::to_string(I % 3)), Region("home")});
+  return All;
+}
+
+void fail(Router &R, const NodeId &Node, int Times, const FakeClock &Clock) {
+  for (int I = 0; I < Times; ++I) {
+    R.begin(Node);
+    R.end(Node, CallEnd::Failed, Milliseconds(1), Clock.now());
+  }
+}
+
+} // namespace
+
+TEST_CASE("Router prefers a node that answers sooner", "[router]") {
+  FakeClock Clock;
+  Router R(FailureDomain("x"), Region("home"), 1);
+  auto All = candidates(2);
+  std::map<NodeId, int> Chosen;
+  for (int I = 0; I < 500; ++I) {
+    auto Node = *R.pick(All, {}, Clock.now());
+    ++Chosen[Node];
+    auto Latency = Node == NodeId("n0") ? Milliseconds(50) : Milliseconds(5);
+    R.end(Node, CallEnd::Served, Latency, Clock.now());
+  }
+  CHECK(Chosen[NodeId("n1")] > 2 * Chosen[NodeId("n0")]);
+}
+
+TEST_CASE("Router prefers its own failure domain among equals", "[router]") {
+  FakeClock Clock;
+  Router R(FailureDomain("d1"), Region("home"), 1);
+  std::map<NodeId, int> Chosen;
+  for (int I = 0; I < 600; ++I) {
+    auto Node = *R.pick(candidates(3), {}, Clock.now());
+    ++Chosen[Node];
+    R.end(Node, CallEnd::Served, Milliseconds(5), Clock.now());
+  }
+  CHECK(Chosen[NodeId("n1")] > Chosen[NodeId("n0")]);
+  CHECK(Chosen[NodeId("n1")] > Chosen[NodeId("n2")]);
+}
+
+TEST_CASE("Router leaves a failing node out and lets one call try it",
+          "[router]") {
+  FakeClock Clock;
+  Router R(FailureDomain("x"), Region("home"), 1);
+  NodeId Bad("n0");
+  fail(R, Bad, 5, Clock);
+  CHECK(R.isEjected(Bad, Clock.now()));
+  for (int I = 0; I < 50; ++I) {
+    auto Node = *R.pick(candidates(4), {}, Clock.now());
+    CHECK(Node != Bad);
+    R.end(Node, CallEnd::Served, Milliseconds(5), Clock.now());
+  }
+  Clock.advance(Milliseconds(1500));
+  CHECK_FALSE(R.isEjected(Bad, Clock.now()));
+  R.begin(Bad);
+  CHECK(R.isEjected(Bad, Clock.now()));
+  R.end(Bad, CallEnd::Served, Milliseconds(5), Clock.now());
+  R.begin(Bad);
+  CHECK_FALSE(R.isEjected(Bad, Clock.now()));
+}
+
+TEST_CASE("Router uses all nodes when most of them fail", "[router]") {
+  FakeClock Clock;
+  Router R(FailureDomain("x"), Region("home"), 1);
+  auto All = candidates(4);
+  for (int I = 0; I < 3; ++I)
+    fail(R, All[static_cast<std::size_t>(I)].Node, 5, Clock);
+  std::map<NodeId, int> Chosen;
+  for (int I = 0; I < 200; ++I)
+    ++Chosen[*R.pick(All, {}, Clock.now())];
+  CHECK(Chosen.size() == 4);
+}
+
+TEST_CASE("Router picks nothing when all were tried", "[router]") {
+  FakeClock Clock;
+  Router R(FailureDomain("x"), Region("home"), 1);
+  CHECK_FALSE(R.pick(candidates(2), {NodeId("n0"), NodeId("n1")}, Clock.now()));
+}
+
+TEST_CASE("subset bounds connections and takes the nearest first", "[router]") {
+  auto All = candidates(60);
+  auto Near =
+      subset(All, NodeId("me"), FailureDomain("d2"), Region("home"), 12);
+  REQUIRE(Near.size() == 12);
+  for (const auto &C : Near)
+    CHECK(C.FailureDomain == FailureDomain("d2"));
+  // Different callers spread over different nodes.
+  auto Other =
+      subset(All, NodeId("you"), FailureDomain("d2"), Region("home"), 12);
+  int Same = 0;
+  for (std::size_t I = 0; I < 12; ++I)
+    Same += Near[I].Node == Other[I].Node ? 1 : 0;
+  CHECK(Same < 12);
+}
