Try an overloaded service again after a pause, within a chain

Cause: a request that was refused in the depth was lost with all the work done for it, though the refusing queue has room again within a service time.

--- a/include/limpetdrum/daemon/Caller.h
+++ b/include/limpetdrum/daemon/Caller.h
@@ -21,9 +21,10 @@
   AttemptSpec Spec; ///< without the id and executor
   RunSemantics Runs = RunSemantics::Idempotent;
   ServiceName Service;
-  bool Movable = true; ///< whether other nodes may be tried
+  bool Movable = true;     ///< whether other nodes may be tried
   bool MayHaveRun = false; ///< by an earlier call for the same key
-  PinnedChoice Choose; ///< empty: the router chooses
+  bool Patient = false;    ///< see Call::bePatient()
+  PinnedChoice Choose;     ///< empty: the router chooses
 };
 
 /// \brief Drives calls from this node: attempts, routing, deadlines.
@@ -63,6 +64,7 @@
     TimePoint Deadline;
     TimePoint SentAt;
     Timer DeadlineTimer;
+    Timer PauseTimer;
     unsigned Resends = 0;
     bool Routed = false; ///< the router counts the attempt as in flight
 
@@ -73,11 +75,14 @@
           Done(std::move(Done)) {
       if (this->Request.MayHaveRun)
         this->Decisions.assumeMayHaveRun();
+      if (this->Request.Patient)
+        this->Decisions.bePatient();
     }
   };
 
   void perform(std::uint64_t Ticket, Call::Step Step);
   void pick(std::uint64_t Ticket);
+  void pause(std::uint64_t Ticket);
   void send(std::uint64_t Ticket, const Call::Send &Attempt);
   void finish(std::uint64_t Ticket, Reply Value);
   void onResult(std::uint64_t Ticket, AttemptId Id, const PeerResult &Result);
@@ -97,6 +102,7 @@
   LaterPort Later;
   LocalArrival ArriveHere;
   RetryRatio Ratio;
+  std::mt19937_64 Random;
   std::uint64_t LastTicket = 0;
   std::uint64_t LastSequence = 0;
   std::unordered_map<std::uint64_t, Active> Calls;
--- a/include/limpetdrum/request/Call.h
+++ b/include/limpetdrum/request/Call.h
@@ -26,11 +26,12 @@
     AttemptId Id;
     std::uint16_t Retries;
   };
-  struct Wait {}; ///< an event will come
-  struct Finish { ///< the final reply
+  struct Wait {};  ///< an event will come
+  struct Pause {}; ///< wait a little, then onPauseOver()
+  struct Finish {  ///< the final reply
     limpetdrum::Reply Reply;
   };
-  using Step = std::variant<Pick, Send, Wait, Finish>;
+  using Step = std::variant<Pick, Send, Wait, Pause, Finish>;
 
   /// \param Runs whether an attempt with an unknown outcome may be repeated.
   /// \param Movable whether other nodes may be tried at all.
@@ -41,6 +42,9 @@
   /// \brief Another call for the same key may have run already: this one
   ///   never proves "not run".
   void assumeMayHaveRun() noexcept { this->MayHaveRun = true; }
+  /// \brief The call belongs to a request whose work so far would be lost: an
+  ///   overloaded service is tried again after a pause.
+  void bePatient() noexcept { this->Patient = true; }
   [[nodiscard]] Step start() const;
   /// \param To the chosen life, or nothing if there is none.
   /// \param Id a new id for this attempt.
@@ -52,6 +56,7 @@
   [[nodiscard]] Step onLost(bool HandedOver, bool SameLifeReachable);
   /// \brief The node answers on no connection, old or fresh.
   [[nodiscard]] Step onSuspected();
+  [[nodiscard]] Step onPauseOver();
   [[nodiscard]] Step onDeadline() const;
 
   [[nodiscard]] const std::vector<NodeId> &tried() const noexcept {
@@ -68,6 +73,7 @@
 
   RunSemantics Runs;
   bool Movable;
+  bool Patient = false;
   RetryBudget Budget;
   RetryRatio *Ratio;
   std::optional<Send> Current;
--- a/lib/daemon/Caller.cpp
+++ b/lib/daemon/Caller.cpp
@@ -8,6 +8,8 @@
 constexpr std::size_t SubsetSize = 12;
 /// How often one attempt goes out again to the same life of a node.
 constexpr unsigned MaxResends = 8;
+/// Mean wait before an overloaded service is tried again within a chain.
+constexpr Microseconds RetryPause{50'000};
 
 template <typename... Ts> struct Overloaded : Ts... {
   using Ts::operator()...;
@@ -35,7 +37,8 @@
       Counters(Counters), Now(std::move(Now)), Later(std::move(Later)),
       ArriveHere([&Own](const AttemptSpec &Spec, ReplyDone Done) {
         Own.execute(Spec, std::move(Done));
-      }) {}
+      }),
+      Random(Members.self().Incarnation.value()) {}
 
 AttemptId Caller::nextAttemptId() {
   return {this->Members.self().Incarnation, ++this->LastSequence};
@@ -61,6 +64,7 @@
           [&](const Call::Pick &) { this->pick(Ticket); },
           [&](const Call::Send &Attempt) { this->send(Ticket, Attempt); },
           [&](const Call::Wait &) {},
+          [&](const Call::Pause &) { this->pause(Ticket); },
           [&](Call::Finish &Final) {
             this->finish(Ticket, std::move(Final.Reply));
           },
@@ -115,6 +119,18 @@
   this->perform(Ticket, A.Decisions.onPicked(Chosen, this->nextAttemptId()));
 }
 
+void Caller::pause(std::uint64_t Ticket) {
+  std::uniform_real_distribution<double> Spread(0.5, 1.5);
+  auto Span = Microseconds(static_cast<std::int64_t>(
+      static_cast<double>(RetryPause.count()) * Spread(this->Random)));
+  this->Counters.count("retry_pauses");
+  this->Calls.at(Ticket).PauseTimer = this->Later(Span, [this, Ticket]() {
+    auto Found = this->Calls.find(Ticket);
+    if (Found != this->Calls.end())
+      this->perform(Ticket, Found->second.Decisions.onPauseOver());
+  });
+}
+
 void Caller::send(std::uint64_t Ticket, const Call::Send &Attempt) {
   auto &A = this->Calls.at(Ticket);
   auto Spec = A.Request.Spec;
--- a/lib/daemon/Entrance.cpp
+++ b/lib/daemon/Entrance.cpp
@@ -153,6 +153,7 @@
     Spec.Tenant = Above.Spec.Tenant;
     Spec.Rank = Above.Spec.Rank;
     Spec.Root = Above.Spec.Root;
+    E->Request.Patient = true;
     Spec.Retries =
         this->Chosen.BoundRetries ? Above.Budget.grant() : UnboundedRetries;
     Spec.TimeLeft = std::min(
--- a/lib/request/Call.cpp
+++ b/lib/request/Call.cpp
@@ -51,6 +51,12 @@
     if (this->Runs == RunSemantics::Once)
       return this->finish(Value);
   }
+  if (this->Patient && Value.Reason == Reason::Overload) {
+    auto Step = this->retry(Value);
+    if (std::holds_alternative<Pick>(Step))
+      Step = Pause{};
+    return Step;
+  }
   if (worthRetrying(Value.Reason))
     return this->retry(Value);
   return this->finish(Value);
@@ -76,6 +82,12 @@
   return this->retry(unknownOutcome(Reason::NodeGone, ComeBackSoon));
 }
 
+Call::Step Call::onPauseOver() {
+  // By now any node may have room, the one that refused as well.
+  this->Tried.clear();
+  return Pick{};
+}
+
 Call::Step Call::onDeadline() const {
   if (!this->Current)
     return this->finish(notRun(Reason::TimedOut, ComeBackSoon));
--- a/unittests/CallTest.cpp
+++ b/unittests/CallTest.cpp
@@ -1,5 +1,5 @@
-#include "FakeClock.h"
 #include "limpetdrum/request/Call.h"
+#include "FakeClock.h"
 
 #include <catch2/catch.hpp>
 
@@ -46,8 +46,7 @@
   CHECK(std::get<Call::Send>(Step).Id == attempt(1));
 }
 
-TEST_CASE("Call moves a once-only request on a proven not-run only",
-          "[call]") {
+TEST_CASE("Call moves a once-only request on a proven not-run only", "[call]") {
   RetryRatio Ratio;
   Call C(RunSemantics::Once, true, 2, Ratio);
   static_cast<void>(C.onPicked(First, attempt(1)));
@@ -112,3 +111,21 @@
   CHECK(finished(Step) != nullptr);
   CHECK(Sent <= 1 + 3);
 }
+
+TEST_CASE("Call within a chain pauses before it tries an overloaded service "
+          "again",
+          "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Once, true, 1, Ratio);
+  C.bePatient();
+  auto Refused = notRun(Reason::Overload, Milliseconds(500));
+  auto Sent = std::get<Call::Send>(C.onPicked(First, attempt(1)));
+  Refused.RetriesLeft = Sent.Retries;
+  CHECK(std::holds_alternative<Call::Pause>(C.onReply(Refused)));
+  CHECK(std::holds_alternative<Call::Pick>(C.onPauseOver()));
+  CHECK(C.tried().empty());
+  static_cast<void>(C.onPicked(First, attempt(2)));
+  Refused.RetriesLeft = 0;
+  // The budget is spent: the answer is final, and comes at once.
+  CHECK(finished(C.onReply(Refused)) != nullptr);
+}
