Judge trials of the concurrency limit by latency

Cause: a trace of the deep service under the trigger showed its limit at 4 of 5 slots half of the time: a trial took 10% off, which is a whole slot, and was judged by a throughput that differs by 14% from window to window. Change: a trial moves by one slot at least and is judged by whether the latency follows the limit; the first one waits for four saturated windows; a raise that shows queueing is followed by lowering.

--- a/include/limpetdrum/request/ConcurrencyLimit.h
+++ b/include/limpetdrum/request/ConcurrencyLimit.h
@@ -12,8 +12,9 @@
 ///
 /// Starts from the announced slots, which may mislead, and follows what is
 /// measured: it falls when the target sheds, and now and then tries a little
-/// less or more while it is fully used, and keeps what did not hurt (less) or
-/// what helped (more). Failed trials become rarer.
+/// less or more while it is fully used. If the latency follows the limit, the
+/// target queues inside and the lower one is kept; if not, the higher one.
+/// Trials that change nothing become rarer.
 class ConcurrencyLimit {
 public:
   explicit ConcurrencyLimit(Slots Announced);
@@ -44,12 +45,12 @@
   };
   struct Trial {
     double OldLimit = 0;
-    double OldThroughput = 0;
+    double OldLatency = 0;
   };
 
   void closeWindow(TimePoint Now);
-  void judgeTrial(double Throughput);
-  void beginTrial(double Throughput, double Latency);
+  void judgeTrial(double Latency);
+  void beginTrial(double Latency);
 
   double Limit;
   double Announced;
@@ -59,8 +60,9 @@
   double BestLatency = 0;
   Window Current;
   std::optional<Trial> Running;
-  unsigned WindowsUntilTrial = 0;
+  unsigned WindowsUntilTrial = 4;
   unsigned FailedTrials = 0;
+  bool SeenQueueing = false; ///< by the last raise
 };
 
 } // namespace limpetdrum
--- a/lib/request/ConcurrencyLimit.cpp
+++ b/lib/request/ConcurrencyLimit.cpp
@@ -1,16 +1,16 @@
 #include "limpetdrum/request/ConcurrencyLimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limpetdrum {
 
 namespace {
 
 constexpr Milliseconds WindowLength{1000};
-constexpr std::size_t WindowCompletions = 50;
+constexpr std::size_t WindowCompletions = 30;
 constexpr double ShedFactor = 0.9;
 constexpr double TrialStep = 0.1;
-constexpr double ThroughputTolerance = 0.03;
 /// Below this multiple of the best latency the target does not queue.
 constexpr double QueueingRatio = 1.5;
 constexpr double MaxOverAnnounced = 4.0;
@@ -59,10 +59,7 @@
     this->Limit = std::max(1.0, this->Limit * ShedFactor);
     return;
   }
-  auto Count = static_cast<double>(Closed.Completions);
-  double Seconds = std::chrono::duration<double>(Now - Closed.Start).count();
-  double Throughput = Count / Seconds;
-  double Latency = Closed.LatencySum / Count;
+  double Latency = Closed.LatencySum / static_cast<double>(Closed.Completions);
   if (this->BestLatency == 0 || Latency < this->BestLatency)
     this->BestLatency = Latency;
   bool Used = Closed.Saturated * 2 > Closed.Completions;
@@ -73,33 +70,39 @@
     return;
   }
   if (this->Running)
-    this->judgeTrial(Throughput);
+    this->judgeTrial(Latency);
   else if (this->WindowsUntilTrial > 0)
     --this->WindowsUntilTrial;
   else
-    this->beginTrial(Throughput, Latency);
+    this->beginTrial(Latency);
 }
 
-void ConcurrencyLimit::beginTrial(double Throughput, double Latency) {
-  this->Running = Trial{this->Limit, Throughput};
-  bool Queueing = Latency > this->BestLatency * QueueingRatio;
-  double Factor = Queueing ? 1 - TrialStep : 1 + TrialStep;
+void ConcurrencyLimit::beginTrial(double Latency) {
+  this->Running = Trial{this->Limit, Latency};
+  bool Queueing =
+      this->SeenQueueing || Latency > this->BestLatency * QueueingRatio;
+  double Step = std::max(1.0, std::round(this->Limit * TrialStep));
   double Most = this->Announced * MaxOverAnnounced;
-  this->Limit = std::clamp(this->Limit * Factor, 1.0, Most);
+  this->Limit = std::clamp(this->Limit + (Queueing ? -Step : Step), 1.0, Most);
 }
 
-void ConcurrencyLimit::judgeTrial(double Throughput) {
+void ConcurrencyLimit::judgeTrial(double Latency) {
   auto Judged = *this->Running;
   this->Running.reset();
-  bool Raised = this->Limit > Judged.OldLimit;
-  double Needed = Raised ? 1 + TrialStep / 2 : 1 - ThroughputTolerance;
-  if (Throughput >= Judged.OldThroughput * Needed) {
+  double IfQueueing = Judged.OldLatency * this->Limit / Judged.OldLimit;
+  bool Queues =
+      std::abs(Latency - IfQueueing) < std::abs(Latency - Judged.OldLatency);
+  bool Lowered = this->Limit < Judged.OldLimit;
+  if (Lowered == Queues) {
     this->FailedTrials = 0;
     return;
   }
   this->Limit = Judged.OldLimit;
+  this->SeenQueueing = !Lowered;
+  if (this->SeenQueueing)
+    return; // the next trial lowers the limit, at once
   this->FailedTrials = std::min(this->FailedTrials + 1, 6U);
-  this->WindowsUntilTrial = std::min(1U << this->FailedTrials, MaxTrialPause);
+  this->WindowsUntilTrial = std::min(4U << this->FailedTrials, MaxTrialPause);
 }
 
 std::size_t ConcurrencyLimit::limit(TimePoint Now) const noexcept {
--- /dev/null
+++ b/unittests/ConcurrencyLimitTest.cpp
@@ -0,0 +1,119 @@
+#include "limpetdrum/request/ConcurrencyLimit.h"
+#include "FakeClock.h"
+
+#include <catch2/catch.hpp>
+#include <queue>
+#include <random>
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+/// A target with real slots that queues whatever it gets beyond them, kept
+/// busy up to the limit.
+class Target {
+public:
+  Target(unsigned Slots, unsigned Announced)
+      : Limit(limpetdrum::Slots(static_cast<std::uint16_t>(Announced))),
+        FreeAt(Slots, Clock.now()) {
+    this->Limit.announce(
+        limpetdrum::Slots(static_cast<std::uint16_t>(Announced)),
+        Milliseconds(0), this->Clock.now());
+  }
+
+  /// \returns the mean limit over the time.
+  double run(Milliseconds Span, Milliseconds ServiceTime) {
+    double Sum = 0;
+    int Samples = 0;
+    auto End = this->Clock.now() + Span;
+    while (this->Clock.now() < End) {
+      while (this->Open.size() < this->Limit.limit(this->Clock.now()))
+        this->begin(ServiceTime);
+      this->Clock.advance(Milliseconds(1));
+      while (!this->Open.empty() &&
+             this->Open.top().first <= this->Clock.now()) {
+        auto Start = this->Open.top().second;
+        bool Full = this->Open.size() >= this->Limit.limit(this->Clock.now());
+        this->Open.pop();
+        this->Limit.onCompletion(this->Clock.now() - Start, false, Full,
+                                 this->Clock.now());
+      }
+      Sum += static_cast<double>(this->Limit.limit(this->Clock.now()));
+      ++Samples;
+    }
+    return Sum / Samples;
+  }
+
+  FakeClock Clock;
+  ConcurrencyLimit Limit;
+
+private:
+  using Request = std::pair<TimePoint, TimePoint>; // end, start
+
+  void begin(Milliseconds ServiceTime) {
+    auto Slot = std::min_element(this->FreeAt.begin(), this->FreeAt.end());
+    std::uniform_real_distribution<double> Spread(0.5, 1.5);
+    auto Took = Microseconds(
+        static_cast<std::int64_t>(static_cast<double>(ServiceTime.count()) *
+                                  1000 * Spread(this->Random)));
+    *Slot = std::max(*Slot, this->Clock.now()) + Took;
+    this->Open.push({*Slot, this->Clock.now()});
+  }
+
+  std::vector<TimePoint> FreeAt;
+  std::priority_queue<Request, std::vector<Request>, std::greater<>> Open;
+  std::mt19937_64 Random{1};
+};
+
+} // namespace
+
+TEST_CASE("ConcurrencyLimit keeps its slots when the target slows", "[limit]") {
+  for (unsigned Slots : {5U, 27U}) {
+    Target T(Slots, Slots);
+    T.run(Milliseconds(3000), Milliseconds(50));
+    auto Mean = T.run(Milliseconds(20000), Milliseconds(150));
+    INFO(Slots << " slots, mean limit " << Mean);
+    CHECK(Mean >= 0.95 * Slots);
+    CHECK(Mean <= 1.3 * Slots);
+  }
+}
+
+TEST_CASE("ConcurrencyLimit finds that far too many slots were announced",
+          "[limit]") {
+  Target T(20, 80);
+  T.run(Milliseconds(120000), Milliseconds(50));
+  auto Limit = T.Limit.limit(T.Clock.now());
+  INFO("limit " << Limit);
+  CHECK(Limit <= 40);
+  CHECK(Limit >= 18);
+}
+
+TEST_CASE("ConcurrencyLimit grows beyond an announcement that is too small",
+          "[limit]") {
+  Target T(40, 10);
+  T.run(Milliseconds(120000), Milliseconds(50));
+  CHECK(T.Limit.limit(T.Clock.now()) >= 20);
+}
+
+TEST_CASE("ConcurrencyLimit falls when the target sheds", "[limit]") {
+  FakeClock Clock;
+  ConcurrencyLimit L(Slots(100));
+  L.announce(Slots(100), Milliseconds(0), Clock.now());
+  for (int I = 0; I < 5; ++I) {
+    Clock.advance(Milliseconds(1100));
+    L.onCompletion(Milliseconds(10), true, true, Clock.now());
+  }
+  CHECK(L.limit(Clock.now()) < 65);
+}
+
+TEST_CASE("ConcurrencyLimit ramps up a cold target", "[limit]") {
+  FakeClock Clock;
+  ConcurrencyLimit L(Slots(100));
+  L.announce(Slots(100), Milliseconds(1000), Clock.now());
+  CHECK(L.limit(Clock.now()) == 10);
+  Clock.advance(Milliseconds(500));
+  CHECK(L.limit(Clock.now()) == 55);
+  Clock.advance(Milliseconds(500));
+  CHECK(L.limit(Clock.now()) == 100);
+}
