--- /dev/null
+++ b/benchmarks/Decisions.cpp
@@ -0,0 +1,203 @@
+// What one decision costs, and how that grows with targets, requests in flight
+// and members. The library's objects alone, without I/O.
+#include "limpetdrum/Limpetdrum.h"
+#include "limpetdrum/daemon/Codec.h"
+
+#include <benchmark/benchmark.h>
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace {
+
+using namespace limpetdrum;
+
+const TimePoint Begin{std::chrono::hours(1)};
+
+AttemptId attempt(std::uint64_t Number) { return {Incarnation(1), Number}; }
+
+Arrival arrival(std::uint64_t Number, TimePoint Now) {
+  Arrival A;
+  A.Id = attempt(Number);
+  A.Rank = ClassRank(static_cast<std::uint8_t>(Number % 3));
+  A.Cohort = static_cast<float>(Number % 97) / 97;
+  A.Tenant = Tenant("tenant-" + std::to_string(Number % 20));
+  A.Deadline = Now + std::chrono::seconds(2);
+  return A;
+}
+
+/// One admission and one completion, with the given requests in flight.
+void admit(benchmark::State &State) {
+  auto InFlight = static_cast<std::uint64_t>(State.range(0));
+  Admission Gate(Slots(static_cast<std::uint16_t>(InFlight)));
+  TimePoint Now = Begin;
+  Gate.announce(Slots(static_cast<std::uint16_t>(InFlight)), Milliseconds(0),
+                Now);
+  std::uint64_t Number = 0;
+  while (Number < InFlight)
+    benchmark::DoNotOptimize(Gate.arrive(arrival(++Number, Now), Now));
+  for (auto _ : State) {
+    Now += Microseconds(100);
+    ++Number;
+    benchmark::DoNotOptimize(
+        Gate.complete(attempt(Number - InFlight), Completion::Served, Now));
+    benchmark::DoNotOptimize(Gate.arrive(arrival(Number, Now), Now));
+  }
+}
+BENCHMARK(admit)->Arg(10)->Arg(100)->Arg(1000)->Arg(10000);
+
+/// One arrival at a full queue.
+void refuse(benchmark::State &State) {
+  auto InFlight = static_cast<std::uint64_t>(State.range(0));
+  Admission Gate(Slots(static_cast<std::uint16_t>(InFlight)));
+  std::uint64_t Number = 0;
+  while (Number < 3 * InFlight)
+    benchmark::DoNotOptimize(Gate.arrive(arrival(++Number, Begin), Begin));
+  for (auto _ : State)
+    benchmark::DoNotOptimize(Gate.arrive(arrival(++Number, Begin), Begin));
+}
+BENCHMARK(refuse)->Arg(10)->Arg(100)->Arg(1000);
+
+void route(benchmark::State &State) {
+  std::vector<RouteCandidate> All;
+  for (std::int64_t I = 0; I < State.range(0); ++I)
+    All.push_back({NodeId("node-" + std::to_string(I)),
+                   FailureDomain("d" + std::to_string(I % 16)), Region("r")});
+  Router R(FailureDomain("d1"), Region("r"), 1);
+  for (auto _ : State) {
+    auto Node = R.pick(All, {}, Begin);
+    R.end(*Node, CallEnd::Served, Milliseconds(5), Begin);
+  }
+}
+BENCHMARK(route)->Arg(3)->Arg(12);
+
+void remember(benchmark::State &State) {
+  AttemptLedger Ledger(std::chrono::seconds(10));
+  auto Kept = std::make_shared<const Reply>();
+  TimePoint Now = Begin;
+  std::uint64_t Number = 0;
+  // So many attempts stay remembered.
+  auto Gap = Microseconds(10'000'000 / State.range(0));
+  for (auto _ : State) {
+    Now += Gap;
+    ++Number;
+    benchmark::DoNotOptimize(Ledger.arrive(attempt(Number), Now));
+    Ledger.dispatch(attempt(Number));
+    Ledger.finish(attempt(Number), Kept, Now);
+  }
+}
+BENCHMARK(remember)->Arg(100)->Arg(10000)->Arg(100000);
+
+void keyNodes(benchmark::State &State) {
+  std::vector<KeyCandidate> All;
+  for (std::int64_t I = 0; I < State.range(0); ++I)
+    All.push_back({NodeId("node-" + std::to_string(I)),
+                   FailureDomain("d" + std::to_string(I % 16))});
+  std::uint64_t Number = 0;
+  for (auto _ : State)
+    benchmark::DoNotOptimize(
+        findKeyNodes(IdempotencyKey(std::to_string(++Number)), All));
+}
+BENCHMARK(keyNodes)->Arg(3)->Arg(20);
+
+void budget(benchmark::State &State) {
+  for (auto _ : State) {
+    RetryBudget Mine(6);
+    RetryBudget Theirs(Mine.grant());
+    benchmark::DoNotOptimize(Theirs.take());
+    Mine.giveBack(Theirs.remaining());
+    benchmark::DoNotOptimize(Mine);
+  }
+}
+BENCHMARK(budget);
+
+Member member(std::int64_t Number) {
+  Member M;
+  M.Node = NodeId("node-" + std::to_string(Number));
+  M.Incarnation = Incarnation(1);
+  M.Service = ServiceName("service-" + std::to_string(Number % 100));
+  M.FailureDomain = FailureDomain("d" + std::to_string(Number % 16));
+  M.Region = Region("r" + std::to_string(Number % 7));
+  M.Target = TargetState::Ready;
+  M.Gossip = {0x0a000000U + static_cast<std::uint32_t>(Number), 7403};
+  return M;
+}
+
+Membership fleet(std::int64_t Size) {
+  Membership M(member(0), {}, 1);
+  std::vector<Member> All;
+  for (std::int64_t I = 1; I < Size; ++I)
+    All.push_back(member(I));
+  benchmark::DoNotOptimize(M.merge(All, Begin));
+  return M;
+}
+
+/// One tick of a node that has nothing to tell, with its datagrams encoded.
+void quietTick(benchmark::State &State) {
+  auto M = fleet(State.range(0));
+  TimePoint Now = Begin;
+  for (auto _ : State) {
+    Now += Milliseconds(50);
+    for (const auto &Sent : M.tick(Now).Send)
+      benchmark::DoNotOptimize(codec::encode(Sent.Message));
+  }
+}
+BENCHMARK(quietTick)->Arg(25)->Arg(200)->Arg(2000);
+
+/// One piece of news, from its arrival through all rounds of telling it.
+void news(benchmark::State &State) {
+  auto M = fleet(State.range(0));
+  TimePoint Now = Begin;
+  std::uint32_t Version = 0;
+  for (auto _ : State) {
+    GossipMessage Message;
+    Message.From = NodeId("node-1");
+    auto Update = member(2);
+    Update.Version = ++Version;
+    Message.Updates.push_back(Update);
+    benchmark::DoNotOptimize(M.receive(Message, Now));
+    for (int Round = 0; Round < 6; ++Round) {
+      Now += Milliseconds(100);
+      for (const auto &Sent : M.tick(Now).Send)
+        benchmark::DoNotOptimize(codec::encode(Sent.Message));
+    }
+  }
+}
+BENCHMARK(news)->Arg(25)->Arg(200)->Arg(2000);
+
+Release release(std::int64_t Services) {
+  Release R;
+  R.Revision = Revision(1);
+  R.Classes["order"] = {"order", 1};
+  for (std::int64_t I = 0; I < Services; ++I) {
+    Service S;
+    S.Name = ServiceName("service-" + std::to_string(I));
+    for (const auto *Name : {"read", "write", "list"}) {
+      Route Entry;
+      Entry.Path = "/" + S.Name.value() + "/" + Name;
+      Entry.Class = "order";
+      if (I > 0)
+        Entry.Calls = {"/service-" + std::to_string(I - 1) + "/read"};
+      S.Routes.push_back(Entry);
+    }
+    R.Services[S.Name.value()] = S;
+  }
+  return R;
+}
+
+/// A release taken over; its size in bytes is reported.
+void takeRelease(benchmark::State &State) {
+  auto Text = toYaml(release(State.range(0)));
+  for (auto _ : State)
+    benchmark::DoNotOptimize(CompiledRelease(Text));
+  State.counters["bytes"] = static_cast<double>(Text.size());
+}
+BENCHMARK(takeRelease)
+    ->Arg(4)
+    ->Arg(29)
+    ->Arg(100)
+    ->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/lib/process/Membership.cpp
+++ b/lib/process/Membership.cpp
@@ -83,10 +83,7 @@
 }
 
 std::uint64_t Membership::digest() const noexcept {
-  std::uint64_t Sum = hashOf(this->Self);
-  for (const auto &Entry : this->Others)
-    Sum ^= hashOf(Entry.second);
-  return Sum;
+  return this->OthersDigest ^ hashOf(this->Self);
 }
 
 Microseconds Membership::patience() const {
@@ -134,6 +131,9 @@
   auto Found = this->Others.find(Update.Node);
   if (Found != this->Others.end() && !supersedes(Update, Found->second))
     return false;
+  if (Found != this->Others.end())
+    this->OthersDigest ^= hashOf(Found->second);
+  this->OthersDigest ^= hashOf(Update);
   this->Others[Update.Node] = Update;
   this->Suspects.erase(Update.Node);
   this->DeadSince.erase(Update.Node);
@@ -291,6 +291,7 @@
       ++It;
       continue;
     }
+    this->OthersDigest ^= hashOf(this->Others.at(It->first));
     this->Others.erase(It->first);
     It = this->DeadSince.erase(It);
   }
