--- a/benchmarks/Overload.cpp
+++ b/benchmarks/Overload.cpp
@@ -3,6 +3,7 @@
 // its mechanisms switched off, in interleaved runs.
 #include "Fleet.h"
 #include "limpetdrum/process/Error.h"
+#include "limpetdrum/version/ReleaseNote.h"
 
 #include <algorithm>
 #include <easylogging++.h>
@@ -133,6 +134,7 @@
   double EarningRate = 0;  ///< earning requests begun a second
   double EarningDone = 0;
   double WastedShare = 0;     ///< runs of the deep service for nothing
+  double WastedAll = 0;       ///< runs of any service for nothing
   double RecoverySeconds = 0; ///< -1: not within the run
   std::uint64_t WrongAnswers = 0;
   std::uint64_t RunTwice = 0;
@@ -165,8 +167,10 @@
     this->slowDeep(FLAGS_slowdown);
     this->Load.setSurge(FLAGS_surge);
     auto StartedBefore = this->deepTotals();
+    auto AllBefore = this->totals("");
     this->Processes.runFor(std::chrono::seconds(FLAGS_trigger_s));
     auto StartedAfter = this->deepTotals();
+    auto AllStarted = this->totals("") - AllBefore;
     this->slowDeep(1);
     this->Load.setSurge(1);
     this->TriggerEnd = this->tenthNow();
@@ -175,7 +179,7 @@
     static_cast<void>(this->Processes.runUntil(
         [this]() { return this->Load.open() == 0; }, Milliseconds(15000)));
     this->Processes.runFor(Milliseconds(300));
-    return this->figures(StartedAfter - StartedBefore);
+    return this->figures(StartedAfter - StartedBefore, AllStarted);
   }
 
   void printRefusals() {
@@ -236,15 +240,32 @@
     return (this->Loop.now() - this->Began) / Milliseconds(100);
   }
 
-  double deepTotals() {
+  double deepTotals() { return this->totals(this->Chosen.DeepService); }
+
+  /// Runs begun at the targets of a service, or of all for an empty name.
+  double totals(const std::string &Service) {
     double Started = 0;
     for (auto &M : this->Processes.members())
-      if (M->Service.Name == this->Chosen.DeepService)
+      if (Service.empty() || M->Service.Name == Service)
         Started += this->Processes.ask(this->Processes.target(*M), "/control")
                        .value("started", 0.0);
     return Started;
   }
 
+  /// The runs that one whole request takes.
+  std::size_t runsOf(const std::string &Path) const {
+    auto Note = parseReleaseNote(this->Chosen.Fleet.Note, "note");
+    for (const auto &S : Note.Added.Services)
+      for (const auto &R : S.Value.Routes)
+        if (R.Path == Path) {
+          std::size_t Sum = 1;
+          for (const auto &Callee : R.Calls)
+            Sum += this->runsOf(Callee);
+          return Sum;
+        }
+    return 0;
+  }
+
   static double completed(const StreamResult &R, std::int64_t From,
                           std::int64_t To) {
     double Sum = 0;
@@ -285,10 +306,11 @@
     return -1;
   }
 
-  RunFigures figures(double DeepStarted) {
+  RunFigures figures(double DeepStarted, double AllStarted) {
     RunFigures F;
     F.Mode = this->Mode;
     double Seconds = FLAGS_trigger_s;
+    double UsefulRuns = 0;
     const ServiceSpec *Deep = nullptr;
     for (const auto &S : this->Chosen.Fleet.Services)
       if (S.Name == this->Chosen.DeepService)
@@ -299,6 +321,7 @@
       auto &R = this->Load.results()[S.Name];
       double Done = completed(R, this->TriggerBegin, this->TriggerEnd);
       double Begun = started(R, this->TriggerBegin, this->TriggerEnd);
+      UsefulRuns += Done * static_cast<double>(this->runsOf(S.Path));
       F.TriggerRate[S.Name] = Done / Seconds;
       F.CompletedShare[S.Name] = Begun == 0 ? 0 : Done / Begun;
       if (S.Path.find("/catalogue/") != 0)
@@ -312,6 +335,8 @@
     double Useful = F.DeepGoodput * Seconds;
     F.WastedShare =
         DeepStarted == 0 ? 0 : std::max(0.0, 1 - Useful / DeepStarted);
+    F.WastedAll =
+        AllStarted == 0 ? 0 : std::max(0.0, 1 - UsefulRuns / AllStarted);
     F.RecoverySeconds = this->recovery();
     for (const auto &[Run, Places] : this->Processes.runs()) {
       F.RunTwice += Places.size() > 1 ? 1 : 0;
@@ -337,8 +362,9 @@
             << F.DeepGoodput << "/s of " << F.DeepCapacity << "/s ("
             << 100 * F.DeepGoodput / F.DeepCapacity << "%), earning done "
             << F.EarningDone << "/s of " << F.EarningRate << "/s begun, wasted "
-            << 100 * F.WastedShare << "%, recovery " << F.RecoverySeconds
-            << " s, wrong " << F.WrongAnswers << ", twice " << F.RunTwice
+            << 100 * F.WastedShare << "% deep, " << 100 * F.WastedAll
+            << "% of all runs, recovery " << F.RecoverySeconds << " s, wrong "
+            << F.WrongAnswers << ", twice " << F.RunTwice
             << ", ran after not-run " << F.RanAfterNotRun
             << (F.LogWhole ? "" : ", run log incomplete") << "\n  ";
   for (const auto &[Name, Rate] : F.TriggerRate)
--- a/lib/request/AdmissionLevel.cpp
+++ b/lib/request/AdmissionLevel.cpp
@@ -12,14 +12,14 @@
 /// What is left of old arrivals after each window.
 constexpr float Fading = 0.8F;
 /// Refusals up to this share are the price of a full queue.
-constexpr double RefusalsBorne = 0.02;
+constexpr double RefusalsBorne = 0.04;
 /// The share of the queue that is kept filled.
-constexpr double QueueHigh = 0.6;
-constexpr double QueueLow = 0.25;
+constexpr double QueueHigh = 0.75;
+constexpr double QueueLow = 0.5;
 /// The most that a full queue takes off the arrivals in one window.
 constexpr double FullQueueCut = 0.05;
-constexpr double RiseWhenFull = 0.01;
-constexpr double RiseWhenIdle = 0.5;
+constexpr double RiseWhenFull = 0.02;
+constexpr double RiseWhenIdle = 1.5;
 /// Enough requests always pass to learn of a recovery.
 constexpr float LeastThreshold = 0.02F;
 
@@ -61,8 +61,8 @@
     double Kept = 1 - FullQueueCut * Excess;
     double Below = this->arrivalsBelow(this->Threshold);
     if (Below > 0)
-      this->Threshold = std::min(
-          this->Threshold, this->quantile(Kept * Below / this->Arrivals));
+      this->Threshold = std::min(this->Threshold,
+                                 this->quantile(Kept * Below / this->Arrivals));
   } else if (this->RefusedNow == 0 && Mean.QueueShare < QueueLow) {
     this->raise(Mean);
   }
@@ -74,8 +74,8 @@
 void AdmissionLevel::lower() noexcept {
   double Share = this->Refused / this->Arrivals;
   if (Share > RefusalsBorne)
-    this->Threshold = std::min(this->Threshold,
-                               this->quantile(1 + RefusalsBorne - Share));
+    this->Threshold =
+        std::min(this->Threshold, this->quantile(1 + RefusalsBorne - Share));
 }
 
 void AdmissionLevel::raise(const Occupancy &Mean) noexcept {
