--- a/include/limpetdrum/request/Admission.h
+++ b/include/limpetdrum/request/Admission.h
@@ -127,6 +127,7 @@
   void refuse(const Queued &Entry, Reason Why, AdmissionDecisions &Decisions);
   void erase(std::set<Queued>::iterator Entry);
   bool cancelLower(const Key &Place, AdmissionDecisions &Decisions);
+  [[nodiscard]] bool isTooLate(const Queued &Entry, TimePoint Now) const;
   void makeRoom(AttemptId Newest, TimePoint Now, AdmissionDecisions &Decisions);
   void leaveTenant(const Tenant &Name);
 
--- a/lib/daemon/ReleaseFeed.cpp
+++ b/lib/daemon/ReleaseFeed.cpp
@@ -74,7 +74,7 @@
     Pause = this->jittered(this->Backoff);
   } else {
     this->Backoff = Microseconds(0);
-    if (Object.Value) {
+    if (Object.Value && Object.Version != this->Version) {
       this->Version = Object.Version;
       this->offer(*Object.Value);
     }
--- a/lib/request/Admission.cpp
+++ b/lib/request/Admission.cpp
@@ -69,18 +69,26 @@
   return Decisions;
 }
 
+bool Admission::isTooLate(const Queued &Entry, TimePoint Now) const {
+  auto EndsBy = [&](std::size_t Ahead) {
+    return Now + this->waitBehind(Ahead, Now) + this->Limit.typicalLatency();
+  };
+  // Counting who is ahead takes long: only if the whole queue is too many.
+  if (EndsBy(this->Queue.size()) <= Entry.Value.Deadline)
+    return false;
+  auto Ahead = static_cast<std::size_t>(
+      std::distance(this->Queue.begin(), this->Queue.find(Entry)));
+  return EndsBy(Ahead) > Entry.Value.Deadline;
+}
+
 void Admission::makeRoom(AttemptId Newest, TimePoint Now,
                          AdmissionDecisions &Decisions) {
   auto Found = this->QueuedPlaces.find(Newest);
   if (Found != this->QueuedPlaces.end()) {
-    Queued Probe{Found->second, {}};
-    auto Entry = this->Queue.find(Probe);
-    auto Ahead =
-        static_cast<std::size_t>(std::distance(this->Queue.begin(), Entry));
-    auto Expected = this->waitBehind(Ahead, Now) + this->Limit.typicalLatency();
-    bool TooLate = Now + Expected > Entry->Value.Deadline;
-    if (TooLate && !this->cancelLower(Entry->Place, Decisions))
-      this->refuse(*Entry, Reason::DeadlineTooNear, Decisions);
+    const auto &Entry = *this->Queue.find(Queued{Found->second, {}});
+    if (this->isTooLate(Entry, Now) &&
+        !this->cancelLower(Entry.Place, Decisions))
+      this->refuse(Entry, Reason::DeadlineTooNear, Decisions);
   }
   while (this->Queue.size() > this->queueCapacity(Now) + this->Cancelling) {
     const auto &Last = *this->Queue.rbegin();
