Take on no key at a node that is past its grace

Cause: read in review: a leaving node refused runs, but as a witness still noted new keys, which it would have taken along if they came after the hand-over.

--- a/include/limpetdrum/daemon/KeyedCalls.h
+++ b/include/limpetdrum/daemon/KeyedCalls.h
@@ -32,6 +32,8 @@
   /// \param OnDone called with whether all of them were taken.
   void handOver(const std::optional<NodeId> &OnlyTo, const SendRecords &Send,
                 const std::function<void(bool)> &OnDone) const;
+  /// \brief Keys that are not known here are refused from now on.
+  void refuseNewKeys() noexcept { this->Refusing = true; }
   void sweep();
   [[nodiscard]] std::size_t size() const noexcept { return this->Keys.size(); }
 
@@ -59,6 +61,7 @@
   Metrics &Counters;
   Clock Now;
   KeyLedger Keys;
+  bool Refusing = false;
   std::unordered_map<IdempotencyKey, AttemptId> RunningHere;
 };
 
--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -119,6 +119,10 @@
 void KeyedCalls::arriveKeyed(const AttemptSpec &Attempt,
                              const std::vector<NodeId> &Tried,
                              ReplyDone Done) {
+  if (this->Refusing && !this->Keys.find(Attempt.Key)) {
+    Done(notRun(Reason::Draining, ComeBackSoon));
+    return;
+  }
   auto Candidate = this->candidateFor(Attempt, Tried);
   if (!Candidate) {
     Done(notRun(Reason::NoTarget, ComeBackSoon));
--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -239,6 +239,7 @@
   if (Passed < this->Chosen.LeaveGrace || this->HandedOver)
     return;
   this->Own.refuseNewWork();
+  this->Keyed.refuseNewKeys();
   bool Idle = this->Own.running() == 0 && this->Calls.inFlight() == 0 &&
               this->Entry.open() == 0;
   if (!Idle && Passed < this->Chosen.DrainLimit)
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -139,3 +139,23 @@
   CHECK(B.Answers == 0);
   CHECK(B.Counters.counter("keys_unknown") == 1);
 }
+
+TEST_CASE("KeyedCalls of a leaving node takes on no key that it would take "
+          "along",
+          "[keys]") {
+  Bench B;
+  ALLOW_CALL(B.Peers, execute(_, _, _));
+  B.Own.refuseNewWork();
+  B.Keyed.refuseNewKeys();
+  AttemptSpec Spec;
+  Spec.Path = "/ordering/place";
+  Spec.Key = scopedKey(Tenant(), Spec.Path, "k");
+  Spec.Role = AttemptRole::Witness;
+  Spec.TimeLeft = std::chrono::seconds(2);
+  std::optional<Reply> Got;
+  B.Keyed.arrive(Spec, [&](const Reply &Value) { Got = Value; });
+  REQUIRE(Got);
+  CHECK(Got->Outcome == Outcome::NotRun);
+  CHECK(Got->Reason == Reason::Draining);
+  CHECK(B.Keyed.size() == 0);
+}
