--- a/include/limpetdrum/daemon/Executor.h
+++ b/include/limpetdrum/daemon/Executor.h
@@ -28,6 +28,7 @@
   struct Options {
     Incarnation Self;
     bool OrderByClass = true;
+    bool ShedByLevel = true; ///< of the services that a request goes on to
     std::uint64_t Seed = 1;
   };
 
@@ -79,6 +80,9 @@
   void cancelAtTarget(AttemptId Id, Reason Why);
   void finish(AttemptId Id, Reply Value);
   void refuse(AttemptId Id, Reason Why);
+  [[nodiscard]] bool wouldFailBelow(const AttemptSpec &Attempt) const;
+  [[nodiscard]] std::vector<ServiceName>
+  servicesBelow(const std::string &Path) const;
   void addLevels(const std::string &Path, Reply &Value) const;
 
   Options Chosen;
