--- a/include/limpetdrum/daemon/Executor.h
+++ b/include/limpetdrum/daemon/Executor.h
@@ -28,7 +28,6 @@
   struct Options {
     Incarnation Self;
     bool OrderByClass = true;
-    bool ShedByLevel = true; ///< of the services that a request goes on to
     std::uint64_t Seed = 1;
   };
 
@@ -80,9 +79,6 @@
   void cancelAtTarget(AttemptId Id, Reason Why);
   void finish(AttemptId Id, Reply Value);
   void refuse(AttemptId Id, Reason Why);
-  [[nodiscard]] bool wouldFailBelow(const AttemptSpec &Attempt) const;
-  [[nodiscard]] std::vector<ServiceName>
-  servicesBelow(const std::string &Path) const;
   void addLevels(const std::string &Path, Reply &Value) const;
 
   Options Chosen;
--- a/lib/daemon/Executor.cpp
+++ b/lib/daemon/Executor.cpp
@@ -10,8 +10,6 @@
 constexpr std::chrono::seconds AttemptRetention{10};
 constexpr Slots UnannouncedSlots{1};
 constexpr int Unavailable = 503;
-/// What is on its way is let pass while a level moves a little.
-constexpr float LevelSlack = 1.1F;
 
 std::string traceParent(const AttemptSpec &Attempt) {
   char Text[64];
@@ -152,10 +150,6 @@
                  this->Refusing ? Reason::Draining : Reason::NoTarget);
     return;
   }
-  if (this->Chosen.ShedByLevel && this->wouldFailBelow(Attempt)) {
-    this->refuse(Attempt.Id, Reason::LevelAtEntry);
-    return;
-  }
   Arrival Value;
   Value.Id = Attempt.Id;
   Value.Rank = Attempt.Rank;
@@ -181,10 +175,8 @@
   if (Found == this->Jobs.end())
     return;
   const auto &Spec = Found->second.Context.Spec;
-  auto Threshold = std::min(
-      this->threshold(),
-      this->Levels.threshold(this->servicesBelow(Spec.Path), this->Now()));
-  auto Span = this->ComeBack.next(Threshold, position(Spec.Rank, Spec.Cohort));
+  auto Span = this->ComeBack.next(this->Admitted.threshold(),
+                                  position(Spec.Rank, Spec.Cohort));
   this->Counters.count("attempts_refused", "reason", toString(Why));
   this->finish(Id, notRun(Why, Span));
 }
@@ -244,28 +236,16 @@
     Done(*Kept);
 }
 
-std::vector<ServiceName>
-Executor::servicesBelow(const std::string &Path) const {
-  std::vector<ServiceName> Below;
+void Executor::addLevels(const std::string &Path, Reply &Value) const {
+  Value.Levels.push_back({this->Service, this->threshold()});
   auto Release = this->Releases.current();
   const auto *Route = Release ? Release->route(Path) : nullptr;
   if (Route == nullptr)
-    return Below;
+    return;
+  std::vector<ServiceName> Below;
   for (const auto &Name : Route->Reaches)
     if (Name != this->Service)
       Below.push_back(Name);
-  return Below;
-}
-
-bool Executor::wouldFailBelow(const AttemptSpec &Attempt) const {
-  auto Below = this->servicesBelow(Attempt.Path);
-  auto Threshold = this->Levels.threshold(Below, this->Now());
-  return position(Attempt.Rank, Attempt.Cohort) >= Threshold * LevelSlack;
-}
-
-void Executor::addLevels(const std::string &Path, Reply &Value) const {
-  Value.Levels.push_back({this->Service, this->threshold()});
-  auto Below = this->servicesBelow(Path);
   for (auto &Report : this->Levels.reports(Below, this->Now()))
     Value.Levels.push_back(std::move(Report));
 }
--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -48,7 +48,7 @@
 }
 
 Executor::Options executorOptions(const Settings &Chosen, const Member &Self) {
-  return {Self.Incarnation, Chosen.ShedByClass, Chosen.ShedAtEntry,
+  return {Self.Incarnation, Chosen.ShedByClass,
           seedOf(Self.Node, Self.Incarnation, 1)};
 }
 
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -54,7 +54,7 @@
   MockPeers Peers;
   limpetdrum::Clock Now = [this]() { return this->Clock.now(); };
   Router Routes{FailureDomain("a"), Region("home"), 1};
-  Executor Own{{Incarnation(1), true, true, 1}, Target, Releases,
+  Executor Own{{Incarnation(1), true, 1}, Target, Releases,
                Levels,                    Counters, Now};
   Caller Calls{Members,  Routes, Levels, Own, Peers, Counters, Now,
                [](Microseconds, std::function<void()>) { return Timer(); }};
