--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -23,8 +23,8 @@
 /// Whether another home may do better than one that said "not run".
 bool worthMoving(const Reply &Value) {
   return Value.Outcome == Outcome::NotRun &&
-         (Value.Reason == Reason::NodeGone || Value.Reason == Reason::NoTarget ||
-          Value.Reason == Reason::Draining);
+         (Value.Reason == Reason::NodeGone ||
+          Value.Reason == Reason::NoTarget || Value.Reason == Reason::Draining);
 }
 
 bool contains(const std::vector<NodeId> &Names, const NodeId &Name) {
@@ -61,8 +61,8 @@
   return {Self.Node, Self.Incarnation};
 }
 
-std::optional<KeyNodes> KeyedCalls::nodesOf(const IdempotencyKey &Key,
-                                            const ServiceName &Service,
+std::optional<KeyNodes>
+KeyedCalls::nodesOf(const IdempotencyKey &Key, const ServiceName &Service,
                     const std::vector<NodeId> &Except) const {
   std::vector<KeyCandidate> Candidates;
   for (const auto &M : this->Members.list())
@@ -117,8 +117,7 @@
 }
 
 void KeyedCalls::arriveKeyed(const AttemptSpec &Attempt,
-                             const std::vector<NodeId> &Tried,
-                             ReplyDone Done) {
+                             const std::vector<NodeId> &Tried, ReplyDone Done) {
   if (this->Refusing && !this->Keys.find(Attempt.Key)) {
     Done(notRun(Reason::Draining, ComeBackSoon));
     return;
--- a/lib/rpc/Node.capnp.h
+++ b/lib/rpc/Node.capnp.h
@@ -7,13 +7,13 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error                                                                         \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -22,7 +22,7 @@
 CAPNP_DECLARE_SCHEMA(c2a98a857e774d26);
 CAPNP_DECLARE_SCHEMA(bbad0a1726adfdce);
 CAPNP_DECLARE_SCHEMA(8ba92fc7310a5316);
-enum class Role_8ba92fc7310a5316 : uint16_t {
+enum class Role_8ba92fc7310a5316: uint16_t {
   EXECUTE,
   WITNESS,
 };
@@ -30,7 +30,7 @@
 CAPNP_DECLARE_SCHEMA(cc46246a8b81bc5a);
 CAPNP_DECLARE_SCHEMA(8220dc8e31abb770);
 CAPNP_DECLARE_SCHEMA(822be696f744ece8);
-enum class Outcome_822be696f744ece8 : uint16_t {
+enum class Outcome_822be696f744ece8: uint16_t {
   ANSWERED,
   NOT_RUN,
   UNKNOWN,
@@ -41,7 +41,7 @@
 CAPNP_DECLARE_SCHEMA(f9abda550ac97def);
 CAPNP_DECLARE_SCHEMA(e2750156b1bec2a7);
 CAPNP_DECLARE_SCHEMA(c16d60625854e199);
-enum class Kind_c16d60625854e199 : uint16_t {
+enum class Kind_c16d60625854e199: uint16_t {
   PING,
   ACK,
   PING_REQUEST,
@@ -62,8 +62,8 @@
 CAPNP_DECLARE_SCHEMA(a490e33e65f887d8);
 CAPNP_DECLARE_SCHEMA(954859c0c476753f);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace limpetdrum {
 namespace rpc {
@@ -77,11 +77,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c2a98a857e774d26, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -93,13 +91,12 @@
   class Pipeline;
   typedef ::capnp::schemas::Role_8ba92fc7310a5316 Role;
 
+
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bbad0a1726adfdce, 5, 7)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -112,11 +109,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cc46246a8b81bc5a, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -128,13 +123,12 @@
   class Pipeline;
   typedef ::capnp::schemas::Outcome_822be696f744ece8 Outcome;
 
+
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8220dc8e31abb770, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -147,11 +141,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e66e237248ef00b4, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -164,11 +156,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d5735e8000e1fa9f, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -181,11 +171,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f9abda550ac97def, 2, 6)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -197,13 +185,12 @@
   class Pipeline;
   typedef ::capnp::schemas::Kind_c16d60625854e199 Kind;
 
+
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e2750156b1bec2a7, 4, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -213,7 +200,7 @@
 #if !CAPNP_LITE
   class Client;
   class Server;
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   struct ExecuteParams;
   struct ExecuteResults;
@@ -228,14 +215,12 @@
   struct HandOverParams;
   struct HandOverResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(ad7de6d122efb3f4)
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Node::ExecuteParams {
@@ -247,11 +232,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e1343131d2757fb0, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -264,11 +247,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(94d6378094686e68, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -281,11 +262,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c28918e36a2440a8, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -298,11 +277,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8a8d3b4b0575cb2e, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -315,11 +292,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f81065a8b2fcd7ca, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -332,11 +307,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ad01f89c4f5f5768, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -349,11 +322,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a04ffe192a754422, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -366,11 +337,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(96bd1170eeadcc4e, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -383,11 +352,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a30ba462af17b98e, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -400,11 +367,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(aa7d963a01a0ab12, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -417,11 +382,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a490e33e65f887d8, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -434,11 +397,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(954859c0c476753f, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -449,7 +410,7 @@
   typedef AttemptId Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -459,17 +420,20 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getCaller() const;
+  inline  ::uint64_t getCaller() const;
 
-  inline ::uint64_t getSequence() const;
+  inline  ::uint64_t getSequence() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -478,31 +442,31 @@
 public:
   typedef AttemptId Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getCaller();
-  inline void setCaller(::uint64_t value);
+  inline  ::uint64_t getCaller();
+  inline void setCaller( ::uint64_t value);
 
-  inline ::uint64_t getSequence();
-  inline void setSequence(::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -510,23 +474,24 @@
 public:
   typedef AttemptId Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Attempt::Reader {
 public:
   typedef Attempt Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -536,50 +501,53 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline ::limpetdrum::rpc::AttemptId::Reader getId() const;
+  inline  ::limpetdrum::rpc::AttemptId::Reader getId() const;
 
-  inline ::uint64_t getRootHigh() const;
+  inline  ::uint64_t getRootHigh() const;
 
-  inline ::uint64_t getRootLow() const;
+  inline  ::uint64_t getRootLow() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
   inline bool hasPath() const;
-  inline ::capnp::Text::Reader getPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
 
   inline bool hasMethod() const;
-  inline ::capnp::Text::Reader getMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
 
   inline bool hasContentType() const;
-  inline ::capnp::Text::Reader getContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
-  inline ::uint8_t getClassRank() const;
+  inline  ::uint8_t getClassRank() const;
 
   inline float getCohort() const;
 
   inline bool hasTenant() const;
-  inline ::capnp::Text::Reader getTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
 
-  inline ::uint32_t getTimeLeft() const;
+  inline  ::uint32_t getTimeLeft() const;
 
-  inline ::uint16_t getRetries() const;
+  inline  ::uint16_t getRetries() const;
 
   inline bool hasKey() const;
-  inline ::capnp::Text::Reader getKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline ::limpetdrum::rpc::Attempt::Role getRole() const;
+  inline  ::limpetdrum::rpc::Attempt::Role getRole() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -588,98 +556,98 @@
 public:
   typedef Attempt Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline ::limpetdrum::rpc::AttemptId::Builder getId();
-  inline void setId(::limpetdrum::rpc::AttemptId::Reader value);
-  inline ::limpetdrum::rpc::AttemptId::Builder initId();
-  inline void adoptId(::capnp::Orphan<::limpetdrum::rpc::AttemptId> &&value);
-  inline ::capnp::Orphan<::limpetdrum::rpc::AttemptId> disownId();
+  inline  ::limpetdrum::rpc::AttemptId::Builder getId();
+  inline void setId( ::limpetdrum::rpc::AttemptId::Reader value);
+  inline  ::limpetdrum::rpc::AttemptId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::limpetdrum::rpc::AttemptId>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::rpc::AttemptId> disownId();
 
-  inline ::uint64_t getRootHigh();
-  inline void setRootHigh(::uint64_t value);
+  inline  ::uint64_t getRootHigh();
+  inline void setRootHigh( ::uint64_t value);
 
-  inline ::uint64_t getRootLow();
-  inline void setRootLow(::uint64_t value);
+  inline  ::uint64_t getRootLow();
+  inline void setRootLow( ::uint64_t value);
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
   inline bool hasPath();
-  inline ::capnp::Text::Builder getPath();
-  inline void setPath(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPath(unsigned int size);
-  inline void adoptPath(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
 
   inline bool hasMethod();
-  inline ::capnp::Text::Builder getMethod();
-  inline void setMethod(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
 
   inline bool hasContentType();
-  inline ::capnp::Text::Builder getContentType();
-  inline void setContentType(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data> &&value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
-  inline ::uint8_t getClassRank();
-  inline void setClassRank(::uint8_t value);
+  inline  ::uint8_t getClassRank();
+  inline void setClassRank( ::uint8_t value);
 
   inline float getCohort();
   inline void setCohort(float value);
 
   inline bool hasTenant();
-  inline ::capnp::Text::Builder getTenant();
-  inline void setTenant(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
 
-  inline ::uint32_t getTimeLeft();
-  inline void setTimeLeft(::uint32_t value);
+  inline  ::uint32_t getTimeLeft();
+  inline void setTimeLeft( ::uint32_t value);
 
-  inline ::uint16_t getRetries();
-  inline void setRetries(::uint16_t value);
+  inline  ::uint16_t getRetries();
+  inline void setRetries( ::uint16_t value);
 
   inline bool hasKey();
-  inline ::capnp::Text::Builder getKey();
-  inline void setKey(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline ::limpetdrum::rpc::Attempt::Role getRole();
-  inline void setRole(::limpetdrum::rpc::Attempt::Role value);
+  inline  ::limpetdrum::rpc::Attempt::Role getRole();
+  inline void setRole( ::limpetdrum::rpc::Attempt::Role value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -687,25 +655,25 @@
 public:
   typedef Attempt Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::limpetdrum::rpc::AttemptId::Pipeline getId();
-
+  inline  ::limpetdrum::rpc::AttemptId::Pipeline getId();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Level::Reader {
 public:
   typedef Level Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -715,18 +683,21 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
   inline float getThreshold() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -735,35 +706,35 @@
 public:
   typedef Level Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
   inline float getThreshold();
   inline void setThreshold(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -771,23 +742,24 @@
 public:
   typedef Level Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Reply::Reader {
 public:
   typedef Reply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -797,33 +769,35 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::limpetdrum::rpc::Reply::Outcome getOutcome() const;
+  inline  ::limpetdrum::rpc::Reply::Outcome getOutcome() const;
 
-  inline ::uint16_t getStatus() const;
+  inline  ::uint16_t getStatus() const;
 
   inline bool hasContentType() const;
-  inline ::capnp::Text::Reader getContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
-  inline ::uint8_t getReason() const;
+  inline  ::uint8_t getReason() const;
 
-  inline ::uint32_t getRetryAfter() const;
+  inline  ::uint32_t getRetryAfter() const;
 
-  inline ::uint16_t getRetriesLeft() const;
+  inline  ::uint16_t getRetriesLeft() const;
 
   inline bool hasLevels() const;
-  inline ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>::Reader
-  getLevels() const;
+  inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -832,68 +806,61 @@
 public:
   typedef Reply Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::limpetdrum::rpc::Reply::Outcome getOutcome();
-  inline void setOutcome(::limpetdrum::rpc::Reply::Outcome value);
+  inline  ::limpetdrum::rpc::Reply::Outcome getOutcome();
+  inline void setOutcome( ::limpetdrum::rpc::Reply::Outcome value);
 
-  inline ::uint16_t getStatus();
-  inline void setStatus(::uint16_t value);
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
   inline bool hasContentType();
-  inline ::capnp::Text::Builder getContentType();
-  inline void setContentType(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data> &&value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
-  inline ::uint8_t getReason();
-  inline void setReason(::uint8_t value);
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
 
-  inline ::uint32_t getRetryAfter();
-  inline void setRetryAfter(::uint32_t value);
+  inline  ::uint32_t getRetryAfter();
+  inline void setRetryAfter( ::uint32_t value);
 
-  inline ::uint16_t getRetriesLeft();
-  inline void setRetriesLeft(::uint16_t value);
+  inline  ::uint16_t getRetriesLeft();
+  inline void setRetriesLeft( ::uint16_t value);
 
   inline bool hasLevels();
-  inline ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>::Builder
-  getLevels();
-  inline void setLevels(::capnp::List<::limpetdrum::rpc::Level,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>::Builder
-  initLevels(unsigned int size);
-  inline void
-  adoptLevels(::capnp::Orphan<::capnp::List<::limpetdrum::rpc::Level,
-                                            ::capnp::Kind::STRUCT>> &&value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>>
-  disownLevels();
+  inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Builder getLevels();
+  inline void setLevels( ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
+  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>> disownLevels();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -901,23 +868,24 @@
 public:
   typedef Reply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class KeyRecord::Reader {
 public:
   typedef KeyRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -927,30 +895,33 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasKey() const;
-  inline ::capnp::Text::Reader getKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
   inline bool hasHolder() const;
-  inline ::capnp::Text::Reader getHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
 
-  inline ::uint64_t getHolderIncarnation() const;
+  inline  ::uint64_t getHolderIncarnation() const;
 
   inline bool getSettled() const;
 
   inline bool hasReply() const;
-  inline ::limpetdrum::rpc::Reply::Reader getReply() const;
+  inline  ::limpetdrum::rpc::Reply::Reader getReply() const;
 
-  inline ::uint32_t getTimeLeft() const;
+  inline  ::uint32_t getTimeLeft() const;
 
-  inline ::uint16_t getRuns() const;
+  inline  ::uint16_t getRuns() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -959,58 +930,58 @@
 public:
   typedef KeyRecord Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasKey();
-  inline ::capnp::Text::Builder getKey();
-  inline void setKey(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
   inline bool hasHolder();
-  inline ::capnp::Text::Builder getHolder();
-  inline void setHolder(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHolder(unsigned int size);
-  inline void adoptHolder(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
 
-  inline ::uint64_t getHolderIncarnation();
-  inline void setHolderIncarnation(::uint64_t value);
+  inline  ::uint64_t getHolderIncarnation();
+  inline void setHolderIncarnation( ::uint64_t value);
 
   inline bool getSettled();
   inline void setSettled(bool value);
 
   inline bool hasReply();
-  inline ::limpetdrum::rpc::Reply::Builder getReply();
-  inline void setReply(::limpetdrum::rpc::Reply::Reader value);
-  inline ::limpetdrum::rpc::Reply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan<::limpetdrum::rpc::Reply> &&value);
-  inline ::capnp::Orphan<::limpetdrum::rpc::Reply> disownReply();
+  inline  ::limpetdrum::rpc::Reply::Builder getReply();
+  inline void setReply( ::limpetdrum::rpc::Reply::Reader value);
+  inline  ::limpetdrum::rpc::Reply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::limpetdrum::rpc::Reply>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::rpc::Reply> disownReply();
 
-  inline ::uint32_t getTimeLeft();
-  inline void setTimeLeft(::uint32_t value);
+  inline  ::uint32_t getTimeLeft();
+  inline void setTimeLeft( ::uint32_t value);
 
-  inline ::uint16_t getRuns();
-  inline void setRuns(::uint16_t value);
+  inline  ::uint16_t getRuns();
+  inline void setRuns( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1018,25 +989,25 @@
 public:
   typedef KeyRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::limpetdrum::rpc::Reply::Pipeline getReply();
-
+  inline  ::limpetdrum::rpc::Reply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Endpoint::Reader {
 public:
   typedef Endpoint Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1046,17 +1017,20 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getAddress() const;
+  inline  ::uint32_t getAddress() const;
 
-  inline ::uint16_t getPort() const;
+  inline  ::uint16_t getPort() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1065,31 +1039,31 @@
 public:
   typedef Endpoint Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint32_t getAddress();
-  inline void setAddress(::uint32_t value);
+  inline  ::uint32_t getAddress();
+  inline void setAddress( ::uint32_t value);
 
-  inline ::uint16_t getPort();
-  inline void setPort(::uint16_t value);
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1097,23 +1071,24 @@
 public:
   typedef Endpoint Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class MemberRecord::Reader {
 public:
   typedef MemberRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1123,41 +1098,44 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasNode() const;
-  inline ::capnp::Text::Reader getNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline ::uint32_t getVersion() const;
+  inline  ::uint32_t getVersion() const;
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
   inline bool hasFailureDomain() const;
-  inline ::capnp::Text::Reader getFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
 
   inline bool hasRegion() const;
-  inline ::capnp::Text::Reader getRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
   inline bool hasRpc() const;
-  inline ::limpetdrum::rpc::Endpoint::Reader getRpc() const;
+  inline  ::limpetdrum::rpc::Endpoint::Reader getRpc() const;
 
   inline bool hasGossip() const;
-  inline ::limpetdrum::rpc::Endpoint::Reader getGossip() const;
+  inline  ::limpetdrum::rpc::Endpoint::Reader getGossip() const;
 
-  inline ::uint16_t getSlots() const;
+  inline  ::uint16_t getSlots() const;
 
-  inline ::uint8_t getTarget() const;
+  inline  ::uint8_t getTarget() const;
 
-  inline ::uint8_t getHealth() const;
+  inline  ::uint8_t getHealth() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1166,82 +1144,82 @@
 public:
   typedef MemberRecord Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasNode();
-  inline ::capnp::Text::Builder getNode();
-  inline void setNode(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initNode(unsigned int size);
-  inline void adoptNode(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline ::uint32_t getVersion();
-  inline void setVersion(::uint32_t value);
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
   inline bool hasFailureDomain();
-  inline ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
   inline bool hasRegion();
-  inline ::capnp::Text::Builder getRegion();
-  inline void setRegion(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
   inline bool hasRpc();
-  inline ::limpetdrum::rpc::Endpoint::Builder getRpc();
-  inline void setRpc(::limpetdrum::rpc::Endpoint::Reader value);
-  inline ::limpetdrum::rpc::Endpoint::Builder initRpc();
-  inline void adoptRpc(::capnp::Orphan<::limpetdrum::rpc::Endpoint> &&value);
-  inline ::capnp::Orphan<::limpetdrum::rpc::Endpoint> disownRpc();
+  inline  ::limpetdrum::rpc::Endpoint::Builder getRpc();
+  inline void setRpc( ::limpetdrum::rpc::Endpoint::Reader value);
+  inline  ::limpetdrum::rpc::Endpoint::Builder initRpc();
+  inline void adoptRpc(::capnp::Orphan< ::limpetdrum::rpc::Endpoint>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::rpc::Endpoint> disownRpc();
 
   inline bool hasGossip();
-  inline ::limpetdrum::rpc::Endpoint::Builder getGossip();
-  inline void setGossip(::limpetdrum::rpc::Endpoint::Reader value);
-  inline ::limpetdrum::rpc::Endpoint::Builder initGossip();
-  inline void adoptGossip(::capnp::Orphan<::limpetdrum::rpc::Endpoint> &&value);
-  inline ::capnp::Orphan<::limpetdrum::rpc::Endpoint> disownGossip();
+  inline  ::limpetdrum::rpc::Endpoint::Builder getGossip();
+  inline void setGossip( ::limpetdrum::rpc::Endpoint::Reader value);
+  inline  ::limpetdrum::rpc::Endpoint::Builder initGossip();
+  inline void adoptGossip(::capnp::Orphan< ::limpetdrum::rpc::Endpoint>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::rpc::Endpoint> disownGossip();
 
-  inline ::uint16_t getSlots();
-  inline void setSlots(::uint16_t value);
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
 
-  inline ::uint8_t getTarget();
-  inline void setTarget(::uint8_t value);
+  inline  ::uint8_t getTarget();
+  inline void setTarget( ::uint8_t value);
 
-  inline ::uint8_t getHealth();
-  inline void setHealth(::uint8_t value);
+  inline  ::uint8_t getHealth();
+  inline void setHealth( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1249,26 +1227,26 @@
 public:
   typedef MemberRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::limpetdrum::rpc::Endpoint::Pipeline getRpc();
-  inline ::limpetdrum::rpc::Endpoint::Pipeline getGossip();
-
+  inline  ::limpetdrum::rpc::Endpoint::Pipeline getRpc();
+  inline  ::limpetdrum::rpc::Endpoint::Pipeline getGossip();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1278,34 +1256,35 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::limpetdrum::rpc::Datagram::Kind getKind() const;
+  inline  ::limpetdrum::rpc::Datagram::Kind getKind() const;
 
   inline bool hasFrom() const;
-  inline ::capnp::Text::Reader getFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
 
-  inline ::uint32_t getSequence() const;
+  inline  ::uint32_t getSequence() const;
 
   inline bool hasSubject() const;
-  inline ::capnp::Text::Reader getSubject() const;
+  inline  ::capnp::Text::Reader getSubject() const;
 
-  inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getRevision() const;
 
-  inline ::uint64_t getDigest() const;
+  inline  ::uint64_t getDigest() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
   inline bool hasUpdates() const;
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getUpdates() const;
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1314,70 +1293,61 @@
 public:
   typedef Datagram Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::limpetdrum::rpc::Datagram::Kind getKind();
-  inline void setKind(::limpetdrum::rpc::Datagram::Kind value);
+  inline  ::limpetdrum::rpc::Datagram::Kind getKind();
+  inline void setKind( ::limpetdrum::rpc::Datagram::Kind value);
 
   inline bool hasFrom();
-  inline ::capnp::Text::Builder getFrom();
-  inline void setFrom(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initFrom(unsigned int size);
-  inline void adoptFrom(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
 
-  inline ::uint32_t getSequence();
-  inline void setSequence(::uint32_t value);
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
 
   inline bool hasSubject();
-  inline ::capnp::Text::Builder getSubject();
-  inline void setSubject(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initSubject(unsigned int size);
-  inline void adoptSubject(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownSubject();
+  inline  ::capnp::Text::Builder getSubject();
+  inline void setSubject( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSubject(unsigned int size);
+  inline void adoptSubject(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSubject();
 
-  inline ::uint64_t getRevision();
-  inline void setRevision(::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline ::uint64_t getDigest();
-  inline void setDigest(::uint64_t value);
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
   inline bool hasUpdates();
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getUpdates();
-  inline void setUpdates(::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initUpdates(unsigned int size);
-  inline void
-  adoptUpdates(::capnp::Orphan<::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                             ::capnp::Kind::STRUCT>> &&value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>
-  disownUpdates();
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>> disownUpdates();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1385,113 +1355,107 @@
 public:
   typedef Datagram Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Node::Client : public virtual ::capnp::Capability::Client {
+class Node::Client
+    : public virtual ::capnp::Capability::Client {
 public:
   typedef Node Calls;
   typedef Node Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
-  Client(::kj::Own<_t> &&server);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
-  Client(::kj::Promise<_t> &&promise);
-  Client(::kj::Exception &&exception);
-  Client(Client &) = default;
-  Client(Client &&) = default;
-  Client &operator=(Client &other);
-  Client &operator=(Client &&other);
-
-  ::capnp::Request<::limpetdrum::rpc::Node::ExecuteParams,
-                   ::limpetdrum::rpc::Node::ExecuteResults>
-  executeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::limpetdrum::rpc::Node::CancelParams,
-                   ::limpetdrum::rpc::Node::CancelResults>
-  cancelRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::limpetdrum::rpc::Node::ProbeParams,
-                   ::limpetdrum::rpc::Node::ProbeResults>
-  probeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::limpetdrum::rpc::Node::ReleaseParams,
-                   ::limpetdrum::rpc::Node::ReleaseResults>
-  releaseRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::limpetdrum::rpc::Node::SynchronizeParams,
-                   ::limpetdrum::rpc::Node::SynchronizeResults>
-  synchronizeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::limpetdrum::rpc::Node::HandOverParams,
-                   ::limpetdrum::rpc::Node::HandOverResults>
-  handOverRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::limpetdrum::rpc::Node::ExecuteParams,  ::limpetdrum::rpc::Node::ExecuteResults> executeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::limpetdrum::rpc::Node::CancelParams,  ::limpetdrum::rpc::Node::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::limpetdrum::rpc::Node::ProbeParams,  ::limpetdrum::rpc::Node::ProbeResults> probeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::limpetdrum::rpc::Node::ReleaseParams,  ::limpetdrum::rpc::Node::ReleaseResults> releaseRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::limpetdrum::rpc::Node::SynchronizeParams,  ::limpetdrum::rpc::Node::SynchronizeResults> synchronizeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::limpetdrum::rpc::Node::HandOverParams,  ::limpetdrum::rpc::Node::HandOverResults> handOverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
 };
 
-class Node::Server : public virtual ::capnp::Capability::Server {
+class Node::Server
+    : public virtual ::capnp::Capability::Server {
 public:
   typedef Node Serves;
 
-  ::capnp::Capability::Server::DispatchCallResult
-  dispatchCall(uint64_t interfaceId, uint16_t methodId,
-               ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer>
-                   context) override;
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
 protected:
-  typedef ::limpetdrum::rpc::Node::ExecuteParams ExecuteParams;
-  typedef ::limpetdrum::rpc::Node::ExecuteResults ExecuteResults;
+  typedef  ::limpetdrum::rpc::Node::ExecuteParams ExecuteParams;
+  typedef  ::limpetdrum::rpc::Node::ExecuteResults ExecuteResults;
   typedef ::capnp::CallContext<ExecuteParams, ExecuteResults> ExecuteContext;
   virtual ::kj::Promise<void> execute(ExecuteContext context);
-  typedef ::limpetdrum::rpc::Node::CancelParams CancelParams;
-  typedef ::limpetdrum::rpc::Node::CancelResults CancelResults;
+  typedef  ::limpetdrum::rpc::Node::CancelParams CancelParams;
+  typedef  ::limpetdrum::rpc::Node::CancelResults CancelResults;
   typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
   virtual ::kj::Promise<void> cancel(CancelContext context);
-  typedef ::limpetdrum::rpc::Node::ProbeParams ProbeParams;
-  typedef ::limpetdrum::rpc::Node::ProbeResults ProbeResults;
+  typedef  ::limpetdrum::rpc::Node::ProbeParams ProbeParams;
+  typedef  ::limpetdrum::rpc::Node::ProbeResults ProbeResults;
   typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
   virtual ::kj::Promise<void> probe(ProbeContext context);
-  typedef ::limpetdrum::rpc::Node::ReleaseParams ReleaseParams;
-  typedef ::limpetdrum::rpc::Node::ReleaseResults ReleaseResults;
+  typedef  ::limpetdrum::rpc::Node::ReleaseParams ReleaseParams;
+  typedef  ::limpetdrum::rpc::Node::ReleaseResults ReleaseResults;
   typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
   virtual ::kj::Promise<void> release(ReleaseContext context);
-  typedef ::limpetdrum::rpc::Node::SynchronizeParams SynchronizeParams;
-  typedef ::limpetdrum::rpc::Node::SynchronizeResults SynchronizeResults;
-  typedef ::capnp::CallContext<SynchronizeParams, SynchronizeResults>
-      SynchronizeContext;
+  typedef  ::limpetdrum::rpc::Node::SynchronizeParams SynchronizeParams;
+  typedef  ::limpetdrum::rpc::Node::SynchronizeResults SynchronizeResults;
+  typedef ::capnp::CallContext<SynchronizeParams, SynchronizeResults> SynchronizeContext;
   virtual ::kj::Promise<void> synchronize(SynchronizeContext context);
-  typedef ::limpetdrum::rpc::Node::HandOverParams HandOverParams;
-  typedef ::limpetdrum::rpc::Node::HandOverResults HandOverResults;
+  typedef  ::limpetdrum::rpc::Node::HandOverParams HandOverParams;
+  typedef  ::limpetdrum::rpc::Node::HandOverResults HandOverResults;
   typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
   virtual ::kj::Promise<void> handOver(HandOverContext context);
 
-  inline ::limpetdrum::rpc::Node::Client thisCap() {
+  inline  ::limpetdrum::rpc::Node::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::limpetdrum::rpc::Node>();
+        .template castAs< ::limpetdrum::rpc::Node>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::ExecuteParams::Reader {
 public:
   typedef ExecuteParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1501,16 +1465,19 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasAttempt() const;
-  inline ::limpetdrum::rpc::Attempt::Reader getAttempt() const;
+  inline  ::limpetdrum::rpc::Attempt::Reader getAttempt() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1519,32 +1486,32 @@
 public:
   typedef ExecuteParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasAttempt();
-  inline ::limpetdrum::rpc::Attempt::Builder getAttempt();
-  inline void setAttempt(::limpetdrum::rpc::Attempt::Reader value);
-  inline ::limpetdrum::rpc::Attempt::Builder initAttempt();
-  inline void adoptAttempt(::capnp::Orphan<::limpetdrum::rpc::Attempt> &&value);
-  inline ::capnp::Orphan<::limpetdrum::rpc::Attempt> disownAttempt();
+  inline  ::limpetdrum::rpc::Attempt::Builder getAttempt();
+  inline void setAttempt( ::limpetdrum::rpc::Attempt::Reader value);
+  inline  ::limpetdrum::rpc::Attempt::Builder initAttempt();
+  inline void adoptAttempt(::capnp::Orphan< ::limpetdrum::rpc::Attempt>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::rpc::Attempt> disownAttempt();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1552,25 +1519,25 @@
 public:
   typedef ExecuteParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::limpetdrum::rpc::Attempt::Pipeline getAttempt();
-
+  inline  ::limpetdrum::rpc::Attempt::Pipeline getAttempt();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::ExecuteResults::Reader {
 public:
   typedef ExecuteResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1580,16 +1547,19 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline ::limpetdrum::rpc::Reply::Reader getReply() const;
+  inline  ::limpetdrum::rpc::Reply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1598,32 +1568,32 @@
 public:
   typedef ExecuteResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline ::limpetdrum::rpc::Reply::Builder getReply();
-  inline void setReply(::limpetdrum::rpc::Reply::Reader value);
-  inline ::limpetdrum::rpc::Reply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan<::limpetdrum::rpc::Reply> &&value);
-  inline ::capnp::Orphan<::limpetdrum::rpc::Reply> disownReply();
+  inline  ::limpetdrum::rpc::Reply::Builder getReply();
+  inline void setReply( ::limpetdrum::rpc::Reply::Reader value);
+  inline  ::limpetdrum::rpc::Reply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::limpetdrum::rpc::Reply>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::rpc::Reply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1631,25 +1601,25 @@
 public:
   typedef ExecuteResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::limpetdrum::rpc::Reply::Pipeline getReply();
-
+  inline  ::limpetdrum::rpc::Reply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::CancelParams::Reader {
 public:
   typedef CancelParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1659,18 +1629,21 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline ::limpetdrum::rpc::AttemptId::Reader getId() const;
+  inline  ::limpetdrum::rpc::AttemptId::Reader getId() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1679,35 +1652,35 @@
 public:
   typedef CancelParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline ::limpetdrum::rpc::AttemptId::Builder getId();
-  inline void setId(::limpetdrum::rpc::AttemptId::Reader value);
-  inline ::limpetdrum::rpc::AttemptId::Builder initId();
-  inline void adoptId(::capnp::Orphan<::limpetdrum::rpc::AttemptId> &&value);
-  inline ::capnp::Orphan<::limpetdrum::rpc::AttemptId> disownId();
+  inline  ::limpetdrum::rpc::AttemptId::Builder getId();
+  inline void setId( ::limpetdrum::rpc::AttemptId::Reader value);
+  inline  ::limpetdrum::rpc::AttemptId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::limpetdrum::rpc::AttemptId>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::rpc::AttemptId> disownId();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1715,25 +1688,25 @@
 public:
   typedef CancelParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::limpetdrum::rpc::AttemptId::Pipeline getId();
-
+  inline  ::limpetdrum::rpc::AttemptId::Pipeline getId();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::CancelResults::Reader {
 public:
   typedef CancelResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1743,15 +1716,18 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool getNotRun() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1760,28 +1736,28 @@
 public:
   typedef CancelResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool getNotRun();
   inline void setNotRun(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1789,23 +1765,24 @@
 public:
   typedef CancelResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::ProbeParams::Reader {
 public:
   typedef ProbeParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1815,13 +1792,16 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1830,25 +1810,25 @@
 public:
   typedef ProbeParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1856,23 +1836,24 @@
 public:
   typedef ProbeParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::ProbeResults::Reader {
 public:
   typedef ProbeResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1882,15 +1863,18 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1899,28 +1883,28 @@
 public:
   typedef ProbeResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1928,23 +1912,24 @@
 public:
   typedef ProbeResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::ReleaseParams::Reader {
 public:
   typedef ReleaseParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1954,15 +1939,18 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getAbove() const;
+  inline  ::uint64_t getAbove() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1971,28 +1959,28 @@
 public:
   typedef ReleaseParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getAbove();
-  inline void setAbove(::uint64_t value);
+  inline  ::uint64_t getAbove();
+  inline void setAbove( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -2000,23 +1988,24 @@
 public:
   typedef ReleaseParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::ReleaseResults::Reader {
 public:
   typedef ReleaseResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2026,16 +2015,19 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasState() const;
-  inline ::capnp::Text::Reader getState() const;
+  inline  ::capnp::Text::Reader getState() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -2044,32 +2036,32 @@
 public:
   typedef ReleaseResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasState();
-  inline ::capnp::Text::Builder getState();
-  inline void setState(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initState(unsigned int size);
-  inline void adoptState(::capnp::Orphan<::capnp::Text> &&value);
-  inline ::capnp::Orphan<::capnp::Text> disownState();
+  inline  ::capnp::Text::Builder getState();
+  inline void setState( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initState(unsigned int size);
+  inline void adoptState(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownState();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -2077,23 +2069,24 @@
 public:
   typedef ReleaseResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::SynchronizeParams::Reader {
 public:
   typedef SynchronizeParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2103,18 +2096,19 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMembers() const;
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getMembers() const;
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -2123,41 +2117,32 @@
 public:
   typedef SynchronizeParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMembers();
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getMembers();
-  inline void setMembers(::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initMembers(unsigned int size);
-  inline void
-  adoptMembers(::capnp::Orphan<::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                             ::capnp::Kind::STRUCT>> &&value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>
-  disownMembers();
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>> disownMembers();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -2165,23 +2150,24 @@
 public:
   typedef SynchronizeParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::SynchronizeResults::Reader {
 public:
   typedef SynchronizeResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2191,18 +2177,19 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMembers() const;
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getMembers() const;
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -2211,41 +2198,32 @@
 public:
   typedef SynchronizeResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasMembers();
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getMembers();
-  inline void setMembers(::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initMembers(unsigned int size);
-  inline void
-  adoptMembers(::capnp::Orphan<::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                             ::capnp::Kind::STRUCT>> &&value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>
-  disownMembers();
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>> disownMembers();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -2253,23 +2231,24 @@
 public:
   typedef SynchronizeResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::HandOverParams::Reader {
 public:
   typedef HandOverParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2279,18 +2258,19 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasRecords() const;
-  inline ::capnp::List<::limpetdrum::rpc::KeyRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getRecords() const;
+  inline  ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -2299,41 +2279,32 @@
 public:
   typedef HandOverParams Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasRecords();
-  inline ::capnp::List<::limpetdrum::rpc::KeyRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getRecords();
-  inline void setRecords(::capnp::List<::limpetdrum::rpc::KeyRecord,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::limpetdrum::rpc::KeyRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initRecords(unsigned int size);
-  inline void
-  adoptRecords(::capnp::Orphan<::capnp::List<::limpetdrum::rpc::KeyRecord,
-                                             ::capnp::Kind::STRUCT>> &&value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>>
-  disownRecords();
+  inline  ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -2341,23 +2312,24 @@
 public:
   typedef HandOverParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class Node::HandOverResults::Reader {
 public:
   typedef HandOverResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2367,13 +2339,16 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind> friend struct ::capnp::List;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -2382,25 +2357,25 @@
 public:
   typedef HandOverResults Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
