@@ -2408,1810 +2383,1605 @@
 public:
   typedef HandOverResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline ::uint64_t AttemptId::Reader::getCaller() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AttemptId::Reader::getCaller() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AttemptId::Builder::getCaller() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AttemptId::Builder::getCaller() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AttemptId::Builder::setCaller(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AttemptId::Builder::setCaller( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AttemptId::Reader::getSequence() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AttemptId::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AttemptId::Builder::getSequence() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AttemptId::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AttemptId::Builder::setSequence(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AttemptId::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Attempt::Reader::hasId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Attempt::Builder::hasId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::limpetdrum::rpc::AttemptId::Reader Attempt::Reader::getId() const {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::AttemptId::Reader Attempt::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::limpetdrum::rpc::AttemptId::Builder Attempt::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::AttemptId::Builder Attempt::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::limpetdrum::rpc::AttemptId::Pipeline Attempt::Pipeline::getId() {
-  return ::limpetdrum::rpc::AttemptId::Pipeline(_typeless.getPointerField(0));
+inline  ::limpetdrum::rpc::AttemptId::Pipeline Attempt::Pipeline::getId() {
+  return  ::limpetdrum::rpc::AttemptId::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void
-Attempt::Builder::setId(::limpetdrum::rpc::AttemptId::Reader value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+#endif  // !CAPNP_LITE
+inline void Attempt::Builder::setId( ::limpetdrum::rpc::AttemptId::Reader value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::limpetdrum::rpc::AttemptId::Builder Attempt::Builder::initId() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::AttemptId::Builder Attempt::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Attempt::Builder::adoptId(
-    ::capnp::Orphan<::limpetdrum::rpc::AttemptId> &&value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::limpetdrum::rpc::AttemptId>&& value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::limpetdrum::rpc::AttemptId>
-Attempt::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::limpetdrum::rpc::AttemptId> Attempt::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Attempt::Reader::getRootHigh() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Attempt::Reader::getRootHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Attempt::Builder::getRootHigh() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Attempt::Builder::getRootHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Attempt::Builder::setRootHigh(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Attempt::Builder::setRootHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Attempt::Reader::getRootLow() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Attempt::Reader::getRootLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Attempt::Builder::getRootLow() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Attempt::Builder::getRootLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Attempt::Builder::setRootLow(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Attempt::Builder::setRootLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Attempt::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Attempt::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Attempt::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Attempt::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Attempt::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Attempt::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Attempt::Reader::hasPath() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Attempt::Builder::hasPath() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Attempt::Reader::getPath() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Attempt::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Attempt::Builder::getPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Attempt::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Attempt::Builder::setPath(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Attempt::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Attempt::Builder::initPath(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Attempt::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void
-Attempt::Builder::adoptPath(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Attempt::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Attempt::Builder::disownPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Attempt::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Attempt::Reader::hasMethod() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Attempt::Builder::hasMethod() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Attempt::Reader::getMethod() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Attempt::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Attempt::Builder::getMethod() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Attempt::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Attempt::Builder::setMethod(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void Attempt::Builder::setMethod( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Attempt::Builder::initMethod(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Attempt::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void
-Attempt::Builder::adoptMethod(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Attempt::Builder::adoptMethod(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Attempt::Builder::disownMethod() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Attempt::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Attempt::Reader::hasContentType() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Attempt::Builder::hasContentType() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Attempt::Reader::getContentType() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Attempt::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Attempt::Builder::getContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Attempt::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Attempt::Builder::setContentType(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void Attempt::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-Attempt::Builder::initContentType(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Attempt::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void
-Attempt::Builder::adoptContentType(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Attempt::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Attempt::Builder::disownContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Attempt::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Attempt::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Attempt::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Attempt::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Attempt::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Attempt::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Attempt::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Attempt::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void Attempt::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Attempt::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder Attempt::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void
-Attempt::Builder::adoptBody(::capnp::Orphan<::capnp::Data> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Attempt::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Attempt::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Attempt::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t Attempt::Reader::getClassRank() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<24>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t Attempt::Reader::getClassRank() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t Attempt::Builder::getClassRank() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<24>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t Attempt::Builder::getClassRank() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline void Attempt::Builder::setClassRank(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<24>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Attempt::Builder::setClassRank( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
 inline float Attempt::Reader::getCohort() const {
-  return _reader.getDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
 inline float Attempt::Builder::getCohort() {
-  return _builder.getDataField<float>(::capnp::bounded<7>() *
-                                      ::capnp::ELEMENTS);
+  return _builder.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 inline void Attempt::Builder::setCohort(float value) {
-  _builder.setDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS,
-                               value);
+  _builder.setDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Attempt::Reader::hasTenant() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool Attempt::Builder::hasTenant() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Attempt::Reader::getTenant() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Attempt::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Attempt::Builder::getTenant() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Attempt::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Attempt::Builder::setTenant(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      value);
+inline void Attempt::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Attempt::Builder::initTenant(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Attempt::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void
-Attempt::Builder::adoptTenant(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Attempt::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Attempt::Builder::disownTenant() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Attempt::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Attempt::Reader::getTimeLeft() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Attempt::Reader::getTimeLeft() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Attempt::Builder::getTimeLeft() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Attempt::Builder::getTimeLeft() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Attempt::Builder::setTimeLeft(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Attempt::Builder::setTimeLeft( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Attempt::Reader::getRetries() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<13>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t Attempt::Reader::getRetries() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Attempt::Builder::getRetries() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<13>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t Attempt::Builder::getRetries() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
-inline void Attempt::Builder::setRetries(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Attempt::Builder::setRetries( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Attempt::Reader::hasKey() const {
-  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool Attempt::Builder::hasKey() {
-  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Attempt::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Attempt::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Attempt::Builder::getKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Attempt::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Attempt::Builder::setKey(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-      value);
+inline void Attempt::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Attempt::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Attempt::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void Attempt::Builder::adoptKey(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Attempt::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Attempt::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Attempt::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline ::limpetdrum::rpc::Attempt::Role Attempt::Reader::getRole() const {
-  return _reader.getDataField<::limpetdrum::rpc::Attempt::Role>(
+inline  ::limpetdrum::rpc::Attempt::Role Attempt::Reader::getRole() const {
+  return _reader.getDataField< ::limpetdrum::rpc::Attempt::Role>(
       ::capnp::bounded<18>() * ::capnp::ELEMENTS);
 }
 
-inline ::limpetdrum::rpc::Attempt::Role Attempt::Builder::getRole() {
-  return _builder.getDataField<::limpetdrum::rpc::Attempt::Role>(
+inline  ::limpetdrum::rpc::Attempt::Role Attempt::Builder::getRole() {
+  return _builder.getDataField< ::limpetdrum::rpc::Attempt::Role>(
       ::capnp::bounded<18>() * ::capnp::ELEMENTS);
 }
-inline void Attempt::Builder::setRole(::limpetdrum::rpc::Attempt::Role value) {
-  _builder.setDataField<::limpetdrum::rpc::Attempt::Role>(
+inline void Attempt::Builder::setRole( ::limpetdrum::rpc::Attempt::Role value) {
+  _builder.setDataField< ::limpetdrum::rpc::Attempt::Role>(
       ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Level::Reader::hasService() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Level::Builder::hasService() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Level::Reader::getService() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Level::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Level::Builder::getService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Level::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Level::Builder::setService(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Level::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Level::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Level::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void
-Level::Builder::adoptService(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Level::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Level::Builder::disownService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Level::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline float Level::Reader::getThreshold() const {
-  return _reader.getDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline float Level::Builder::getThreshold() {
-  return _builder.getDataField<float>(::capnp::bounded<0>() *
-                                      ::capnp::ELEMENTS);
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Level::Builder::setThreshold(float value) {
-  _builder.setDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                               value);
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::limpetdrum::rpc::Reply::Outcome Reply::Reader::getOutcome() const {
-  return _reader.getDataField<::limpetdrum::rpc::Reply::Outcome>(
+inline  ::limpetdrum::rpc::Reply::Outcome Reply::Reader::getOutcome() const {
+  return _reader.getDataField< ::limpetdrum::rpc::Reply::Outcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::limpetdrum::rpc::Reply::Outcome Reply::Builder::getOutcome() {
-  return _builder.getDataField<::limpetdrum::rpc::Reply::Outcome>(
+inline  ::limpetdrum::rpc::Reply::Outcome Reply::Builder::getOutcome() {
+  return _builder.getDataField< ::limpetdrum::rpc::Reply::Outcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void
-Reply::Builder::setOutcome(::limpetdrum::rpc::Reply::Outcome value) {
-  _builder.setDataField<::limpetdrum::rpc::Reply::Outcome>(
+inline void Reply::Builder::setOutcome( ::limpetdrum::rpc::Reply::Outcome value) {
+  _builder.setDataField< ::limpetdrum::rpc::Reply::Outcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Reply::Reader::getStatus() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t Reply::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Reply::Builder::getStatus() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t Reply::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setStatus(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Reply::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Reply::Reader::hasContentType() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Reply::Builder::hasContentType() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Reply::Reader::getContentType() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Reply::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Reply::Builder::getContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Reply::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Reply::Builder::setContentType(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Reply::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-Reply::Builder::initContentType(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Reply::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void
-Reply::Builder::adoptContentType(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Reply::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Reply::Builder::disownContentType() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Reply::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Reply::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Reply::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Reply::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Reply::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Reply::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Reply::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Reply::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Reply::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Reply::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder Reply::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Reply::Builder::adoptBody(::capnp::Orphan<::capnp::Data> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Reply::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Reply::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Reply::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t Reply::Reader::getReason() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<4>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t Reply::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t Reply::Builder::getReason() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t Reply::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setReason(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Reply::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Reply::Reader::getRetryAfter() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Reply::Reader::getRetryAfter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Reply::Builder::getRetryAfter() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Reply::Builder::getRetryAfter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setRetryAfter(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Reply::Builder::setRetryAfter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Reply::Reader::getRetriesLeft() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t Reply::Reader::getRetriesLeft() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Reply::Builder::getRetriesLeft() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t Reply::Builder::getRetriesLeft() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setRetriesLeft(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Reply::Builder::setRetriesLeft( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Reply::Reader::hasLevels() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Reply::Builder::hasLevels() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>::Reader
-Reply::Reader::getLevels() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>::Builder
-Reply::Builder::getLevels() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void
-Reply::Builder::setLevels(::capnp::List<::limpetdrum::rpc::Level,
-                                        ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>::Builder
-Reply::Builder::initLevels(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Reader Reply::Reader::getLevels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Builder Reply::Builder::getLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Reply::Builder::setLevels( ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Builder Reply::Builder::initLevels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Reply::Builder::adoptLevels(
-    ::capnp::Orphan<::capnp::List<::limpetdrum::rpc::Level,
-                                  ::capnp::Kind::STRUCT>> &&value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>>
-Reply::Builder::disownLevels() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::Level, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>> Reply::Builder::disownLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool KeyRecord::Reader::hasKey() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool KeyRecord::Builder::hasKey() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader KeyRecord::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader KeyRecord::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder KeyRecord::Builder::getKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder KeyRecord::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void KeyRecord::Builder::setKey(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void KeyRecord::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder KeyRecord::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder KeyRecord::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void
-KeyRecord::Builder::adoptKey(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void KeyRecord::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> KeyRecord::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> KeyRecord::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool KeyRecord::Reader::hasHolder() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool KeyRecord::Builder::hasHolder() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader KeyRecord::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader KeyRecord::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder KeyRecord::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder KeyRecord::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void KeyRecord::Builder::setHolder(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void KeyRecord::Builder::setHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-KeyRecord::Builder::initHolder(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder KeyRecord::Builder::initHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void
-KeyRecord::Builder::adoptHolder(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void KeyRecord::Builder::adoptHolder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> KeyRecord::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> KeyRecord::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t KeyRecord::Reader::getHolderIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t KeyRecord::Reader::getHolderIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t KeyRecord::Builder::getHolderIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t KeyRecord::Builder::getHolderIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setHolderIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void KeyRecord::Builder::setHolderIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool KeyRecord::Reader::getSettled() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool KeyRecord::Builder::getSettled() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void KeyRecord::Builder::setSettled(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool KeyRecord::Reader::hasReply() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool KeyRecord::Builder::hasReply() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::limpetdrum::rpc::Reply::Reader KeyRecord::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Reply::Reader KeyRecord::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::limpetdrum::rpc::Reply::Builder KeyRecord::Builder::getReply() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Reply::Builder KeyRecord::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::limpetdrum::rpc::Reply::Pipeline KeyRecord::Pipeline::getReply() {
-  return ::limpetdrum::rpc::Reply::Pipeline(_typeless.getPointerField(2));
+inline  ::limpetdrum::rpc::Reply::Pipeline KeyRecord::Pipeline::getReply() {
+  return  ::limpetdrum::rpc::Reply::Pipeline(_typeless.getPointerField(2));
 }
-#endif // !CAPNP_LITE
-inline void
-KeyRecord::Builder::setReply(::limpetdrum::rpc::Reply::Reader value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+#endif  // !CAPNP_LITE
+inline void KeyRecord::Builder::setReply( ::limpetdrum::rpc::Reply::Reader value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::limpetdrum::rpc::Reply::Builder KeyRecord::Builder::initReply() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Reply::Builder KeyRecord::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void KeyRecord::Builder::adoptReply(
-    ::capnp::Orphan<::limpetdrum::rpc::Reply> &&value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::limpetdrum::rpc::Reply>&& value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::limpetdrum::rpc::Reply>
-KeyRecord::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::limpetdrum::rpc::Reply> KeyRecord::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t KeyRecord::Reader::getTimeLeft() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t KeyRecord::Reader::getTimeLeft() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t KeyRecord::Builder::getTimeLeft() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t KeyRecord::Builder::getTimeLeft() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setTimeLeft(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void KeyRecord::Builder::setTimeLeft( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t KeyRecord::Reader::getRuns() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t KeyRecord::Reader::getRuns() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t KeyRecord::Builder::getRuns() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<5>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t KeyRecord::Builder::getRuns() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setRuns(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                    value);
+inline void KeyRecord::Builder::setRuns( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Endpoint::Reader::getAddress() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Endpoint::Reader::getAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Endpoint::Builder::getAddress() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Endpoint::Builder::getAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Endpoint::Builder::setAddress(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Endpoint::Builder::setAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Endpoint::Reader::getPort() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t Endpoint::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Endpoint::Builder::getPort() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t Endpoint::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Endpoint::Builder::setPort(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Endpoint::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberRecord::Reader::hasNode() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasNode() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getNode() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setNode(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void MemberRecord::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-MemberRecord::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void
-MemberRecord::Builder::adoptNode(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void MemberRecord::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t MemberRecord::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t MemberRecord::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t MemberRecord::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t MemberRecord::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MemberRecord::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t MemberRecord::Reader::getVersion() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t MemberRecord::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MemberRecord::Builder::getVersion() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t MemberRecord::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setVersion(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MemberRecord::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberRecord::Reader::hasService() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasService() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getService() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setService(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void MemberRecord::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-MemberRecord::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void
-MemberRecord::Builder::adoptService(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void MemberRecord::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool MemberRecord::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void
-MemberRecord::Builder::setFailureDomain(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void MemberRecord::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-MemberRecord::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void MemberRecord::Builder::adoptFailureDomain(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-MemberRecord::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool MemberRecord::Reader::hasRegion() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasRegion() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setRegion(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void MemberRecord::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-MemberRecord::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void
-MemberRecord::Builder::adoptRegion(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void MemberRecord::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool MemberRecord::Reader::hasRpc() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasRpc() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::limpetdrum::rpc::Endpoint::Reader
-MemberRecord::Reader::getRpc() const {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Endpoint::Reader MemberRecord::Reader::getRpc() const {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::limpetdrum::rpc::Endpoint::Builder MemberRecord::Builder::getRpc() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Endpoint::Builder MemberRecord::Builder::getRpc() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::limpetdrum::rpc::Endpoint::Pipeline MemberRecord::Pipeline::getRpc() {
-  return ::limpetdrum::rpc::Endpoint::Pipeline(_typeless.getPointerField(4));
+inline  ::limpetdrum::rpc::Endpoint::Pipeline MemberRecord::Pipeline::getRpc() {
+  return  ::limpetdrum::rpc::Endpoint::Pipeline(_typeless.getPointerField(4));
 }
-#endif // !CAPNP_LITE
-inline void
-MemberRecord::Builder::setRpc(::limpetdrum::rpc::Endpoint::Reader value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+#endif  // !CAPNP_LITE
+inline void MemberRecord::Builder::setRpc( ::limpetdrum::rpc::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::limpetdrum::rpc::Endpoint::Builder MemberRecord::Builder::initRpc() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Endpoint::Builder MemberRecord::Builder::initRpc() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void MemberRecord::Builder::adoptRpc(
-    ::capnp::Orphan<::limpetdrum::rpc::Endpoint> &&value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::limpetdrum::rpc::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::limpetdrum::rpc::Endpoint>
-MemberRecord::Builder::disownRpc() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::limpetdrum::rpc::Endpoint> MemberRecord::Builder::disownRpc() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool MemberRecord::Reader::hasGossip() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasGossip() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::limpetdrum::rpc::Endpoint::Reader
-MemberRecord::Reader::getGossip() const {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Endpoint::Reader MemberRecord::Reader::getGossip() const {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::limpetdrum::rpc::Endpoint::Builder MemberRecord::Builder::getGossip() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Endpoint::Builder MemberRecord::Builder::getGossip() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::limpetdrum::rpc::Endpoint::Pipeline
-MemberRecord::Pipeline::getGossip() {
-  return ::limpetdrum::rpc::Endpoint::Pipeline(_typeless.getPointerField(5));
-}
-#endif // !CAPNP_LITE
-inline void
-MemberRecord::Builder::setGossip(::limpetdrum::rpc::Endpoint::Reader value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      value);
-}
-inline ::limpetdrum::rpc::Endpoint::Builder
-MemberRecord::Builder::initGossip() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Endpoint::Pipeline MemberRecord::Pipeline::getGossip() {
+  return  ::limpetdrum::rpc::Endpoint::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void MemberRecord::Builder::setGossip( ::limpetdrum::rpc::Endpoint::Reader value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::limpetdrum::rpc::Endpoint::Builder MemberRecord::Builder::initGossip() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void MemberRecord::Builder::adoptGossip(
-    ::capnp::Orphan<::limpetdrum::rpc::Endpoint> &&value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::limpetdrum::rpc::Endpoint>&& value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::limpetdrum::rpc::Endpoint>
-MemberRecord::Builder::disownGossip() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Endpoint>::disown(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::limpetdrum::rpc::Endpoint> MemberRecord::Builder::disownGossip() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Endpoint>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t MemberRecord::Reader::getSlots() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<6>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t MemberRecord::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t MemberRecord::Builder::getSlots() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<6>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t MemberRecord::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setSlots(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MemberRecord::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t MemberRecord::Reader::getTarget() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<14>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t MemberRecord::Reader::getTarget() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t MemberRecord::Builder::getTarget() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<14>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t MemberRecord::Builder::getTarget() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setTarget(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<14>() * ::capnp::ELEMENTS,
-                                   value);
+inline void MemberRecord::Builder::setTarget( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t MemberRecord::Reader::getHealth() const {
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<15>() *
-                                         ::capnp::ELEMENTS);
+inline  ::uint8_t MemberRecord::Reader::getHealth() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t MemberRecord::Builder::getHealth() {
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<15>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint8_t MemberRecord::Builder::getHealth() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setHealth(::uint8_t value) {
-  _builder.setDataField<::uint8_t>(::capnp::bounded<15>() * ::capnp::ELEMENTS,
-                                   value);
+inline void MemberRecord::Builder::setHealth( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::limpetdrum::rpc::Datagram::Kind Datagram::Reader::getKind() const {
-  return _reader.getDataField<::limpetdrum::rpc::Datagram::Kind>(
+inline  ::limpetdrum::rpc::Datagram::Kind Datagram::Reader::getKind() const {
+  return _reader.getDataField< ::limpetdrum::rpc::Datagram::Kind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::limpetdrum::rpc::Datagram::Kind Datagram::Builder::getKind() {
-  return _builder.getDataField<::limpetdrum::rpc::Datagram::Kind>(
+inline  ::limpetdrum::rpc::Datagram::Kind Datagram::Builder::getKind() {
+  return _builder.getDataField< ::limpetdrum::rpc::Datagram::Kind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void
-Datagram::Builder::setKind(::limpetdrum::rpc::Datagram::Kind value) {
-  _builder.setDataField<::limpetdrum::rpc::Datagram::Kind>(
+inline void Datagram::Builder::setKind( ::limpetdrum::rpc::Datagram::Kind value) {
+  _builder.setDataField< ::limpetdrum::rpc::Datagram::Kind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Datagram::Reader::hasFrom() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Datagram::Builder::hasFrom() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Datagram::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Datagram::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Datagram::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Datagram::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setFrom(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Datagram::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Datagram::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Datagram::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void
-Datagram::Builder::adoptFrom(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Datagram::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Datagram::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Datagram::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Datagram::Reader::getSequence() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Datagram::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Datagram::Builder::getSequence() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Datagram::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setSequence(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Datagram::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Datagram::Reader::hasSubject() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Datagram::Builder::hasSubject() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Datagram::Reader::getSubject() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Datagram::Reader::getSubject() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Datagram::Builder::getSubject() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Datagram::Builder::getSubject() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setSubject(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Datagram::Builder::setSubject( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-Datagram::Builder::initSubject(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Datagram::Builder::initSubject(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void
-Datagram::Builder::adoptSubject(::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Datagram::Builder::adoptSubject(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Datagram::Builder::disownSubject() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Datagram::Builder::disownSubject() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Datagram::Reader::getRevision() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Datagram::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Datagram::Builder::getRevision() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Datagram::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setRevision(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Datagram::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Datagram::Reader::getDigest() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Datagram::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Datagram::Builder::getDigest() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Datagram::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setDigest(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Datagram::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Datagram::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Datagram::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Datagram::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Datagram::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Datagram::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Datagram::Reader::hasUpdates() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Datagram::Builder::hasUpdates() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-Datagram::Reader::getUpdates() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-Datagram::Builder::getUpdates() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setUpdates(
-    ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-Datagram::Builder::initUpdates(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setUpdates( ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Datagram::Builder::adoptUpdates(
-    ::capnp::Orphan<::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                  ::capnp::Kind::STRUCT>> &&value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>
-Datagram::Builder::disownUpdates() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
 inline Node::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline Node::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
+inline Node::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
-inline Node::Client::Client(::kj::Own<_t> &&server)
+inline Node::Client::Client(::kj::Own<_t>&& server)
     : ::capnp::Capability::Client(::kj::mv(server)) {}
 template <typename _t, typename>
-inline Node::Client::Client(::kj::Promise<_t> &&promise)
+inline Node::Client::Client(::kj::Promise<_t>&& promise)
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Node::Client::Client(::kj::Exception &&exception)
+inline Node::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::limpetdrum::rpc::Node::Client &Node::Client::operator=(Client &other) {
+inline  ::limpetdrum::rpc::Node::Client& Node::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::limpetdrum::rpc::Node::Client &
-Node::Client::operator=(Client &&other) {
+inline  ::limpetdrum::rpc::Node::Client& Node::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 inline bool Node::ExecuteParams::Reader::hasAttempt() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::ExecuteParams::Builder::hasAttempt() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::limpetdrum::rpc::Attempt::Reader
-Node::ExecuteParams::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Attempt>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Attempt::Reader Node::ExecuteParams::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Attempt>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::limpetdrum::rpc::Attempt::Builder
-Node::ExecuteParams::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Attempt>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Attempt::Builder Node::ExecuteParams::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Attempt>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::limpetdrum::rpc::Attempt::Pipeline
-Node::ExecuteParams::Pipeline::getAttempt() {
-  return ::limpetdrum::rpc::Attempt::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Node::ExecuteParams::Builder::setAttempt(
-    ::limpetdrum::rpc::Attempt::Reader value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Attempt>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
-}
-inline ::limpetdrum::rpc::Attempt::Builder
-Node::ExecuteParams::Builder::initAttempt() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Attempt>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Attempt::Pipeline Node::ExecuteParams::Pipeline::getAttempt() {
+  return  ::limpetdrum::rpc::Attempt::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::ExecuteParams::Builder::setAttempt( ::limpetdrum::rpc::Attempt::Reader value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Attempt>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::limpetdrum::rpc::Attempt::Builder Node::ExecuteParams::Builder::initAttempt() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Attempt>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::ExecuteParams::Builder::adoptAttempt(
-    ::capnp::Orphan<::limpetdrum::rpc::Attempt> &&value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Attempt>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::limpetdrum::rpc::Attempt>&& value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Attempt>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::limpetdrum::rpc::Attempt>
-Node::ExecuteParams::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Attempt>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::limpetdrum::rpc::Attempt> Node::ExecuteParams::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Attempt>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::ExecuteResults::Reader::hasReply() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::ExecuteResults::Builder::hasReply() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::limpetdrum::rpc::Reply::Reader
-Node::ExecuteResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Reply::Reader Node::ExecuteResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::limpetdrum::rpc::Reply::Builder
-Node::ExecuteResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Reply::Builder Node::ExecuteResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::limpetdrum::rpc::Reply::Pipeline
-Node::ExecuteResults::Pipeline::getReply() {
-  return ::limpetdrum::rpc::Reply::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Node::ExecuteResults::Builder::setReply(
-    ::limpetdrum::rpc::Reply::Reader value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
-}
-inline ::limpetdrum::rpc::Reply::Builder
-Node::ExecuteResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::Reply::Pipeline Node::ExecuteResults::Pipeline::getReply() {
+  return  ::limpetdrum::rpc::Reply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::ExecuteResults::Builder::setReply( ::limpetdrum::rpc::Reply::Reader value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::limpetdrum::rpc::Reply::Builder Node::ExecuteResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::ExecuteResults::Builder::adoptReply(
-    ::capnp::Orphan<::limpetdrum::rpc::Reply> &&value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::limpetdrum::rpc::Reply>&& value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::limpetdrum::rpc::Reply>
-Node::ExecuteResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::Reply>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::limpetdrum::rpc::Reply> Node::ExecuteResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::Reply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::CancelParams::Reader::hasId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::CancelParams::Builder::hasId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::limpetdrum::rpc::AttemptId::Reader
-Node::CancelParams::Reader::getId() const {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::AttemptId::Reader Node::CancelParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::limpetdrum::rpc::AttemptId::Builder
-Node::CancelParams::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::AttemptId::Builder Node::CancelParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::limpetdrum::rpc::AttemptId::Pipeline
-Node::CancelParams::Pipeline::getId() {
-  return ::limpetdrum::rpc::AttemptId::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void
-Node::CancelParams::Builder::setId(::limpetdrum::rpc::AttemptId::Reader value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
-}
-inline ::limpetdrum::rpc::AttemptId::Builder
-Node::CancelParams::Builder::initId() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::limpetdrum::rpc::AttemptId::Pipeline Node::CancelParams::Pipeline::getId() {
+  return  ::limpetdrum::rpc::AttemptId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::CancelParams::Builder::setId( ::limpetdrum::rpc::AttemptId::Reader value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::limpetdrum::rpc::AttemptId::Builder Node::CancelParams::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::CancelParams::Builder::adoptId(
-    ::capnp::Orphan<::limpetdrum::rpc::AttemptId> &&value) {
-  ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::limpetdrum::rpc::AttemptId>&& value) {
+  ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::limpetdrum::rpc::AttemptId>
-Node::CancelParams::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::limpetdrum::rpc::AttemptId>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::limpetdrum::rpc::AttemptId> Node::CancelParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::limpetdrum::rpc::AttemptId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Node::CancelParams::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Node::CancelParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Node::CancelParams::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Node::CancelParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::CancelParams::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Node::CancelParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Node::CancelResults::Reader::getNotRun() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Node::CancelResults::Builder::getNotRun() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Node::CancelResults::Builder::setNotRun(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Node::ProbeResults::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Node::ProbeResults::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Node::ProbeResults::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Node::ProbeResults::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::ProbeResults::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Node::ProbeResults::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Node::ReleaseParams::Reader::getAbove() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Node::ReleaseParams::Reader::getAbove() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Node::ReleaseParams::Builder::getAbove() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Node::ReleaseParams::Builder::getAbove() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::ReleaseParams::Builder::setAbove(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Node::ReleaseParams::Builder::setAbove( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Node::ReleaseResults::Reader::hasState() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::ReleaseResults::Builder::hasState() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Node::ReleaseResults::Reader::getState() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Node::ReleaseResults::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Node::ReleaseResults::Builder::getState() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Node::ReleaseResults::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void
-Node::ReleaseResults::Builder::setState(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Node::ReleaseResults::Builder::setState( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-Node::ReleaseResults::Builder::initState(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Node::ReleaseResults::Builder::initState(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Node::ReleaseResults::Builder::adoptState(
-    ::capnp::Orphan<::capnp::Text> &&value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-Node::ReleaseResults::Builder::disownState() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Node::ReleaseResults::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::SynchronizeParams::Reader::hasMembers() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::SynchronizeParams::Builder::hasMembers() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-Node::SynchronizeParams::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-Node::SynchronizeParams::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::SynchronizeParams::Builder::setMembers(
-    ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-Node::SynchronizeParams::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader Node::SynchronizeParams::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Node::SynchronizeParams::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::SynchronizeParams::Builder::setMembers( ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Node::SynchronizeParams::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Node::SynchronizeParams::Builder::adoptMembers(
-    ::capnp::Orphan<::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                  ::capnp::Kind::STRUCT>> &&value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>
-Node::SynchronizeParams::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>> Node::SynchronizeParams::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::SynchronizeResults::Reader::hasMembers() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::SynchronizeResults::Builder::hasMembers() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-Node::SynchronizeResults::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-Node::SynchronizeResults::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::SynchronizeResults::Builder::setMembers(
-    ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::limpetdrum::rpc::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-Node::SynchronizeResults::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader Node::SynchronizeResults::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Node::SynchronizeResults::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::SynchronizeResults::Builder::setMembers( ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>::Builder Node::SynchronizeResults::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Node::SynchronizeResults::Builder::adoptMembers(
-    ::capnp::Orphan<::capnp::List<::limpetdrum::rpc::MemberRecord,
-                                  ::capnp::Kind::STRUCT>> &&value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>
-Node::SynchronizeResults::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::MemberRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>> Node::SynchronizeResults::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::HandOverParams::Reader::hasRecords() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::HandOverParams::Builder::hasRecords() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::limpetdrum::rpc::KeyRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-Node::HandOverParams::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::limpetdrum::rpc::KeyRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-Node::HandOverParams::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::HandOverParams::Builder::setRecords(
-    ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>::Reader
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::limpetdrum::rpc::KeyRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-Node::HandOverParams::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>::Reader Node::HandOverParams::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>::Builder Node::HandOverParams::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::HandOverParams::Builder::setRecords( ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>::Builder Node::HandOverParams::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Node::HandOverParams::Builder::adoptRecords(
-    ::capnp::Orphan<::capnp::List<::limpetdrum::rpc::KeyRecord,
-                                  ::capnp::Kind::STRUCT>> &&value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>>
-Node::HandOverParams::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::limpetdrum::rpc::KeyRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>> Node::HandOverParams::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::KeyRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-} // namespace rpc
-} // namespace limpetdrum
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/unittests/KeyLedgerTest.cpp
+++ b/unittests/KeyLedgerTest.cpp
@@ -1,6 +1,6 @@
+#include "limpetdrum/request/KeyLedger.h"
 #include "FakeClock.h"
 #include "limpetdrum/request/KeyHome.h"
-#include "limpetdrum/request/KeyLedger.h"
 
 #include <catch2/catch.hpp>
 #include <set>
@@ -111,8 +111,7 @@
   }
 }
 
-TEST_CASE("findKeyNodes takes a witness in another failure domain",
-          "[keys]") {
+TEST_CASE("findKeyNodes takes a witness in another failure domain", "[keys]") {
   auto All = candidates(9);
   for (int I = 0; I < 200; ++I) {
     auto Nodes = findKeyNodes(IdempotencyKey("k" + std::to_string(I)), All);
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -1,5 +1,5 @@
-#include "FakeClock.h"
 #include "limpetdrum/daemon/KeyedCalls.h"
+#include "FakeClock.h"
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
@@ -54,10 +54,13 @@
   MockPeers Peers;
   limpetdrum::Clock Now = [this]() { return this->Clock.now(); };
   Router Routes{FailureDomain("a"), Region("home"), 1};
-  Executor Own{{Incarnation(1), true, 1}, Target, Releases,
-               Levels,                    Counters, Now};
-  Caller Calls{Members,  Routes, Levels, Own, Peers, Counters, Now,
-               [](Microseconds, std::function<void()>) { return Timer(); }};
+  Executor Own{
+      {Incarnation(1), true, 1}, Target, Releases, Levels, Counters, Now};
+  Caller Calls{
+      Members, Routes,
+      Levels,  Own,
+      Peers,   Counters,
+      Now,     [](Microseconds, std::function<void()>) { return Timer(); }};
   KeyedCalls Keyed{Members, Own, Calls, Releases, Counters, Now};
   unsigned Answers = 0;
   std::vector<HttpClient::Callback> AtTarget;
@@ -125,8 +128,7 @@
   CHECK(B.Answers == 3);
 }
 
-TEST_CASE("KeyedCalls says unknown of a key whose holder is gone",
-          "[keys]") {
+TEST_CASE("KeyedCalls says unknown of a key whose holder is gone", "[keys]") {
   Bench B;
   auto Key = Bench::keyWithHomeHere();
   KeyRecord Elsewhere;
