--- a/benchmarks/Decisions.cpp
+++ b/benchmarks/Decisions.cpp
@@ -116,7 +116,7 @@
                          std::to_string(I));
       benchmark::DoNotOptimize(
           Keys.arrive(Key, {NodeId("node-1"), Incarnation(1)}, 5, Begin));
-      Keys.settle(Key, Answer, Begin);
+      Keys.settle(Key, Answer);
     }
     Bytes = static_cast<double>(mallinfo2().uordblks - Before);
   }
--- a/include/limpetdrum/request/KeyLedger.h
+++ b/include/limpetdrum/request/KeyLedger.h
@@ -62,7 +62,7 @@
                                const NodeLife &Candidate,
                                std::uint16_t MostRuns, TimePoint Now);
   /// \brief The holder's outcome is known.
-  void settle(const IdempotencyKey &Key, const Reply &Value, TimePoint Now);
+  void settle(const IdempotencyKey &Key, const Reply &Value);
 
   /// \brief All records, to hand over on leaving.
   [[nodiscard]] std::vector<std::pair<IdempotencyKey, KeyRecord>>
--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -180,7 +180,7 @@
   this->RunningHere[Spec.Key] = Spec.Id;
   this->Own.execute(
       Spec, [this, Key = Spec.Key, Done = std::move(Done)](const Reply &Value) {
-        this->Keys.settle(Key, Value, this->Now());
+        this->Keys.settle(Key, Value);
         this->RunningHere.erase(Key);
         Done(Value);
       });
@@ -214,7 +214,7 @@
                              const std::vector<NodeId> &Tried, bool Begins,
                              const Reply &Value, const ReplyDone &Done) {
   if (isFinal(Value))
-    this->Keys.settle(Attempt.Key, Value, this->Now());
+    this->Keys.settle(Attempt.Key, Value);
   bool Moves = Begins && worthMoving(Value) && Attempt.TimeLeft.count() > 0 &&
                this->candidateFor(Attempt, Tried);
   if (!Moves) {
--- a/lib/request/KeyLedger.cpp
+++ b/lib/request/KeyLedger.cpp
@@ -43,8 +43,7 @@
   return {Verdict::Begin, Candidate, {}};
 }
 
-void KeyLedger::settle(const IdempotencyKey &Key, const Reply &Value,
-                       TimePoint /*Now*/) {
+void KeyLedger::settle(const IdempotencyKey &Key, const Reply &Value) {
   auto Found = this->Records.find(Key);
   if (Found == this->Records.end() || Found->second.Settled)
     return;
--- a/standins/bench/Process.cpp
+++ b/standins/bench/Process.cpp
@@ -9,13 +9,12 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char **environ;
-
 namespace limpetdrum::bench {
 
 Process::Process(const std::vector<std::string> &Command,
                  const std::string &Log) {
   std::vector<char *> Args;
+  Args.reserve(Command.size() + 1);
   for (const auto &Arg : Command)
     Args.push_back(const_cast<char *>(Arg.c_str()));
   Args.push_back(nullptr);
--- a/unittests/AdmissionTest.cpp
+++ b/unittests/AdmissionTest.cpp
@@ -28,8 +28,8 @@
 /// order is refused while a browse runs or waits there.
 class Bench {
 public:
-  explicit Bench(std::uint16_t Slots, AdmissionSwitches Switches = {})
-      : Gate(Slots_(Slots), Switches) {}
+  explicit Bench(std::uint16_t Count, AdmissionSwitches Switches = {})
+      : Gate(Slots(Count), Switches) {}
 
   void arrive(const Arrival &A) {
     this->Ranks[A.Id] = A.Rank.value();
@@ -41,8 +41,6 @@
   }
   void tick() { this->apply(this->Gate.tick(2, this->Clock.now()), {}); }
 
-  static Slots Slots_(std::uint16_t Count) { return Slots(Count); }
-
   FakeClock Clock;
   Admission Gate;
   std::map<AttemptId, std::uint8_t> Ranks;
--- a/unittests/KeyLedgerTest.cpp
+++ b/unittests/KeyLedgerTest.cpp
@@ -55,7 +55,7 @@
   auto Ledger = newLedger();
   CHECK(Ledger.arrive(Key, Here, 2, Clock.now()).Verdict == Verdict::Begin);
   CHECK(Ledger.arrive(Key, There, 2, Clock.now()).Holder == Here);
-  Ledger.settle(Key, answered("pallet"), Clock.now());
+  Ledger.settle(Key, answered("pallet"));
   auto Seen = Ledger.arrive(Key, There, 2, Clock.now());
   CHECK(Seen.Verdict == Verdict::Replay);
   CHECK(Seen.Reply.Body == "pallet");
@@ -68,11 +68,11 @@
   auto Ledger = newLedger();
   auto Refused = notRun(Reason::Overload, Milliseconds(1));
   static_cast<void>(Ledger.arrive(Key, Here, 2, Clock.now()));
-  Ledger.settle(Key, Refused, Clock.now());
+  Ledger.settle(Key, Refused);
   auto Again = Ledger.arrive(Key, There, 2, Clock.now());
   CHECK(Again.Verdict == Verdict::Begin);
   CHECK(Again.Holder == There);
-  Ledger.settle(Key, Refused, Clock.now());
+  Ledger.settle(Key, Refused);
   CHECK(Ledger.arrive(Key, There, 2, Clock.now()).Verdict == Verdict::Spent);
 }
 
@@ -81,7 +81,7 @@
   FakeClock Clock;
   auto Ledger = newLedger(3);
   static_cast<void>(Ledger.arrive(Key, Here, 2, Clock.now()));
-  Ledger.settle(Key, answered("pallet"), Clock.now());
+  Ledger.settle(Key, answered("pallet"));
   auto Seen = Ledger.arrive(Key, Here, 2, Clock.now());
   CHECK(Seen.Verdict == Verdict::Replay);
   CHECK(Seen.Reply.Status == 410);
@@ -98,7 +98,7 @@
   }
   SECTION("an open run elsewhere replaces a not-run") {
     static_cast<void>(Ledger.arrive(Key, Here, 5, Clock.now()));
-    Ledger.settle(Key, Refused, Clock.now());
+    Ledger.settle(Key, Refused);
     Ledger.adopt(Key, record(There, std::nullopt, Clock));
     auto Seen = Ledger.arrive(Key, Here, 5, Clock.now());
     CHECK(Seen.Verdict == Verdict::Open);
