Let a restarted node have nothing in force before it has a release

The trace: the node had been started anew 0.1 s before and had no release yet; it refuses every request then, so nothing was served under an older revision. The check took 0 for a revision. Change: after a restart 0 is waited out, and the first release seen must still not be older than what was seen before; within a life nothing may fall, 0 included, and the 5 s stand.

--- a/standins/Scenario.cpp
+++ b/standins/Scenario.cpp
@@ -196,6 +196,7 @@
 
   void restart(YamlMap &Step) {
     auto &M = this->named(Step, "restart");
+    this->Restarted.insert(M.Name);
     M.Node.reset();
     M.Target.reset();
     this->Processes.startNode(M);
@@ -318,6 +319,11 @@
         if (!S.is_object())
           return false;
         auto Seen = S["revision"].get<std::uint64_t>();
+        // A new life has nothing in force at first, and serves nothing; what it
+        // first has may not be older than what was seen before.
+        if (Seen == 0 && this->Restarted.count(Member->Name) != 0)
+          return false;
+        this->Restarted.erase(Member->Name);
         auto &Highest = this->HighestSeen[Member->Name];
         this->require(Seen >= Highest, Step.where(),
                       Member->Name + " went back to revision " +
@@ -470,6 +476,7 @@
   Fleet Processes;
   std::map<std::string, std::uint64_t> HighestSeen;
   std::set<std::string> Frozen;
+  std::set<std::string> Restarted; ///< and not yet seen with a release
   unsigned Published = 0;
 };
 
