Free what waits for the loop when the loop ends

Posted actions now belong to the loop, and retired HTTP connections to their client. What was left was a test's own server, which frees its connections now. 88 tests pass under ASan, UBSan and LeakSanitizer.

--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -115,7 +115,7 @@
 
 private:
   struct State;
-  std::unique_ptr<State> Impl;
+  std::shared_ptr<State> Impl;
 };
 
 } // namespace limpetdrum
--- a/lib/connection/EventLoop.cpp
+++ b/lib/connection/EventLoop.cpp
@@ -3,6 +3,7 @@
 #include "limpetdrum/process/Error.h"
 
 #include <csignal>
+#include <deque>
 #include <event2/event.h>
 #include <kj/async.h>
 #include <vector>
@@ -108,11 +109,32 @@
   kj::EventLoop Promises;
   kj::WaitScope Scope;
   std::vector<std::unique_ptr<SignalAction>> Signals;
+  /// Ended with the loop, run or not: what they hold is freed then.
+  std::deque<std::function<void()>> Posted;
+  event *PostedReady;
 
   explicit State(event_base *Base)
-      : Base(Base), Port(Base), Promises(Port), Scope(Promises) {
+      : Base(Base), Port(Base), Promises(Port), Scope(Promises),
+        PostedReady(event_new(Base, -1, 0, &State::onPosted, this)) {
     this->Port.bind(this->Promises);
   }
+  State(const State &) = delete;
+  State &operator=(const State &) = delete;
+  ~State() {
+    event_free(this->PostedReady);
+    this->Posted.clear();
+  }
+
+  static void onPosted(evutil_socket_t /*Socket*/, short /*What*/,
+                       void *Context) {
+    auto &Waiting = static_cast<State *>(Context)->Posted;
+    // Those that are posted meanwhile have their own turn.
+    for (auto Left = Waiting.size(); Left > 0; --Left) {
+      auto Action = std::move(Waiting.front());
+      Waiting.pop_front();
+      Action();
+    }
+  }
 };
 
 EventLoop::EventLoop() {
@@ -148,16 +170,8 @@
 }
 
 void EventLoop::post(std::function<void()> Action) {
-  auto *Owned = new std::function<void()>(std::move(Action));
-  timeval Now{};
-  event_base_once(
-      this->Impl->Base, -1, EV_TIMEOUT,
-      [](evutil_socket_t /*Socket*/, short /*What*/, void *Context) {
-        std::unique_ptr<std::function<void()>> Run(
-            static_cast<std::function<void()> *>(Context));
-        (*Run)();
-      },
-      Owned, &Now);
+  this->Impl->Posted.push_back(std::move(Action));
+  event_active(this->Impl->PostedReady, 0, 0);
 }
 
 void EventLoop::onSignal(int Number, std::function<void()> Action) {
--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -40,7 +40,7 @@
   return "";
 }
 
-struct HttpClient::State {
+struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
   struct Pending {
     State *Owner;
     std::uint64_t Ticket;
@@ -55,6 +55,7 @@
   Endpoint Server;
   std::uint64_t LastTicket = 0;
   std::vector<evhttp_connection *> Idle;
+  std::vector<evhttp_connection *> Retired;
   std::unordered_map<std::uint64_t, std::unique_ptr<Pending>> Calls;
 
   State(EventLoop &Loop, Endpoint Server) : Loop(Loop), Server(Server) {}
@@ -87,11 +88,20 @@
   }
 
   /// Frees a connection later: it may be running a callback of ours now.
-  void release(evhttp_connection *Connection) const {
-    this->Loop.post([Connection]() { evhttp_connection_free(Connection); });
+  void release(evhttp_connection *Connection) {
+    this->Retired.push_back(Connection);
+    this->Loop.post([Weak = this->weak_from_this()]() {
+      if (auto Self = Weak.lock())
+        Self->freeRetired();
+    });
+  }
+
+  void freeRetired() {
+    for (auto *Connection : std::exchange(this->Retired, {}))
+      evhttp_connection_free(Connection);
   }
 
-  void abandon(Pending &Call) const {
+  void abandon(Pending &Call) {
     evhttp_cancel_request(Call.Request);
     this->release(Call.Connection);
   }
@@ -125,7 +135,7 @@
 };
 
 HttpClient::HttpClient(EventLoop &Loop, Endpoint Server)
-    : Impl(std::make_unique<State>(Loop, Server)) {}
+    : Impl(std::make_shared<State>(Loop, Server)) {}
 
 HttpClient::~HttpClient() {
   for (auto &Entry : this->Impl->Calls) {
@@ -134,6 +144,7 @@
   }
   for (auto *Connection : this->Impl->Idle)
     evhttp_connection_free(Connection);
+  this->Impl->freeRetired();
 }
 
 std::uint64_t HttpClient::send(const HttpCall &Call, Callback Done) {
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -26,7 +26,10 @@
         reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
     REQUIRE(this->Listener != nullptr);
   }
-  ~RawServer() { evconnlistener_free(this->Listener); }
+  ~RawServer() {
+    this->hangUp();
+    evconnlistener_free(this->Listener);
+  }
   RawServer(const RawServer &) = delete;
   RawServer &operator=(const RawServer &) = delete;
 
@@ -41,19 +44,26 @@
         },
         nullptr, nullptr, this);
     bufferevent_enable(Event, EV_READ | EV_WRITE);
+    this->Open.push_back(Event);
+  }
+
+  void hangUp() {
+    for (auto *Event : std::exchange(this->Open, {}))
+      bufferevent_free(Event);
   }
 
   void answer(bufferevent *Event) {
     bufferevent_write(Event, this->Says.data(), this->Says.size());
     bufferevent_disable(Event, EV_READ);
-    this->HangUp = this->Loop.after(Milliseconds(20),
-                                    [Event]() { bufferevent_free(Event); });
+    this->HangUp =
+        this->Loop.after(Milliseconds(20), [this]() { this->hangUp(); });
   }
 
   EventLoop &Loop;
   std::string Says;
   evconnlistener *Listener;
   Timer HangUp;
+  std::vector<bufferevent *> Open;
 };
 
 HttpAnswer ask(EventLoop &Loop, const HttpCall &Call = {}) {
