Keep a retry where it can still be used

The refusals that the scenario now prints were all "answered": the target's own failure, replayed for its key.

Cause: a call parted with half of its retries, rounded up, for every attempt. With the default of 2, one retry was left at the third hop; it went along to a leaf, which makes no calls, and was lost with it when that node was killed. The delivery target then had a failed call although the request still had a retry. An attempt that was never handed over lost its grant as well.

Ruled out: key ledger and membership (no try ended as unknown or not-run).

Change: a grant is an even share for each level of calls that the release declares below the callee, so a leaf is granted nothing; a call that tries no other node passes all of its budget on; what was never handed over returns. The bound over the chain is as before, its property test now grants by depth. The calls of a release are walked once for each path, not once for each way.

Seen failing: the new cases of CallTest and RetryBudgetTest, with the old halves.

--- a/benchmarks/Decisions.cpp
+++ b/benchmarks/Decisions.cpp
@@ -146,7 +146,7 @@
 void budget(benchmark::State &State) {
   for (auto _ : State) {
     RetryBudget Mine(6);
-    RetryBudget Theirs(Mine.grant());
+    RetryBudget Theirs(Mine.grant(1));
     benchmark::DoNotOptimize(Theirs.take());
     Mine.giveBack(Theirs.remaining());
     benchmark::DoNotOptimize(Mine);
--- a/include/limpetdrum/daemon/Caller.h
+++ b/include/limpetdrum/daemon/Caller.h
@@ -21,10 +21,11 @@
   AttemptSpec Spec; ///< without the id and executor
   RunSemantics Runs = RunSemantics::Idempotent;
   ServiceName Service;
-  bool Movable = true;     ///< whether other nodes may be tried
-  bool MayHaveRun = false; ///< by an earlier call for the same key
-  bool Patient = false;    ///< see Call::bePatient()
-  PinnedChoice Choose;     ///< empty: the router chooses
+  unsigned LevelsBelow = 0; ///< see CompiledRoute::LevelsBelow
+  bool Movable = true;      ///< whether other nodes may be tried
+  bool MayHaveRun = false;  ///< by an earlier call for the same key
+  bool Patient = false;     ///< see Call::bePatient()
+  PinnedChoice Choose;      ///< empty: the router chooses
 };
 
 /// \brief Drives calls from this node: attempts, routing, deadlines.
@@ -77,6 +78,7 @@
         this->Decisions.assumeMayHaveRun();
       if (this->Request.Patient)
         this->Decisions.bePatient();
+      this->Decisions.setLevelsBelow(this->Request.LevelsBelow);
     }
   };
 
--- a/include/limpetdrum/request/Call.h
+++ b/include/limpetdrum/request/Call.h
@@ -45,6 +45,8 @@
   /// \brief The call belongs to a request whose work so far would be lost: an
   ///   overloaded service is tried again after a pause.
   void bePatient() noexcept { this->Patient = true; }
+  /// \brief How deep the calls of the callee go: the share of its grant.
+  void setLevelsBelow(unsigned Levels) noexcept { this->LevelsBelow = Levels; }
   [[nodiscard]] Step start() const;
   /// \param To the chosen life, or nothing if there is none.
   /// \param Id a new id for this attempt.
@@ -68,6 +70,7 @@
   [[nodiscard]] unsigned retries() const noexcept { return this->Made; }
 
 private:
+  [[nodiscard]] std::uint16_t grant() noexcept;
   [[nodiscard]] Step retry(Reply Otherwise);
   [[nodiscard]] Step finish(Reply Value) const;
 
@@ -75,6 +78,7 @@
   bool Movable;
   bool Patient = false;
   RetryBudget Budget;
+  unsigned LevelsBelow = 0;
   RetryRatio *Ratio;
   std::optional<Send> Current;
   std::vector<NodeId> Tried;
--- a/include/limpetdrum/request/RetryBudget.h
+++ b/include/limpetdrum/request/RetryBudget.h
@@ -2,6 +2,7 @@
 #define LIMPETDRUM_REQUEST_RETRYBUDGET_H
 
 #include <cstdint>
+#include <utility>
 
 namespace limpetdrum {
 
@@ -12,7 +13,7 @@
 /// costs its grant. So the bound over the chain needs no agreement.
 /// \code
 ///   RetryBudget Mine(4);
-///   RetryBudget Theirs(Mine.grant()); // 2 each
+///   RetryBudget Theirs(Mine.grant(1)); // 2 each
 ///   Theirs.take();                    // a retry down there
 ///   Mine.giveBack(Theirs.remaining());
 /// \endcode
@@ -28,12 +29,21 @@
     --this->Left;
     return true;
   }
-  /// \brief Parts with half of what is left, rounded up.
-  [[nodiscard]] std::uint16_t grant() noexcept {
-    auto Share = static_cast<std::uint16_t>((this->Left + 1) / 2);
+  /// \brief Parts with an even share for each level of calls below, rounded
+  ///   up.
+  /// \param LevelsBelow how deep the callee's own calls go; a callee without
+  ///   any has no use for retries.
+  [[nodiscard]] std::uint16_t grant(unsigned LevelsBelow) noexcept {
+    auto Levels = LevelsBelow + 1;
+    auto Share = static_cast<std::uint16_t>(
+        (this->Left * LevelsBelow + Levels - 1) / Levels);
     this->Left = static_cast<std::uint16_t>(this->Left - Share);
     return Share;
   }
+  /// \brief Parts with all that is left.
+  [[nodiscard]] std::uint16_t grantAll() noexcept {
+    return std::exchange(this->Left, std::uint16_t(0));
+  }
   /// \brief Takes back what a callee left of its grant.
   void giveBack(std::uint16_t Unspent) noexcept {
     this->Left = static_cast<std::uint16_t>(this->Left + Unspent);
--- a/include/limpetdrum/version/InForce.h
+++ b/include/limpetdrum/version/InForce.h
@@ -17,6 +17,8 @@
   ClassRank Rank;
   /// Every service that a request may reach, its own first.
   std::vector<ServiceName> Reaches;
+  /// The longest chain of calls that the route declares; 0 if it calls nothing.
+  unsigned LevelsBelow = 0;
 };
 
 /// \brief One release, compiled for use; immutable.
@@ -40,8 +42,6 @@
   [[nodiscard]] std::string rankName(ClassRank Rank) const;
 
 private:
-  void reach(const std::string &Path, std::vector<ServiceName> &Into) const;
-
   std::string Text;
   Release Value;
   std::unordered_map<std::string, CompiledRoute> Routes;
--- a/lib/daemon/Entrance.cpp
+++ b/lib/daemon/Entrance.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::uint16_t UnboundedRetries = 3;
+/// A target may make other calls for its request: each gets half of the rest.
+constexpr unsigned OtherCalls = 1;
 constexpr std::size_t MaxKeyLength = 256;
 constexpr std::size_t MaxTenantLength = 128;
 constexpr Milliseconds ComeBackSoon{1000};
@@ -127,6 +129,7 @@
   auto &Spec = E->Request.Spec;
   E->Request.Runs = Declared.Runs;
   E->Request.Service = E->Route->Service;
+  E->Request.LevelsBelow = E->Route->LevelsBelow;
   Spec.Path = Declared.Path;
   Spec.Method = Declared.Method;
   Spec.ContentType = E->Exchange->header(header::ContentType);
@@ -154,8 +157,8 @@
     Spec.Rank = Above.Spec.Rank;
     Spec.Root = Above.Spec.Root;
     E->Request.Patient = true;
-    Spec.Retries =
-        this->Chosen.BoundRetries ? Above.Budget.grant() : UnboundedRetries;
+    Spec.Retries = this->Chosen.BoundRetries ? Above.Budget.grant(OtherCalls)
+                                             : UnboundedRetries;
     Spec.TimeLeft = std::min(
         Spec.TimeLeft,
         std::chrono::duration_cast<Microseconds>(Above.Deadline - this->Now()));
--- a/lib/request/Call.cpp
+++ b/lib/request/Call.cpp
@@ -38,10 +38,16 @@
     return this->finish(notRun(Reason::NoTarget, ComeBackSoon));
   this->Tried.push_back(To->Node);
   this->HandedOver = false;
-  this->Current = Send{*To, Id, this->Budget.grant()};
+  this->Current = Send{*To, Id, this->grant()};
   return *this->Current;
 }
 
+std::uint16_t Call::grant() noexcept {
+  // A call that tries no other node has no use for retries itself.
+  return this->Movable ? this->Budget.grant(this->LevelsBelow)
+                       : this->Budget.grantAll();
+}
+
 Call::Step Call::onReply(const Reply &Value) {
   this->Budget.giveBack(std::min(Value.RetriesLeft, this->Current->Retries));
   if (Value.Outcome == Outcome::Answered)
@@ -66,8 +72,10 @@
   this->HandedOver = this->HandedOver || NowHandedOver;
   if (NowHandedOver && SameLifeReachable)
     return *this->Current;
-  if (!this->HandedOver)
+  if (!this->HandedOver) {
+    this->Budget.giveBack(this->Current->Retries);
     return this->retry(notRun(Reason::NodeGone, ComeBackSoon));
+  }
   this->MayHaveRun = true;
   auto Lost = unknownOutcome(Reason::NodeGone, ComeBackSoon);
   if (this->Runs == RunSemantics::Once)
--- a/lib/version/InForce.cpp
+++ b/lib/version/InForce.cpp
@@ -9,6 +9,50 @@
 
 constexpr const char *SourceName = "release";
 
+/// The declared calls of a release; each path is visited once for a question.
+class CallGraph {
+public:
+  explicit CallGraph(const Release &Value) : Value(Value) {}
+
+  /// Every service that a request for the path may reach, its own first.
+  std::vector<ServiceName> reaches(const std::string &Path) const {
+    std::vector<ServiceName> Services;
+    std::set<std::string> Seen;
+    this->collect(Path, Services, Seen);
+    return Services;
+  }
+
+  /// The longest chain of calls below the path.
+  unsigned levelsBelow(const std::string &Path) {
+    auto [Known, New] = this->Levels.emplace(Path, 0);
+    const Route *Declared = findRoute(this->Value, Path);
+    if (!New || Declared == nullptr)
+      return Known->second;
+    unsigned Most = 0;
+    for (const auto &Callee : Declared->Calls)
+      Most = std::max(Most, 1 + this->levelsBelow(Callee));
+    return this->Levels[Path] = Most;
+  }
+
+private:
+  void collect(const std::string &Path, std::vector<ServiceName> &Services,
+               std::set<std::string> &Seen) const {
+    if (!Seen.insert(Path).second)
+      return;
+    auto Name = serviceOf(Path);
+    if (std::find(Services.begin(), Services.end(), Name) == Services.end())
+      Services.push_back(Name);
+    const Route *Declared = findRoute(this->Value, Path);
+    if (Declared == nullptr)
+      return;
+    for (const auto &Callee : Declared->Calls)
+      this->collect(Callee, Services, Seen);
+  }
+
+  const Release &Value;
+  std::map<std::string, unsigned> Levels;
+};
+
 } // namespace
 
 CompiledRelease::CompiledRelease(std::string Text)
@@ -26,6 +70,7 @@
     auto &Joined = this->RankNames[RankOf(Class)];
     Joined += (Joined.empty() ? "" : "/") + Name;
   }
+  CallGraph Graph(this->Value);
   for (const auto &Entry : this->Value.Services)
     for (const auto &Route : Entry.second.Routes) {
       CompiledRoute Compiled;
@@ -34,23 +79,12 @@
       auto Class = this->Value.Classes.find(Route.Class);
       if (Class != this->Value.Classes.end())
         Compiled.Rank = ClassRank(RankOf(Class->second));
-      this->reach(Route.Path, Compiled.Reaches);
+      Compiled.Reaches = Graph.reaches(Route.Path);
+      Compiled.LevelsBelow = Graph.levelsBelow(Route.Path);
       this->Routes.emplace(Route.Path, std::move(Compiled));
     }
 }
 
-void CompiledRelease::reach(const std::string &Path,
-                            std::vector<ServiceName> &Into) const {
-  auto Name = serviceOf(Path);
-  if (std::find(Into.begin(), Into.end(), Name) == Into.end())
-    Into.push_back(Name);
-  const Route *Declared = findRoute(this->Value, Path);
-  if (Declared == nullptr)
-    return;
-  for (const auto &Callee : Declared->Calls)
-    this->reach(Callee, Into);
-}
-
 const CompiledRoute *CompiledRelease::route(const std::string &Path) const {
   auto Found = this->Routes.find(Path);
   return Found == this->Routes.end() ? nullptr : &Found->second;
--- a/standins/Scenario.cpp
+++ b/standins/Scenario.cpp
@@ -38,6 +38,15 @@
   return Joined;
 }
 
+/// The tries of a stream that were refused, by outcome and reason.
+std::string describeRefusals(const StreamResult &Result) {
+  std::string Text;
+  for (const auto &[Why, Count] : Result.Refusals)
+    Text += (Text.empty() ? "; tries refused: " : ", ") +
+            std::to_string(Count) + " " + Why;
+  return Text;
+}
+
 class Scenario {
 public:
   Scenario(const std::string &File, std::uint64_t Seed)
@@ -392,10 +401,10 @@
     M.finish();
     const auto &R = this->Load.results()[Stream];
     auto Ended = R.Completed + R.GaveUp;
-    this->require(Ended > 0 && R.Completed * 100 >= Percent * Ended,
-                  Step.where(),
-                  Stream + ": " + std::to_string(R.Completed) + " of " +
-                      std::to_string(Ended) + " completed");
+    this->require(
+        Ended > 0 && R.Completed * 100 >= Percent * Ended, Step.where(),
+        Stream + ": " + std::to_string(R.Completed) + " of " +
+            std::to_string(Ended) + " completed" + describeRefusals(R));
   }
 
   /// No try of a stream was refused for anything but these reasons.
--- a/unittests/CallTest.cpp
+++ b/unittests/CallTest.cpp
@@ -129,3 +129,19 @@
   // The budget is spent: the answer is final, and comes at once.
   CHECK(finished(C.onReply(Refused)) != nullptr);
 }
+
+TEST_CASE("Call keeps its only retry when a leaf is lost", "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Idempotent, true, 1, Ratio);
+  static_cast<void>(C.onPicked(First, attempt(1)));
+  CHECK(std::holds_alternative<Call::Pick>(C.onLost(true, false)));
+}
+
+TEST_CASE("Call takes back the grant of an attempt that was never handed over",
+          "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Once, true, 1, Ratio);
+  C.setLevelsBelow(1);
+  static_cast<void>(C.onPicked(First, attempt(1)));
+  CHECK(std::holds_alternative<Call::Pick>(C.onLost(false, false)));
+}
--- a/unittests/ReleaseNoteTest.cpp
+++ b/unittests/ReleaseNoteTest.cpp
@@ -134,6 +134,7 @@
   const auto *Route = Compiled.route("/ordering/place");
   REQUIRE(Route != nullptr);
   CHECK(Route->Rank == ClassRank(0));
+  CHECK(Route->LevelsBelow == 1);
   CHECK(Route->Reaches == std::vector<ServiceName>{ServiceName("ordering"),
                                                    ServiceName("planning")});
   CHECK(Compiled.route("/planning/find")->Rank == ClassRank(1));
--- a/unittests/RetryBudgetTest.cpp
+++ b/unittests/RetryBudgetTest.cpp
@@ -32,7 +32,7 @@
 
   void callChild(unsigned Depth, RetryBudget &Mine) {
     for (;;) {
-      auto Grant = Mine.grant();
+      auto Grant = Mine.grant(Depth);
       auto Left = this->serve(Depth, Grant);
       if (Left) {
         Mine.giveBack(*Left);
@@ -53,11 +53,27 @@
 TEST_CASE("RetryBudget splits what it grants and takes back the rest",
           "[budget]") {
   RetryBudget Mine(5);
-  CHECK(Mine.grant() == 3);
+  CHECK(Mine.grant(1) == 3);
   CHECK(Mine.remaining() == 2);
   Mine.giveBack(2);
   CHECK(Mine.remaining() == 4);
-  CHECK(RetryBudget(0).grant() == 0);
+  CHECK(RetryBudget(0).grant(1) == 0);
+}
+
+TEST_CASE("RetryBudget grants by the levels of calls below", "[budget]") {
+  CHECK(RetryBudget(6).grant(0) == 0);
+  CHECK(RetryBudget(6).grant(2) == 4);
+  CHECK(RetryBudget(1).grant(5) == 1);
+}
+
+TEST_CASE("RetryBudget of one retry serves the deepest call of a chain",
+          "[budget]") {
+  RetryBudget Entry(1);
+  RetryBudget Middle(Entry.grant(2));
+  RetryBudget Deep(Middle.grant(1));
+  // The leaf makes no calls: its loss costs no grant.
+  CHECK(Deep.grant(0) == 0);
+  CHECK(Deep.take());
 }
 
 TEST_CASE("RetryBudget bounds the retries of a whole chain",
