Look a service up in a directory, not in the whole membership

Cause: for every call the caller went through all members and sorted a subset anew, and every keyed call copied the whole list of members to find its two nodes.

Change: ServiceDirectory keeps the ready targets of each service that is asked for, and is read anew only after the membership has changed.

--- a/benchmarks/Decisions.cpp
+++ b/benchmarks/Decisions.cpp
@@ -2,6 +2,7 @@
 // and members. The library's objects alone, without I/O.
 #include "limpetdrum/Limpetdrum.h"
 #include "limpetdrum/daemon/Codec.h"
+#include "limpetdrum/daemon/ServiceDirectory.h"
 
 #include <benchmark/benchmark.h>
 #include <easylogging++.h>
@@ -208,6 +209,20 @@
 }
 BENCHMARK(news)->Arg(25)->Arg(200)->Arg(2000);
 
+/// The nodes that one request may go to, and the two of its key.
+void lookUpService(benchmark::State &State) {
+  auto M = fleet(State.range(0));
+  ServiceDirectory Directory(M);
+  ServiceName Service("service-1");
+  IdempotencyKey Key("orders/place 1");
+  for (auto _ : State) {
+    benchmark::DoNotOptimize(Directory.routes(Service));
+    benchmark::DoNotOptimize(
+        findKeyNodes(Key, Directory.keyCandidates(Service)));
+  }
+}
+BENCHMARK(lookUpService)->Arg(200)->Arg(2000);
+
 Release release(std::int64_t Services) {
   Release R;
   R.Revision = Revision(1);
--- a/include/limpetdrum/daemon/Caller.h
+++ b/include/limpetdrum/daemon/Caller.h
@@ -4,6 +4,7 @@
 #include "limpetdrum/connection/EventLoop.h"
 #include "limpetdrum/daemon/Executor.h"
 #include "limpetdrum/daemon/Ports.h"
+#include "limpetdrum/daemon/ServiceDirectory.h"
 #include "limpetdrum/request/Call.h"
 #include "limpetdrum/request/Router.h"
 
@@ -34,9 +35,9 @@
   using LaterPort =
       std::function<Timer(Microseconds Delay, std::function<void()>)>;
 
-  Caller(const Membership &Members, Router &Routes, LevelTable &Levels,
-         Executor &Own, PeerPort &Peers, Metrics &Counters, Clock Now,
-         LaterPort Later);
+  Caller(const Membership &Members, ServiceDirectory &Directory, Router &Routes,
+         LevelTable &Levels, Executor &Own, PeerPort &Peers, Metrics &Counters,
+         Clock Now, LaterPort Later);
 
   /// \brief How an attempt arrives at this very node: as from a peer.
   using LocalArrival = std::function<void(const AttemptSpec &, ReplyDone)>;
@@ -91,10 +92,9 @@
   void onDeadline(std::uint64_t Ticket);
   void endRoute(Active &Ended, CallEnd How);
   void cancelAttempt(const Active &Call);
-  [[nodiscard]] std::vector<RouteCandidate>
-  candidates(const ServiceName &Service) const;
 
   const Membership &Members;
+  ServiceDirectory &Directory;
   Router &Routes;
   LevelTable &Levels;
   Executor &Own;
--- a/include/limpetdrum/daemon/KeyedCalls.h
+++ b/include/limpetdrum/daemon/KeyedCalls.h
@@ -17,8 +17,9 @@
       const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records,
       std::function<void(bool)> OnDone)>;
 
-  KeyedCalls(const Membership &Members, Executor &Own, Caller &Calls,
-             const InForce &Releases, Metrics &Counters, Clock Now);
+  KeyedCalls(const Membership &Members, ServiceDirectory &Directory,
+             Executor &Own, Caller &Calls, const InForce &Releases,
+             Metrics &Counters, Clock Now);
 
   /// \brief A keyed request enters the fleet here.
   void start(CallRequest Request, ReplyDone Done);
@@ -55,6 +56,7 @@
                    bool Begins, const Reply &Value, const ReplyDone &Done);
 
   const Membership &Members;
+  ServiceDirectory &Directory;
   Executor &Own;
   Caller &Calls;
   const InForce &Releases;
--- a/include/limpetdrum/process/Membership.h
+++ b/include/limpetdrum/process/Membership.h
@@ -109,6 +109,8 @@
   [[nodiscard]] std::vector<Member> list() const;
   /// \brief Whether another process runs under this node's name, and later.
   [[nodiscard]] bool isSuperseded() const noexcept { return this->Superseded; }
+  /// \brief How often anything that is known of a member has changed.
+  [[nodiscard]] std::uint64_t changes() const noexcept { return this->Changes; }
   /// \brief A hash of all members, to compare lists by.
   [[nodiscard]] std::uint64_t digest() const noexcept;
 
@@ -157,6 +159,7 @@
   std::mt19937_64 Random;
   limpetdrum::Revision InForce;
   std::map<NodeId, Member> Others;
+  std::uint64_t Changes = 1;
   std::uint64_t OthersDigest = 0; ///< of Others, kept as they change
   std::unordered_map<NodeId, TimePoint> Suspects;
   std::unordered_map<NodeId, TimePoint> DeadSince;
--- a/lib/daemon/Caller.cpp
+++ b/lib/daemon/Caller.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-/// Nodes of one service that one node calls.
-constexpr std::size_t SubsetSize = 12;
 /// How often one attempt goes out again to the same life of a node.
 constexpr unsigned MaxResends = 8;
 /// Mean wait before an overloaded service is tried again within a chain.
@@ -30,11 +28,12 @@
 
 } // namespace
 
-Caller::Caller(const Membership &Members, Router &Routes, LevelTable &Levels,
-               Executor &Own, PeerPort &Peers, Metrics &Counters, Clock Now,
-               LaterPort Later)
-    : Members(Members), Routes(Routes), Levels(Levels), Own(Own), Peers(Peers),
-      Counters(Counters), Now(std::move(Now)), Later(std::move(Later)),
+Caller::Caller(const Membership &Members, ServiceDirectory &Directory,
+               Router &Routes, LevelTable &Levels, Executor &Own,
+               PeerPort &Peers, Metrics &Counters, Clock Now, LaterPort Later)
+    : Members(Members), Directory(Directory), Routes(Routes), Levels(Levels),
+      Own(Own), Peers(Peers), Counters(Counters), Now(std::move(Now)),
+      Later(std::move(Later)),
       ArriveHere([&Own](const AttemptSpec &Spec, ReplyDone Done) {
         Own.execute(Spec, std::move(Done));
       }),
@@ -72,22 +71,6 @@
       Step);
 }
 
-std::vector<RouteCandidate>
-Caller::candidates(const ServiceName &Service) const {
-  std::vector<RouteCandidate> All;
-  auto Add = [&](const Member &M) {
-    if (M.Service == Service && M.Target == TargetState::Ready &&
-        M.Health != Health::Dead)
-      All.push_back({M.Node, M.FailureDomain, M.Region});
-  };
-  const auto &Self = this->Members.self();
-  Add(Self);
-  for (const auto &Entry : this->Members.others())
-    Add(Entry.second);
-  return subset(std::move(All), Self.Node, Self.FailureDomain, Self.Region,
-                SubsetSize);
-}
-
 std::optional<NodeLife> Caller::lifeOf(const NodeId &Node) const {
   const Member *M = this->Members.find(Node);
   if (M == nullptr)
@@ -108,8 +91,9 @@
     Chosen = A.Request.Choose(A.Decisions.tried());
     if (Chosen)
       this->Routes.begin(Chosen->Node);
-  } else if (auto Node = this->Routes.pick(this->candidates(A.Request.Service),
-                                           A.Decisions.tried(), this->Now())) {
+  } else if (auto Node =
+                 this->Routes.pick(this->Directory.routes(A.Request.Service),
+                                   A.Decisions.tried(), this->Now())) {
     Chosen = this->lifeOf(*Node);
   }
   A.Routed = Chosen.has_value();
--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -46,10 +46,11 @@
                         ClientKey);
 }
 
-KeyedCalls::KeyedCalls(const Membership &Members, Executor &Own, Caller &Calls,
-                       const InForce &Releases, Metrics &Counters, Clock Now)
-    : Members(Members), Own(Own), Calls(Calls), Releases(Releases),
-      Counters(Counters), Now(std::move(Now)),
+KeyedCalls::KeyedCalls(const Membership &Members, ServiceDirectory &Directory,
+                       Executor &Own, Caller &Calls, const InForce &Releases,
+                       Metrics &Counters, Clock Now)
+    : Members(Members), Directory(Directory), Own(Own), Calls(Calls),
+      Releases(Releases), Counters(Counters), Now(std::move(Now)),
       Keys(LedgerRetention, KeptBodyBytes) {
   Calls.setLocalArrival([this](const AttemptSpec &Attempt, ReplyDone Done) {
     this->arrive(Attempt, std::move(Done));
@@ -64,12 +65,14 @@
 std::optional<KeyNodes>
 KeyedCalls::nodesOf(const IdempotencyKey &Key, const ServiceName &Service,
                     const std::vector<NodeId> &Except) const {
-  std::vector<KeyCandidate> Candidates;
-  for (const auto &M : this->Members.list())
-    if (M.Service == Service && M.Target == TargetState::Ready &&
-        M.Health != Health::Dead && !contains(Except, M.Node))
-      Candidates.push_back({M.Node, M.FailureDomain});
-  return findKeyNodes(Key, Candidates);
+  const auto &All = this->Directory.keyCandidates(Service);
+  if (Except.empty())
+    return findKeyNodes(Key, All);
+  std::vector<KeyCandidate> Rest;
+  std::copy_if(
+      All.begin(), All.end(), std::back_inserter(Rest),
+      [&Except](const KeyCandidate &C) { return !contains(Except, C.Node); });
+  return findKeyNodes(Key, Rest);
 }
 
 void KeyedCalls::start(CallRequest Request, ReplyDone Done) {
--- a/lib/daemon/NodeState.h
+++ b/lib/daemon/NodeState.h
@@ -42,6 +42,7 @@
   Metrics Counters;
   InForce Releases;
   Membership Members;
+  ServiceDirectory Directory;
   LevelTable Levels;
   AnnouncedTarget Target;
   PeerPool Peers;
--- a/lib/process/Membership.cpp
+++ b/lib/process/Membership.cpp
@@ -58,6 +58,7 @@
   this->Self.Slots = Slots;
   this->Self.Target = Target;
   ++this->Self.Version;
+  ++this->Changes;
   this->spread(this->Self.Node);
 }
 
@@ -135,6 +136,7 @@
     this->OthersDigest ^= hashOf(Found->second);
   this->OthersDigest ^= hashOf(Update);
   this->Others[Update.Node] = Update;
+  ++this->Changes;
   this->Suspects.erase(Update.Node);
   this->DeadSince.erase(Update.Node);
   if (Update.Health == Health::Suspect)
@@ -293,6 +295,7 @@
     }
     this->OthersDigest ^= hashOf(this->Others.at(It->first));
     this->Others.erase(It->first);
+    ++this->Changes;
     It = this->DeadSince.erase(It);
   }
   for (auto It = this->Relays.begin(); It != this->Relays.end();)
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -56,12 +56,17 @@
   Router Routes{FailureDomain("a"), Region("home"), 1};
   Executor Own{
       {Incarnation(1), true, 1}, Target, Releases, Levels, Counters, Now};
-  Caller Calls{
-      Members, Routes,
-      Levels,  Own,
-      Peers,   Counters,
-      Now,     [](Microseconds, std::function<void()>) { return Timer(); }};
-  KeyedCalls Keyed{Members, Own, Calls, Releases, Counters, Now};
+  ServiceDirectory Directory{Members};
+  Caller Calls{Members,
+               Directory,
+               Routes,
+               Levels,
+               Own,
+               Peers,
+               Counters,
+               Now,
+               [](Microseconds, std::function<void()>) { return Timer(); }};
+  KeyedCalls Keyed{Members, Directory, Own, Calls, Releases, Counters, Now};
   unsigned Answers = 0;
   std::vector<HttpClient::Callback> AtTarget;
 
