Give the keys of a dead node a second holder again

Cause: a key's record stands at its home and its witness.

Change: when a node of the service is found dead, each node that shared keys with it gives their records to whoever takes its place (KeyedCalls::replaceLost). The window shrinks from the retention to the time in which a death is known.

--- a/include/limpetdrum/request/KeyLedger.h
+++ b/include/limpetdrum/request/KeyLedger.h
@@ -64,9 +64,11 @@
   /// \brief The holder's outcome is known.
   void settle(const IdempotencyKey &Key, const Reply &Value);
 
-  /// \brief All records, to hand over on leaving.
-  [[nodiscard]] std::vector<std::pair<IdempotencyKey, KeyRecord>>
-  records() const;
+  using RecordMap = std::unordered_map<IdempotencyKey, KeyRecord>;
+  /// \brief All records, to hand over.
+  [[nodiscard]] const RecordMap &records() const noexcept {
+    return this->Records;
+  }
   /// \brief Takes over a record; one that knows more wins.
   void adopt(const IdempotencyKey &Key, KeyRecord Value);
   [[nodiscard]] std::optional<KeyRecord> find(const IdempotencyKey &Key) const;
@@ -80,7 +82,7 @@
 
   Microseconds Retention;
   std::size_t BodyBytesLeft;
-  std::unordered_map<IdempotencyKey, KeyRecord> Records;
+  RecordMap Records;
   std::deque<std::pair<TimePoint, IdempotencyKey>> Expiries;
 };
 
--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -3,7 +3,6 @@
 #include "limpetdrum/Config.h"
 
 #include <algorithm>
-#include <map>
 
 namespace limpetdrum {
 
@@ -31,6 +30,14 @@
   return std::find(Names.begin(), Names.end(), Name) != Names.end();
 }
 
+std::vector<NodeId> holders(const std::optional<KeyNodes> &Nodes) {
+  if (!Nodes)
+    return {};
+  if (!Nodes->Witness)
+    return {Nodes->Home};
+  return {Nodes->Home, *Nodes->Witness};
+}
+
 ServiceName serviceOfScoped(const IdempotencyKey &Key) {
   auto Slash = Key.value().find('/');
   return Slash == std::string::npos ? ServiceName()
@@ -228,28 +235,32 @@
   this->arriveKeyed(Attempt, Tried, Done);
 }
 
-void KeyedCalls::adopt(
-    const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records) {
+void KeyedCalls::adopt(const KeyRecords &Records) {
   for (const auto &[Key, Record] : Records)
     this->Keys.adopt(Key, Record);
   this->Counters.count("keys_adopted", "", "", Records.size());
 }
 
+std::map<NodeId, KeyedCalls::KeyRecords>
+KeyedCalls::batches(const Receivers &ReceiversOf) const {
+  std::map<NodeId, KeyRecords> ByNode;
+  for (const auto &Record : this->Keys.records())
+    for (const auto &Node : ReceiversOf(Record.first))
+      if (Node != this->self().Node)
+        ByNode[Node].emplace_back(Record);
+  return ByNode;
+}
+
 void KeyedCalls::handOver(const std::optional<NodeId> &OnlyTo,
                           const SendRecords &Send,
                           const std::function<void(bool)> &OnDone) const {
-  std::map<NodeId, std::vector<std::pair<IdempotencyKey, KeyRecord>>> ByNode;
-  for (const auto &Record : this->Keys.records()) {
-    auto Nodes = this->nodesOf(Record.first, serviceOfScoped(Record.first));
-    if (!Nodes)
-      continue;
-    for (const auto &Node : {Nodes->Home, Nodes->Witness.value_or(Nodes->Home)})
-      if (Node != this->self().Node && (!OnlyTo || Node == *OnlyTo)) {
-        ByNode[Node].push_back(Record);
-        if (!Nodes->Witness)
-          break;
-      }
-  }
+  auto ByNode = this->batches([&](const IdempotencyKey &Key) {
+    auto Receivers = holders(this->nodesOf(Key, serviceOfScoped(Key)));
+    if (OnlyTo)
+      Receivers = contains(Receivers, *OnlyTo) ? std::vector<NodeId>{*OnlyTo}
+                                               : std::vector<NodeId>{};
+    return Receivers;
+  });
   if (ByNode.empty()) {
     OnDone(true);
     return;
@@ -264,6 +275,28 @@
     });
 }
 
+void KeyedCalls::replaceLost(const KeyCandidate &Lost,
+                             const SendRecords &Send) {
+  const auto &Now = this->Directory.keyCandidates(this->Own.service());
+  auto Before = Now;
+  Before.push_back(Lost);
+  auto ByNode = this->batches([&](const IdempotencyKey &Key) {
+    auto Receivers = holders(findKeyNodes(Key, Now));
+    auto Earlier = holders(findKeyNodes(Key, Before));
+    auto HadIt = [&Earlier](const NodeId &N) { return contains(Earlier, N); };
+    Receivers.erase(std::remove_if(Receivers.begin(), Receivers.end(), HadIt),
+                    Receivers.end());
+    return Receivers;
+  });
+  for (const auto &[Node, Records] : ByNode) {
+    this->Counters.count("keys_replaced", "", "", Records.size());
+    Send(*this->Members.find(Node), Records, [this](bool Taken) {
+      if (!Taken)
+        this->Counters.count("hand_overs_failed");
+    });
+  }
+}
+
 void KeyedCalls::sweep() { this->Keys.sweep(this->Now()); }
 
 } // namespace limpetdrum
--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -134,16 +134,8 @@
               << toString(M.Health);
     if (M.Health == Health::Dead || M.Target == TargetState::Left)
       this->Routes.forget(M.Node);
-    bool NewHome = M.Target == TargetState::Ready &&
-                   M.Health == Health::Alive &&
-                   M.Service == this->Own.service();
-    if (NewHome)
-      this->Keyed.handOver(
-          M.Node,
-          [this](const Member &To, const auto &Records, auto OnDone) {
-            this->sendRecords(To, Records, OnDone);
-          },
-          [](bool) {});
+    if (M.Service == this->Own.service())
+      this->moveKeys(M);
   }
   if (Out.NewerReleaseAt)
     this->Feed.fetchFrom(*Out.NewerReleaseAt);
@@ -157,6 +149,18 @@
   }
 }
 
+void Node::State::moveKeys(const Member &Changed) {
+  if (Changed.Target != TargetState::Ready)
+    return;
+  auto Send = [this](const Member &To, const auto &Records, auto OnDone) {
+    this->sendRecords(To, Records, OnDone);
+  };
+  if (Changed.Health == Health::Alive)
+    this->Keyed.handOver(Changed.Node, Send, [](bool) {});
+  else if (Changed.Health == Health::Dead)
+    this->Keyed.replaceLost({Changed.Node, Changed.FailureDomain}, Send);
+}
+
 void Node::State::onDatagram(const std::string &Bytes) {
   this->Counters.count("gossip_bytes_received", "", "", Bytes.size());
   auto Message = codec::decode(Bytes);
@@ -215,10 +219,9 @@
   }
 }
 
-void Node::State::sendRecords(
-    const Member &To,
-    const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records,
-    std::function<void(bool)> OnDone) {
+void Node::State::sendRecords(const Member &To,
+                              const KeyedCalls::KeyRecords &Records,
+                              std::function<void(bool)> OnDone) {
   this->Peers.handOver(To.Rpc, Records, std::move(OnDone));
 }
 
--- a/lib/daemon/NodeState.h
+++ b/lib/daemon/NodeState.h
@@ -90,10 +90,9 @@
   // Leaving
   void leave();
   void continueLeaving();
-  void
-  sendRecords(const Member &To,
-              const std::vector<std::pair<IdempotencyKey, KeyRecord>> &Records,
-              std::function<void(bool)> OnDone);
+  void moveKeys(const Member &Changed);
+  void sendRecords(const Member &To, const KeyedCalls::KeyRecords &Records,
+                   std::function<void(bool)> OnDone);
   // The operator's view
   void onAdmin(const std::shared_ptr<HttpExchange> &Exchange);
   [[nodiscard]] nlohmann::json status() const;
--- a/lib/request/KeyLedger.cpp
+++ b/lib/request/KeyLedger.cpp
@@ -62,10 +62,6 @@
   Record.Reply.Status = GoneStatus;
 }
 
-std::vector<std::pair<IdempotencyKey, KeyRecord>> KeyLedger::records() const {
-  return {this->Records.begin(), this->Records.end()};
-}
-
 void KeyLedger::adopt(const IdempotencyKey &Key, KeyRecord Value) {
   auto [Found, IsNew] = this->Records.try_emplace(Key);
   if (!IsNew && evidence(Value) <= evidence(Found->second))
--- a/standins/Scenario.cpp
+++ b/standins/Scenario.cpp
@@ -102,6 +102,7 @@
     static const std::map<std::string, Action> Actions = {
         {"load", &Scenario::startLoad},
         {"stop-load", &Scenario::stopLoad},
+        {"repeat", &Scenario::repeat},
         {"run", &Scenario::letRun},
         {"kill", &Scenario::killNode},
         {"kill-target", &Scenario::killTarget},
@@ -156,6 +157,15 @@
     this->settle(Step);
   }
 
+  /// Clients ask again for what they have been answered.
+  void repeat(YamlMap &Step) {
+    auto M = Step.map("repeat");
+    auto Stream = M.text("stream");
+    this->Load.repeat(Stream, M.text("as"));
+    M.finish();
+    this->settle(Step);
+  }
+
   void settle(YamlMap &Step) {
     this->require(
         this->Processes.runUntil([this]() { return this->Load.open() == 0; },
--- a/standins/bench/LoadGenerator.cpp
+++ b/standins/bench/LoadGenerator.cpp
@@ -2,6 +2,8 @@
 
 #include "limpetdrum/daemon/Executor.h"
 
+#include <algorithm>
+
 namespace limpetdrum::bench {
 
 LoadGenerator::LoadGenerator(EventLoop &Loop, std::uint64_t Seed)
@@ -52,10 +54,27 @@
   });
 }
 
+void LoadGenerator::repeat(const std::string &Stream, const std::string &As) {
+  auto Found = std::find_if(
+      this->Streams.begin(), this->Streams.end(),
+      [&Stream](const auto &Spec) { return Spec->Name == Stream; });
+  if (Found == this->Streams.end())
+    return;
+  this->Streams.push_back(std::make_unique<StreamSpec>(**Found));
+  auto &Again = *this->Streams.back();
+  Again.Name = As;
+  for (auto Number : this->AnsweredNumbers[Stream])
+    this->begin(Again, Number);
+}
+
 void LoadGenerator::begin(const StreamSpec &Spec) {
+  this->begin(Spec, ++this->LastNumber);
+}
+
+void LoadGenerator::begin(const StreamSpec &Spec, std::uint64_t Number) {
   auto R = std::make_shared<Request>();
   R->Spec = &Spec;
-  R->Number = ++this->LastNumber;
+  R->Number = Number;
   R->Start = this->Loop.now();
   R->TriesLeft = Spec.Tries;
   ++this->Open;
@@ -131,8 +150,10 @@
     Result.LatencyMillis.push_back(Latency.count());
     if (Latency <= LateAfter)
       ++Result.OnTimeAt[this->tenth()];
-    if (R->Spec->Keyed)
+    if (R->Spec->Keyed) {
       this->Answered.insert(Run);
+      this->AnsweredNumbers[R->Spec->Name].push_back(R->Number);
+    }
     return;
   }
   ++Result.GaveUp;
--- a/standins/bench/LoadGenerator.h
+++ b/standins/bench/LoadGenerator.h
@@ -56,6 +56,9 @@
   void start(const StreamSpec &Spec);
   /// \brief Multiplies all rates.
   void setSurge(double Factor) { this->Surge = Factor; }
+  /// \brief Sends every answered keyed request of a stream once more under its
+  ///   key, as a client would that lost the answer.
+  void repeat(const std::string &Stream, const std::string &As);
   /// \brief Begins no more requests; open ones go on.
   void stop();
   [[nodiscard]] std::size_t open() const noexcept { return this->Open; }
@@ -84,6 +87,7 @@
 
   void scheduleNext(const StreamSpec &Spec);
   void begin(const StreamSpec &Spec);
+  void begin(const StreamSpec &Spec, std::uint64_t Number);
   void attempt(const RequestPtr &R);
   void onAnswer(const RequestPtr &R, const HttpAnswer &Answer);
   void finish(const RequestPtr &R, bool Completed);
@@ -107,6 +111,7 @@
   std::map<std::string, StreamResult> Results;
   std::set<std::string> NeverRun;
   std::set<std::string> Answered;
+  std::map<std::string, std::vector<std::uint64_t>> AnsweredNumbers;
 };
 
 } // namespace limpetdrum::bench
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
+#include <set>
 
 using namespace limpetdrum;
 using namespace limpetdrum::test;
@@ -166,3 +167,36 @@
   CHECK(Got->Reason == Reason::Draining);
   CHECK(B.Keyed.size() == 0);
 }
+
+TEST_CASE("KeyedCalls gives the keys of a dead node a second holder again",
+          "[keys]") {
+  Bench B;
+  static_cast<void>(B.Members.merge({member("third", "c")}, B.Clock.now()));
+  std::vector<KeyCandidate> All = {{NodeId("here"), FailureDomain("a")},
+                                   {NodeId("there"), FailureDomain("b")},
+                                   {NodeId("third"), FailureDomain("c")}};
+  std::set<std::string> Shared;
+  for (int I = 0; I < 200; ++I) {
+    auto Key = scopedKey(Tenant(), "/ordering/place", std::to_string(I));
+    KeyRecord Record;
+    Record.Expiry = B.Clock.now() + std::chrono::minutes(5);
+    B.Keyed.adopt({{Key, Record}});
+    auto Nodes = findKeyNodes(Key, All);
+    if (Nodes->Home != NodeId("third") && Nodes->Witness != NodeId("third"))
+      Shared.insert(Key.value());
+  }
+  REQUIRE(!Shared.empty());
+  REQUIRE(Shared.size() < 200);
+  auto Lost = member("there", "b");
+  Lost.Health = Health::Dead;
+  static_cast<void>(B.Members.merge({Lost}, B.Clock.now()));
+  std::set<std::string> Given;
+  B.Keyed.replaceLost({Lost.Node, Lost.FailureDomain},
+                      [&](const Member &To, const auto &Records, auto) {
+                        CHECK(To.Node == NodeId("third"));
+                        for (const auto &Record : Records)
+                          Given.insert(Record.first.value());
+                      });
+  // Third holds the rest by itself already.
+  CHECK(Given == Shared);
+}
