Tell callers of moved levels at once

Cause: a level reached the entries only with replies, and a reply to an order waits for the whole chain below.

Ruled out: the fall of the threshold itself as the only cause; refusing at each hop (tried earlier, no gain).

Levels below are passed on along the declared graph. A threshold from the wire is checked.

--- a/include/limpetdrum/daemon/Codec.h
+++ b/include/limpetdrum/daemon/Codec.h
@@ -24,6 +24,11 @@
 /// \throws ValueError if a field is out of its range.
 [[nodiscard]] Reply read(rpc::Reply::Reader In);
 
+using RpcLevels = capnp::List<rpc::Level>;
+void write(RpcLevels::Builder Out, const std::vector<LevelReport> &Value);
+/// \throws ValueError if a threshold is no number in its range.
+[[nodiscard]] std::vector<LevelReport> read(RpcLevels::Reader In);
+
 void write(rpc::MemberRecord::Builder Out, const Member &Value);
 /// \throws ValueError if a field is out of its range.
 [[nodiscard]] Member read(rpc::MemberRecord::Reader In);
--- a/include/limpetdrum/daemon/PeerPool.h
+++ b/include/limpetdrum/daemon/PeerPool.h
@@ -21,6 +21,12 @@
                Done OnResult) override;
   void cancel(const Member &To, AttemptId Id) override;
 
+  using OnLevels =
+      std::function<void(const NodeId &From, const std::vector<LevelReport> &)>;
+  /// \brief Who hears of moved levels at the nodes that are called.
+  void setLevelListener(OnLevels Listener) {
+    this->Listener = std::move(Listener);
+  }
   /// \brief Asks for a release above a revision.
   /// \param OnText called with an empty text if there is none.
   void fetchRelease(Endpoint From, Revision Above,
@@ -49,6 +55,7 @@
   };
 
   std::shared_ptr<Peer> peer(Endpoint Where);
+  void watchLevels(const std::shared_ptr<Peer> &Watched);
   void dropClient(Peer &Of, std::uint64_t Generation);
   void probeBoth(Peer &Silent);
   void replace(Peer &Silent);
@@ -60,6 +67,7 @@
   Metrics &Counters;
   std::unordered_map<Endpoint, std::shared_ptr<Peer>, EndpointHash> Peers;
   std::uint64_t LastCall = 0;
+  OnLevels Listener;
   kj::TaskSet Tasks;
 };
 
--- /dev/null
+++ b/include/limpetdrum/request/LevelBoard.h
@@ -0,0 +1,55 @@
+#ifndef LIMPETDRUM_REQUEST_LEVELBOARD_H
+#define LIMPETDRUM_REQUEST_LEVELBOARD_H
+
+#include "limpetdrum/request/Reply.h"
+
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+namespace limpetdrum {
+
+/// \brief Levels as told to the callers that watch them.
+struct LevelNotice {
+  std::uint64_t Number = 0; ///< rises with each notice of a node's life
+  std::vector<LevelReport> Levels;
+};
+
+/// \brief Tells callers of moved levels at once, not only with replies.
+///
+/// A caller parks a watch, which ends with the first notice that it has not
+/// seen; then it parks the next. Notices come out only when a level has moved
+/// by more than a tenth, and the further apart the more callers watch, so that
+/// a busy node spends little on them.
+/// \code
+///   LevelBoard Board;
+///   Board.watch(0, [](const LevelNotice &News) { use(News.Levels); });
+///   Board.tick([]() { return levelsNow(); }, now());
+/// \endcode
+class LevelBoard {
+public:
+  using Deliver = std::function<void(const LevelNotice &)>;
+  using ReadLevels = std::function<std::vector<LevelReport>()>;
+
+  /// \param Seen the number of the last notice that the caller had, or 0.
+  /// \returns false if too many watch already.
+  [[nodiscard]] bool watch(std::uint64_t Seen, Deliver OnNotice);
+  /// \param Read is called only when a notice may go out.
+  void tick(const ReadLevels &Read, TimePoint Now);
+  [[nodiscard]] std::size_t watchers() const noexcept {
+    return this->Watchers.size();
+  }
+
+private:
+  [[nodiscard]] bool hasMoved(const std::vector<LevelReport> &Levels) const;
+  void publish(std::vector<LevelReport> Levels);
+
+  LevelNotice Last;
+  std::unordered_map<ServiceName, float> Told;
+  std::vector<Deliver> Watchers;
+  TimePoint NextNotice{};
+};
+
+} // namespace limpetdrum
+
+#endif
--- a/include/limpetdrum/version/InForce.h
+++ b/include/limpetdrum/version/InForce.h
@@ -34,6 +34,9 @@
   [[nodiscard]] const std::string &text() const noexcept { return this->Text; }
   /// \returns nullptr if no service has the path.
   [[nodiscard]] const CompiledRoute *route(const std::string &Path) const;
+  /// \brief Every service that the routes of one may reach, itself included.
+  [[nodiscard]] const std::vector<ServiceName> &
+  reachedFrom(const ServiceName &Service) const;
   /// \brief How many ranks the classes make.
   [[nodiscard]] std::size_t rankCount() const noexcept {
     return this->RankCount;
@@ -45,6 +48,7 @@
   std::string Text;
   Release Value;
   std::unordered_map<std::string, CompiledRoute> Routes;
+  std::unordered_map<ServiceName, std::vector<ServiceName>> Reached;
   std::vector<std::string> RankNames;
   std::size_t RankCount = 0;
 };
--- a/lib/daemon/Codec.cpp
+++ b/lib/daemon/Codec.cpp
@@ -110,11 +110,8 @@
   Out.setReason(static_cast<std::uint8_t>(Value.Reason));
   Out.setRetryAfter(static_cast<std::uint32_t>(Value.RetryAfter.count()));
   Out.setRetriesLeft(Value.RetriesLeft);
-  auto Levels = Out.initLevels(static_cast<unsigned>(Value.Levels.size()));
-  for (unsigned I = 0; I < Levels.size(); ++I) {
-    Levels[I].setService(Value.Levels[I].Service.value());
-    Levels[I].setThreshold(Value.Levels[I].Threshold);
-  }
+  write(Out.initLevels(static_cast<unsigned>(Value.Levels.size())),
+        Value.Levels);
 }
 
 Reply read(rpc::Reply::Reader In) {
@@ -126,10 +123,27 @@
   Value.Reason = toEnum<Reason>(In.getReason(), ReasonCount);
   Value.RetryAfter = Milliseconds(In.getRetryAfter());
   Value.RetriesLeft = In.getRetriesLeft();
-  for (auto Level : In.getLevels())
-    Value.Levels.push_back(
-        {ServiceName(toText(Level.getService(), MaxNameBytes)),
-         Level.getThreshold()});
+  Value.Levels = read(In.getLevels());
+  return Value;
+}
+
+void write(RpcLevels::Builder Out, const std::vector<LevelReport> &Value) {
+  for (unsigned I = 0; I < Out.size(); ++I) {
+    Out[I].setService(Value[I].Service.value());
+    Out[I].setThreshold(Value[I].Threshold);
+  }
+}
+
+std::vector<LevelReport> read(RpcLevels::Reader In) {
+  std::vector<LevelReport> Value;
+  for (auto Level : In) {
+    float Threshold = Level.getThreshold();
+    if (!(Threshold >= 0 && Threshold <= MaxRanks))
+      throw ValueError("a level lies outside of its range",
+                       "run the same version of limpetdrum on all nodes");
+    Value.push_back(
+        {ServiceName(toText(Level.getService(), MaxNameBytes)), Threshold});
+  }
   return Value;
 }
 
--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -113,7 +113,15 @@
   auto Every = [this](Microseconds Period, std::function<void()> Action) {
     this->Timers.push_back(this->Loop.every(Period, std::move(Action)));
   };
-  Every(AdmissionTick, [this]() { this->Own.tick(); });
+  Every(AdmissionTick, [this]() {
+    this->Own.tick();
+    this->Board.tick([this]() { return this->levels(); }, this->Now());
+  });
+  this->Peers.setLevelListener(
+      [this](const NodeId &From, const std::vector<LevelReport> &Levels) {
+        for (const auto &Level : Levels)
+          this->Levels.record(From, Level, this->Now());
+      });
   Every(GossipTick, [this]() { this->perform(this->Members.tick(Now())); });
   Every(LivenessTick, [this]() { this->Peers.tick(); });
   Every(Housekeeping, [this]() { this->Keyed.sweep(); });
@@ -149,6 +157,19 @@
   }
 }
 
+std::vector<LevelReport> Node::State::levels() const {
+  std::vector<LevelReport> Result;
+  auto Current = this->Releases.current();
+  if (!Current)
+    return Result;
+  const auto &Own = this->Own.service();
+  for (const auto &Service : Current->reachedFrom(Own))
+    Result.push_back({Service, Service == Own ? this->Own.threshold()
+                                              : this->Levels.threshold(
+                                                    Service, this->Now())});
+  return Result;
+}
+
 void Node::State::moveKeys(const Member &Changed) {
   if (Changed.Target != TargetState::Ready)
     return;
--- a/lib/daemon/NodeState.h
+++ b/lib/daemon/NodeState.h
@@ -7,6 +7,7 @@
 #include "limpetdrum/daemon/Node.h"
 #include "limpetdrum/daemon/PeerPool.h"
 #include "limpetdrum/daemon/ReleaseFeed.h"
+#include "limpetdrum/request/LevelBoard.h"
 
 #include <nlohmann/json.hpp>
 
@@ -44,6 +45,7 @@
   Membership Members;
   ServiceDirectory Directory;
   LevelTable Levels;
+  LevelBoard Board;
   AnnouncedTarget Target;
   PeerPool Peers;
   PlatformClient Platform;
@@ -90,6 +92,7 @@
   // Leaving
   void leave();
   void continueLeaving();
+  [[nodiscard]] std::vector<LevelReport> levels() const;
   void moveKeys(const Member &Changed);
   void sendRecords(const Member &To, const KeyedCalls::KeyRecords &Records,
                    std::function<void(bool)> OnDone);
--- a/lib/daemon/PeerPool.cpp
+++ b/lib/daemon/PeerPool.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::seconds IdleLimit{120};
+/// The levels of a node are watched so long after the last call to it.
+constexpr std::chrono::seconds WatchLimit{10};
 constexpr std::size_t RecordsPerMessage = 200;
 
 } // namespace
@@ -26,7 +28,15 @@
   std::map<std::uint64_t, Done> Waiting;
   TimePoint OldestSend;
   TimePoint LastUse;
+  NodeId Node;                  ///< as of the last call
+  std::uint64_t SeenNotice = 0; ///< of levels, by the present client
+  bool WatchesLevels = false;
 
+  void onNewClient() {
+    ++this->Generation;
+    this->WatchesLevels = false;
+    this->SeenNotice = 0;
+  }
   [[nodiscard]] TimePoint lastRead() const {
     return std::max(this->Client->lastRead(), this->OldestSend);
   }
@@ -49,7 +59,7 @@
   }
   if (!Found->Client) {
     Found->Client = std::make_unique<RpcClient>(this->Loop, Where);
-    ++Found->Generation;
+    Found->onNewClient();
     this->Counters.count("peer_connections");
   }
   Found->LastUse = this->Loop.now();
@@ -64,6 +74,9 @@
 void PeerPool::execute(const Member &To, const AttemptSpec &Attempt,
                        Done OnResult) {
   auto Shared = this->peer(To.Rpc);
+  Shared->Node = To.Node;
+  if (this->Listener && !Shared->WatchesLevels)
+    this->watchLevels(Shared);
   auto Call = ++this->LastCall;
   auto Generation = Shared->Generation;
   if (Shared->Waiting.empty())
@@ -104,6 +117,35 @@
       }));
 }
 
+void PeerPool::watchLevels(const std::shared_ptr<Peer> &Watched) {
+  Watched->WatchesLevels = true;
+  auto Generation = Watched->Generation;
+  auto Request = Watched->Client->node().watchLevelsRequest();
+  Request.setSeen(Watched->SeenNotice);
+  this->Tasks.add(Request.send().then(
+      [this, Watched,
+       Generation](capnp::Response<rpc::Node::WatchLevelsResults> &&Response) {
+        if (Watched->Generation != Generation || !Watched->Client)
+          return;
+        Watched->WatchesLevels = false;
+        Watched->SeenNotice = Response.getNumber();
+        this->Counters.count("level_notices");
+        try {
+          this->Listener(Watched->Node, codec::read(Response.getLevels()));
+        } catch (const ValueError &) {
+          this->Counters.count("rpc_malformed");
+          return;
+        }
+        if (this->Loop.now() - Watched->LastUse < WatchLimit)
+          this->watchLevels(Watched);
+      },
+      [Watched, Generation](kj::Exception &&) {
+        // The next call watches again.
+        if (Watched->Generation == Generation)
+          Watched->WatchesLevels = false;
+      }));
+}
+
 void PeerPool::cancel(const Member &To, AttemptId Id) {
   auto Request = this->peer(To.Rpc)->Client->node().cancelRequest();
   codec::write(Request.initId(), Id);
@@ -230,7 +272,7 @@
   this->Counters.count("peer_connections_replaced");
   auto Old = std::move(Silent.Client);
   Silent.Client = std::move(Silent.Fresh);
-  ++Silent.Generation;
+  Silent.onNewClient();
   Silent.OldestSend = this->Loop.now();
   // Its calls end as lost, and their owners send them again.
   this->retire(std::move(Old), "silent while a new connection answers");
--- a/lib/daemon/RpcService.cpp
+++ b/lib/daemon/RpcService.cpp
@@ -92,6 +92,29 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> watchLevels(WatchLevelsContext Context) override {
+    auto Seen = Context.getParams().getSeen();
+    Context.releaseParams();
+    auto Pair = kj::newPromiseAndFulfiller<void>();
+    auto Fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+        kj::mv(Pair.fulfiller));
+    auto SharedContext = std::make_shared<WatchLevelsContext>(Context);
+    auto Deliver = [Fulfiller, SharedContext](const LevelNotice &News) {
+      // The caller may have hung up.
+      if (!(*Fulfiller)->isWaiting())
+        return;
+      auto Results = SharedContext->getResults();
+      Results.setNumber(News.Number);
+      codec::write(
+          Results.initLevels(static_cast<unsigned>(News.Levels.size())),
+          News.Levels);
+      (*Fulfiller)->fulfill();
+    };
+    if (!this->Of.Board.watch(Seen, Deliver))
+      return KJ_EXCEPTION(OVERLOADED, "too many watch the levels of this node");
+    return kj::mv(Pair.promise);
+  }
+
 private:
   Node::State &Of;
 };
--- a/lib/rpc/Node.capnp
+++ b/lib/rpc/Node.capnp
@@ -90,4 +90,6 @@
   release @3 (above :UInt64) -> (state :Text);
   synchronize @4 (members :List(MemberRecord)) -> (members :List(MemberRecord));
   handOver @5 (records :List(KeyRecord)) -> ();
+  # Answers once the levels have moved beyond notice number `seen`.
+  watchLevels @6 (seen :UInt64) -> (number :UInt64, levels :List(Level));
 }
--- a/lib/rpc/Node.capnp.c++
+++ b/lib/rpc/Node.capnp.c++
@@ -1231,7 +1231,7 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(Kind_c16d60625854e199, c16d60625854e199);
-static const ::capnp::_::AlignedData<79> b_ad7de6d122efb3f4 = {
+static const ::capnp::_::AlignedData<90> b_ad7de6d122efb3f4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     244, 179, 239,  34, 209, 230, 125, 173,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1241,61 +1241,69 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   1,   0,   0,
-     13,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   1,   0,   0,
+     57,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      78, 111, 100, 101,  46,  99,  97, 112,
     110, 112,  58,  78, 111, 100, 101,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     176, 127, 117, 210,  49,  49,  52, 225,
     104, 110, 104, 148, 128,  55, 214, 148,
-    177,   0,   0,   0,  66,   0,   0,   0,
+    209,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     168,  64,  36, 106, 227,  24, 137, 194,
      46, 203, 117,   5,  75,  59, 141, 138,
-    153,   0,   0,   0,  58,   0,   0,   0,
+    185,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     202, 215, 252, 178, 168, 101,  16, 248,
     104,  87,  95,  79, 156, 248,   1, 173,
-    129,   0,   0,   0,  50,   0,   0,   0,
+    161,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      34,  68, 117,  42,  25, 254,  79, 160,
      78, 204, 173, 238, 112,  17, 189, 150,
-    105,   0,   0,   0,  66,   0,   0,   0,
+    137,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     93,   0,   0,   0,   7,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     142, 185,  23, 175,  98, 164,  11, 163,
      18, 171, 160,   1,  58, 150, 125, 170,
-     81,   0,   0,   0,  98,   0,   0,   0,
+    113,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,   7,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     216, 135, 248, 101,  62, 227, 144, 164,
      63, 117, 118, 196, 192,  89,  72, 149,
-     61,   0,   0,   0,  74,   0,   0,   0,
+     93,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+    171, 166, 142, 116, 199,  45, 233, 163,
+    113, 181, 211, 210, 174, 110,  28, 252,
+     73,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     65,   0,   0,   0,   7,   0,   0,   0,
     101, 120, 101,  99, 117, 116, 101,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99,  97, 110,  99, 101, 108,   0,   0,
@@ -1310,6 +1318,9 @@
     104,  97, 110, 100,  79, 118, 101, 114,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    119,  97, 116,  99, 104,  76, 101, 118,
+    101, 108, 115,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_ad7de6d122efb3f4 = b_ad7de6d122efb3f4.words;
@@ -1321,17 +1332,19 @@
   &s_96bd1170eeadcc4e,
   &s_a04ffe192a754422,
   &s_a30ba462af17b98e,
+  &s_a3e92dc7748ea6ab,
   &s_a490e33e65f887d8,
   &s_aa7d963a01a0ab12,
   &s_ad01f89c4f5f5768,
   &s_c28918e36a2440a8,
   &s_e1343131d2757fb0,
   &s_f81065a8b2fcd7ca,
+  &s_fc1c6eaed2d3b571,
 };
-static const uint16_t m_ad7de6d122efb3f4[] = {1, 0, 5, 2, 3, 4};
+static const uint16_t m_ad7de6d122efb3f4[] = {1, 0, 5, 2, 3, 4, 6};
 const ::capnp::_::RawSchema s_ad7de6d122efb3f4 = {
-  0xad7de6d122efb3f4, b_ad7de6d122efb3f4.words, 79, d_ad7de6d122efb3f4, m_ad7de6d122efb3f4,
-  12, 6, nullptr, nullptr, nullptr, { &s_ad7de6d122efb3f4, nullptr, nullptr, 0, 0, nullptr }
+  0xad7de6d122efb3f4, b_ad7de6d122efb3f4.words, 90, d_ad7de6d122efb3f4, m_ad7de6d122efb3f4,
+  14, 7, nullptr, nullptr, nullptr, { &s_ad7de6d122efb3f4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_e1343131d2757fb0 = {
@@ -1864,6 +1877,116 @@
   0, 0, nullptr, nullptr, nullptr, { &s_954859c0c476753f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_a3e92dc7748ea6ab = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    171, 166, 142, 116, 199,  45, 233, 163,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     78, 111, 100, 101,  46,  99,  97, 112,
+    110, 112,  58,  78, 111, 100, 101,  46,
+    119,  97, 116,  99, 104,  76, 101, 118,
+    101, 108, 115,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 101, 110,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a3e92dc7748ea6ab = b_a3e92dc7748ea6ab.words;
+#if !CAPNP_LITE
+static const uint16_t m_a3e92dc7748ea6ab[] = {0};
+static const uint16_t i_a3e92dc7748ea6ab[] = {0};
+const ::capnp::_::RawSchema s_a3e92dc7748ea6ab = {
+  0xa3e92dc7748ea6ab, b_a3e92dc7748ea6ab.words, 33, nullptr, m_a3e92dc7748ea6ab,
+  0, 1, i_a3e92dc7748ea6ab, nullptr, nullptr, { &s_a3e92dc7748ea6ab, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<52> b_fc1c6eaed2d3b571 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    113, 181, 211, 210, 174, 110,  28, 252,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     78, 111, 100, 101,  46,  99,  97, 112,
+    110, 112,  58,  78, 111, 100, 101,  46,
+    119,  97, 116,  99, 104,  76, 101, 118,
+    101, 108, 115,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
+    110, 117, 109,  98, 101, 114,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101, 118, 101, 108, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     90, 188, 129, 139, 106,  36,  70, 204,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fc1c6eaed2d3b571 = b_fc1c6eaed2d3b571.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_fc1c6eaed2d3b571[] = {
+  &s_cc46246a8b81bc5a,
+};
+static const uint16_t m_fc1c6eaed2d3b571[] = {1, 0};
+static const uint16_t i_fc1c6eaed2d3b571[] = {0, 1};
+const ::capnp::_::RawSchema s_fc1c6eaed2d3b571 = {
+  0xfc1c6eaed2d3b571, b_fc1c6eaed2d3b571.words, 52, d_fc1c6eaed2d3b571, m_fc1c6eaed2d3b571,
+  1, 2, i_fc1c6eaed2d3b571, nullptr, nullptr, { &s_fc1c6eaed2d3b571, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1997,6 +2120,16 @@
       "Node.capnp:Node", "handOver",
       0xad7de6d122efb3f4ull, 5);
 }
+::capnp::Request< ::limpetdrum::rpc::Node::WatchLevelsParams,  ::limpetdrum::rpc::Node::WatchLevelsResults>
+Node::Client::watchLevelsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::limpetdrum::rpc::Node::WatchLevelsParams,  ::limpetdrum::rpc::Node::WatchLevelsResults>(
+      0xad7de6d122efb3f4ull, 6, sizeHint);
+}
+::kj::Promise<void> Node::Server::watchLevels(WatchLevelsContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Node.capnp:Node", "watchLevels",
+      0xad7de6d122efb3f4ull, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult Node::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2047,6 +2180,12 @@
              ::limpetdrum::rpc::Node::HandOverParams,  ::limpetdrum::rpc::Node::HandOverResults>(context)),
         false
       };
+    case 6:
+      return {
+        watchLevels(::capnp::Capability::Server::internalGetTypedContext<
+             ::limpetdrum::rpc::Node::WatchLevelsParams,  ::limpetdrum::rpc::Node::WatchLevelsResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2158,6 +2297,22 @@
 constexpr ::capnp::_::RawSchema const* Node::HandOverResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Node::WatchLevelsParams
+constexpr uint16_t Node::WatchLevelsParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Node::WatchLevelsParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Node::WatchLevelsParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Node::WatchLevelsParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Node::WatchLevelsResults
+constexpr uint16_t Node::WatchLevelsResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Node::WatchLevelsResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Node::WatchLevelsResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Node::WatchLevelsResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/lib/rpc/Node.capnp.h
+++ b/lib/rpc/Node.capnp.h
@@ -61,6 +61,8 @@
 CAPNP_DECLARE_SCHEMA(aa7d963a01a0ab12);
 CAPNP_DECLARE_SCHEMA(a490e33e65f887d8);
 CAPNP_DECLARE_SCHEMA(954859c0c476753f);
+CAPNP_DECLARE_SCHEMA(a3e92dc7748ea6ab);
+CAPNP_DECLARE_SCHEMA(fc1c6eaed2d3b571);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -214,6 +216,8 @@
   struct SynchronizeResults;
   struct HandOverParams;
   struct HandOverResults;
+  struct WatchLevelsParams;
+  struct WatchLevelsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -403,6 +407,36 @@
   };
 };
 
+struct Node::WatchLevelsParams {
+  WatchLevelsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3e92dc7748ea6ab, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::WatchLevelsResults {
+  WatchLevelsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fc1c6eaed2d3b571, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class AttemptId::Reader {
@@ -1398,6 +1432,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::limpetdrum::rpc::Node::HandOverParams,  ::limpetdrum::rpc::Node::HandOverResults> handOverRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::limpetdrum::rpc::Node::WatchLevelsParams,  ::limpetdrum::rpc::Node::WatchLevelsResults> watchLevelsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1438,6 +1474,10 @@
   typedef  ::limpetdrum::rpc::Node::HandOverResults HandOverResults;
   typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
   virtual ::kj::Promise<void> handOver(HandOverContext context);
+  typedef  ::limpetdrum::rpc::Node::WatchLevelsParams WatchLevelsParams;
+  typedef  ::limpetdrum::rpc::Node::WatchLevelsResults WatchLevelsResults;
+  typedef ::capnp::CallContext<WatchLevelsParams, WatchLevelsResults> WatchLevelsContext;
+  virtual ::kj::Promise<void> watchLevels(WatchLevelsContext context);
 
   inline  ::limpetdrum::rpc::Node::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2395,6 +2435,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Node::WatchLevelsParams::Reader {
+public:
+  typedef WatchLevelsParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSeen() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::WatchLevelsParams::Builder {
+public:
+  typedef WatchLevelsParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSeen();
+  inline void setSeen( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::WatchLevelsParams::Pipeline {
+public:
+  typedef WatchLevelsParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::WatchLevelsResults::Reader {
+public:
+  typedef WatchLevelsResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasLevels() const;
+  inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Reader getLevels() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::WatchLevelsResults::Builder {
+public:
+  typedef WatchLevelsResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasLevels();
+  inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Builder getLevels();
+  inline void setLevels( ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Builder initLevels(unsigned int size);
+  inline void adoptLevels(::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>> disownLevels();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::WatchLevelsResults::Pipeline {
+public:
+  typedef WatchLevelsResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t AttemptId::Reader::getCaller() const {
@@ -3980,6 +4182,68 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Node::WatchLevelsParams::Reader::getSeen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::WatchLevelsParams::Builder::getSeen() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::WatchLevelsParams::Builder::setSeen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Node::WatchLevelsResults::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::WatchLevelsResults::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::WatchLevelsResults::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::WatchLevelsResults::Reader::hasLevels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::WatchLevelsResults::Builder::hasLevels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Reader Node::WatchLevelsResults::Reader::getLevels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Builder Node::WatchLevelsResults::Builder::getLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::WatchLevelsResults::Builder::setLevels( ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>::Builder Node::WatchLevelsResults::Builder::initLevels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Node::WatchLevelsResults::Builder::adoptLevels(
+    ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>> Node::WatchLevelsResults::Builder::disownLevels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::rpc::Level,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/lib/version/InForce.cpp
+++ b/lib/version/InForce.cpp
@@ -53,6 +53,13 @@
   std::map<std::string, unsigned> Levels;
 };
 
+void addMissing(const std::vector<ServiceName> &Names,
+                std::vector<ServiceName> &Into) {
+  for (const auto &Name : Names)
+    if (std::find(Into.begin(), Into.end(), Name) == Into.end())
+      Into.push_back(Name);
+}
+
 } // namespace
 
 CompiledRelease::CompiledRelease(std::string Text)
@@ -81,10 +88,18 @@
         Compiled.Rank = ClassRank(RankOf(Class->second));
       Compiled.Reaches = Graph.reaches(Route.Path);
       Compiled.LevelsBelow = Graph.levelsBelow(Route.Path);
+      addMissing(Compiled.Reaches, this->Reached[Compiled.Service]);
       this->Routes.emplace(Route.Path, std::move(Compiled));
     }
 }
 
+const std::vector<ServiceName> &
+CompiledRelease::reachedFrom(const ServiceName &Service) const {
+  static const std::vector<ServiceName> None;
+  auto Found = this->Reached.find(Service);
+  return Found == this->Reached.end() ? None : Found->second;
+}
+
 const CompiledRoute *CompiledRelease::route(const std::string &Path) const {
   auto Found = this->Routes.find(Path);
   return Found == this->Routes.end() ? nullptr : &Found->second;
