Fall faster in a burst, rise slower from idle slots

Cause, from the model of the loop that is now unittests/SurgeTest.cpp: a burst of refusals was weighed against half a second of arrivals from before the overload, and the rise by idle slots overshot (a level of 1.5 where 0.4 can be served).

Change: what came before a burst fades to a half, not to 0.8; RiseWhenIdle 1.5 to 1.0, RiseWhenFull 0.02 to 0.04.

--- a/lib/request/AdmissionLevel.cpp
+++ b/lib/request/AdmissionLevel.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t RefusalBurst = 4;
 /// What is left of old arrivals after each window.
 constexpr float Fading = 0.8F;
+/// The same after a burst: what came before the overload says little.
+constexpr float FadingInBurst = 0.5F;
 /// Refusals up to this share are the price of a full queue.
 constexpr double RefusalsBorne = 0.04;
 /// The share of the queue that is kept filled.
@@ -18,8 +20,8 @@
 constexpr double QueueLow = 0.5;
 /// The most that a full queue takes off the arrivals in one window.
 constexpr double FullQueueCut = 0.05;
-constexpr double RiseWhenFull = 0.02;
-constexpr double RiseWhenIdle = 1.5;
+constexpr double RiseWhenFull = 0.04;
+constexpr double RiseWhenIdle = 1.0;
 /// Enough requests always pass to learn of a recovery.
 constexpr float LeastThreshold = 0.02F;
 
@@ -106,10 +108,12 @@
 }
 
 void AdmissionLevel::beginWindow(TimePoint Time) noexcept {
+  bool Burst = this->RefusedNow >= RefusalBurst;
+  float Left = Burst ? FadingInBurst : Fading;
   for (auto &Bin : this->Bins)
-    Bin *= Fading;
-  this->Arrivals *= Fading;
-  this->Refused *= Fading;
+    Bin *= Left;
+  this->Arrivals *= Left;
+  this->Refused *= Left;
   this->RefusedNow = 0;
   this->Sum = Occupancy();
   this->Samples = 0;
--- /dev/null
+++ b/unittests/SurgeTest.cpp
@@ -0,0 +1,158 @@
+#include "FakeClock.h"
+#include "limpetdrum/request/Admission.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+/// The slot planning of Fjordkulde: three targets of a few slots, behind
+/// entries that learn of their levels with a delay.
+class DeepService {
+public:
+  struct Demand {
+    double Orders = 45;  ///< a second
+    double Checks = 120; ///< a second
+  };
+  struct Figures {
+    double Served = 0;
+    double Refused = 0;
+  };
+
+  explicit DeepService(std::uint64_t Seed) : Random(Seed) {
+    for (auto &Target : this->Targets)
+      Target.announce(Slots(SlotsEach), Milliseconds(0), this->Clock.now());
+  }
+
+  Figures run(Milliseconds Span, const Demand &Offered,
+              Milliseconds ServiceTime) {
+    this->Seen = Figures();
+    this->ServiceTime = ServiceTime;
+    for (Milliseconds T{0}; T < Span; T += Milliseconds(1)) {
+      this->Clock.advance(Milliseconds(1));
+      this->finishDue();
+      this->offer(Offered.Orders, ClassRank(0));
+      this->offer(Offered.Checks, ClassRank(1));
+      if (T.count() % 10 == 0)
+        this->tick();
+    }
+    return this->Seen;
+  }
+
+  [[nodiscard]] float entryLevel() const {
+    return this->Levels.begin()->second;
+  }
+
+private:
+  static constexpr std::uint16_t SlotsEach = 5;
+  static constexpr Milliseconds NewsDelay{60};
+  static constexpr std::size_t Ranks = 3;
+
+  void offer(double Rate, ClassRank Rank) {
+    std::poisson_distribution<int> Count(Rate / 1000);
+    std::uniform_real_distribution<float> Cohort(0, 1);
+    for (int I = Count(this->Random); I > 0; --I) {
+      Arrival Value;
+      Value.Id = {Incarnation(1), ++this->LastId};
+      Value.Rank = Rank;
+      Value.Cohort = Cohort(this->Random);
+      Value.Deadline = this->Clock.now() + std::chrono::seconds(2);
+      if (position(Rank, Value.Cohort) < this->entryLevel())
+        this->arrive(Value);
+    }
+  }
+
+  void arrive(const Arrival &Value) {
+    auto Which = this->Random() % this->Targets.size();
+    this->apply(Which, this->Targets[Which].arrive(Value, this->Clock.now()));
+  }
+
+  void apply(std::size_t Which, const AdmissionDecisions &Decisions) {
+    this->Seen.Refused += static_cast<double>(Decisions.Refuse.size());
+    for (const auto &Id : Decisions.Dispatch)
+      this->Due.emplace(this->Clock.now() + this->ServiceTime,
+                        std::make_pair(Which, Id));
+  }
+
+  void finishDue() {
+    while (!this->Due.empty() &&
+           this->Due.begin()->first <= this->Clock.now()) {
+      auto [Which, Id] = this->Due.begin()->second;
+      this->Due.erase(this->Due.begin());
+      this->Seen.Served += 1;
+      this->apply(Which, this->Targets[Which].complete(Id, Completion::Served,
+                                                       this->Clock.now()));
+    }
+  }
+
+  void tick() {
+    float Sum = 0;
+    for (std::size_t I = 0; I < this->Targets.size(); ++I) {
+      this->apply(I, this->Targets[I].tick(Ranks, this->Clock.now()));
+      Sum += this->Targets[I].threshold();
+    }
+    this->Levels[this->Clock.now() + NewsDelay] =
+        Sum / static_cast<float>(this->Targets.size());
+    while (std::next(this->Levels.begin()) != this->Levels.end() &&
+           std::next(this->Levels.begin())->first <= this->Clock.now())
+      this->Levels.erase(this->Levels.begin());
+  }
+
+  FakeClock Clock;
+  std::mt19937_64 Random;
+  Milliseconds ServiceTime{50};
+  std::array<Admission, 3> Targets{Admission(Slots(SlotsEach)),
+                                   Admission(Slots(SlotsEach)),
+                                   Admission(Slots(SlotsEach))};
+  std::multimap<TimePoint, std::pair<std::size_t, AttemptId>> Due;
+  std::map<TimePoint, float> Levels{{TimePoint(), float(MaxRanks)}};
+  std::uint64_t LastId = 0;
+  Figures Seen;
+};
+
+} // namespace
+
+namespace {
+
+constexpr Milliseconds Usual{50};
+constexpr Milliseconds Slowed{150};
+constexpr double SlowedCapacity = 100;
+
+DeepService::Demand demand(double Factor) {
+  return {45 * Factor, 120 * Factor};
+}
+
+} // namespace
+
+TEST_CASE("Admission keeps a slowed service busy through a surge",
+          "[level][property]") {
+  for (double Load : {1.0, 1.4}) {
+    double Served = 0;
+    constexpr unsigned Seeds = 10;
+    for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+      DeepService S(Seed);
+      static_cast<void>(S.run(Milliseconds(5000), demand(Load), Usual));
+      static_cast<void>(S.run(Milliseconds(1000), demand(5 * Load), Slowed));
+      Served += S.run(Milliseconds(7000), demand(5 * Load), Slowed).Served / 7;
+    }
+    INFO("load " << Load << ", served " << Served / Seeds << "/s");
+    CHECK(Served / Seeds >= 0.9 * SlowedCapacity);
+  }
+}
+
+TEST_CASE("Admission admits everything within 2 seconds of a surge",
+          "[level][property]") {
+  for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+    DeepService S(Seed);
+    static_cast<void>(S.run(Milliseconds(3000), demand(1.4), Usual));
+    static_cast<void>(S.run(Milliseconds(5000), demand(7), Slowed));
+    static_cast<void>(S.run(Milliseconds(2000), demand(1.4), Usual));
+    INFO("seed " << Seed);
+    CHECK(S.entryLevel() >= 2);
+  }
+}
