Lose no orders to nodes that nobody can reach

Cause, two faults: - a call that was sent on a connection already closed counted as handed over, so a request that must run once ended as unknown. PeerPool replaces a closed connection before it sends; - an attempt that never reached a node cost a retry of the chain's budget and of the node's ratio. With a third of the nodes dead and not yet known to be, both ran out, and orders failed in the middle of their chain. Looking on is now free: each node is tried once, and nothing was sent.

--- a/include/limpetdrum/connection/BuffereventStream.h
+++ b/include/limpetdrum/connection/BuffereventStream.h
@@ -32,6 +32,7 @@
   [[nodiscard]] bool wasConnected() const noexcept { return this->Connected; }
   /// \brief Says so for a connection that was accepted here.
   void markConnected() noexcept { this->Connected = true; }
+  [[nodiscard]] bool isClosed() const noexcept { return this->Closed; }
   /// \brief When bytes last came in, in readings of the monotonic clock.
   [[nodiscard]] TimePoint lastRead() const noexcept { return this->LastRead; }
   /// \brief Ends the connection; pending reads fail as disconnected.
--- a/include/limpetdrum/connection/RpcClient.h
+++ b/include/limpetdrum/connection/RpcClient.h
@@ -22,6 +22,8 @@
   [[nodiscard]] rpc::Node::Client &node();
   /// \brief Whether the peer ever accepted; if not, nothing was handed over.
   [[nodiscard]] bool wasConnected() const noexcept;
+  /// \brief Whether the connection has ended; calls on it reach nobody.
+  [[nodiscard]] bool isClosed() const noexcept;
   /// \brief When bytes last came in.
   [[nodiscard]] TimePoint lastRead() const noexcept;
   /// \brief Gives the connection up; calls on it fail as disconnected.
--- a/lib/connection/RpcClient.cpp
+++ b/lib/connection/RpcClient.cpp
@@ -65,6 +65,10 @@
   return this->Impl->Stream->wasConnected();
 }
 
+bool RpcClient::isClosed() const noexcept {
+  return this->Impl->Stream->isClosed();
+}
+
 TimePoint RpcClient::lastRead() const noexcept {
   return this->Impl->Stream->lastRead();
 }
--- a/lib/daemon/PeerPool.cpp
+++ b/lib/daemon/PeerPool.cpp
@@ -57,6 +57,9 @@
     Found = std::make_shared<Peer>();
     Found->Where = Where;
   }
+  // What is sent on a closed connection would count as handed over.
+  if (Found->Client && Found->Client->isClosed())
+    this->retire(std::move(Found->Client), "closed");
   if (!Found->Client) {
     Found->Client = std::make_unique<RpcClient>(this->Loop, Where);
     Found->onNewClient();
--- a/lib/request/Call.cpp
+++ b/lib/request/Call.cpp
@@ -73,8 +73,11 @@
   if (NowHandedOver && SameLifeReachable)
     return *this->Current;
   if (!this->HandedOver) {
+    // It reached nobody, so looking on costs no retry; each node is tried once.
     this->Budget.giveBack(this->Current->Retries);
-    return this->retry(notRun(Reason::NodeGone, ComeBackSoon));
+    if (this->Movable)
+      return Pick{};
+    return this->finish(notRun(Reason::NodeGone, ComeBackSoon));
   }
   this->MayHaveRun = true;
   auto Lost = unknownOutcome(Reason::NodeGone, ComeBackSoon);
--- a/standins/Scenario.cpp
+++ b/standins/Scenario.cpp
@@ -106,6 +106,8 @@
         {"run", &Scenario::letRun},
         {"kill", &Scenario::killNode},
         {"kill-target", &Scenario::killTarget},
+        {"kill-domain", &Scenario::killDomain},
+        {"restart-domain", &Scenario::restartDomain},
         {"freeze", &Scenario::freezeNode},
         {"thaw", &Scenario::thawNode},
         {"leave", &Scenario::leaveNode},
@@ -193,6 +195,24 @@
   void killTarget(YamlMap &Step) {
     this->named(Step, "kill-target").Target->signal(SIGKILL);
   }
+  std::vector<Fleet::Member *> ofDomain(const std::string &Domain) {
+    std::vector<Fleet::Member *> Found;
+    for (auto &M : this->Processes.members())
+      if (M->Domain == Domain)
+        Found.push_back(M.get());
+    return Found;
+  }
+  /// Nodes and targets of a failure domain die at once.
+  void killDomain(YamlMap &Step) {
+    for (auto *M : this->ofDomain(Step.text("kill-domain"))) {
+      M->Node->signal(SIGKILL);
+      M->Target->signal(SIGKILL);
+    }
+  }
+  void restartDomain(YamlMap &Step) {
+    for (auto *M : this->ofDomain(Step.text("restart-domain")))
+      this->restart(*M);
+  }
   void freezeNode(YamlMap &Step) {
     auto &M = this->named(Step, "freeze");
     M.Node->signal(SIGSTOP);
@@ -213,8 +233,8 @@
     this->Processes.aim(this->Load);
   }
 
-  void restart(YamlMap &Step) {
-    auto &M = this->named(Step, "restart");
+  void restart(YamlMap &Step) { this->restart(this->named(Step, "restart")); }
+  void restart(Fleet::Member &M) {
     this->Restarted.insert(M.Name);
     M.Node.reset();
     M.Target.reset();
--- a/unittests/CallTest.cpp
+++ b/unittests/CallTest.cpp
@@ -137,6 +137,19 @@
   CHECK(std::holds_alternative<Call::Pick>(C.onLost(true, false)));
 }
 
+TEST_CASE("Call looks on without a retry while no node is there", "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Once, true, 0, Ratio);
+  static_cast<void>(C.onPicked(First, attempt(1)));
+  CHECK(std::holds_alternative<Call::Pick>(C.onLost(false, false)));
+  CHECK(C.tried().size() == 1);
+  static_cast<void>(C.onPicked(Second, attempt(2)));
+  CHECK(std::holds_alternative<Call::Pick>(C.onLost(false, false)));
+  auto None = C.onPicked(std::nullopt, attempt(3));
+  REQUIRE(finished(None) != nullptr);
+  CHECK(finished(None)->Outcome == Outcome::NotRun);
+}
+
 TEST_CASE("Call takes back the grant of an attempt that was never handed over",
           "[call]") {
   RetryRatio Ratio;
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -1,12 +1,14 @@
 #include "limpetdrum/connection/Http.h"
+#include "RawClient.h"
 #include "limpetdrum/Config.h"
-#include "limpetdrum/connection/SocketAddress.h"
 
 #include <catch2/catch.hpp>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <random>
 
 using namespace limpetdrum;
+using namespace limpetdrum::test;
 
 namespace {
 
@@ -148,6 +150,37 @@
   }
 }
 
+TEST_CASE("HttpServer passes on whole requests only, whatever it is sent",
+          "[http]") {
+  EventLoop Loop;
+  std::vector<std::string> Served;
+  HttpServer Server(Loop, Where, [&](std::shared_ptr<HttpExchange> Exchange) {
+    Served.push_back(Exchange->body());
+    Exchange->reply(200, {}, "ok");
+  });
+  std::mt19937_64 Random(5);
+  const std::string Whole =
+      "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 20\r\n\r\n"
+      "twenty bytes of text";
+  for (std::size_t Cut = 0; Cut < Whole.size(); Cut += 3)
+    sendRaw(Loop, Where, Whole.substr(0, Cut));
+  CHECK(Served.empty());
+  for (int I = 0; I < 100; ++I) {
+    auto Altered = Whole;
+    Altered[Random() % 70] = static_cast<char>(Random());
+    sendRaw(Loop, Where, Altered);
+  }
+  for (int I = 0; I < 50; ++I) {
+    std::string Noise(1 + Random() % 300, '\0');
+    for (auto &Byte : Noise)
+      Byte = static_cast<char>(Random());
+    sendRaw(Loop, Where, Noise);
+  }
+  Served.clear();
+  sendRaw(Loop, Where, Whole);
+  CHECK(Served == std::vector<std::string>{"twenty bytes of text"});
+}
+
 TEST_CASE("HttpServer tells that the client left", "[http]") {
   EventLoop Loop;
   std::shared_ptr<HttpExchange> Kept;
--- a/unittests/RpcTest.cpp
+++ b/unittests/RpcTest.cpp
@@ -1,8 +1,12 @@
+#include "RawClient.h"
 #include "limpetdrum/connection/RpcClient.h"
+#include "limpetdrum/daemon/PeerPool.h"
 
 #include <catch2/catch.hpp>
+#include <random>
 
 using namespace limpetdrum;
+using namespace limpetdrum::test;
 
 namespace {
 
@@ -45,6 +49,55 @@
   }
 }
 
+TEST_CASE("RpcServer outlives whatever bytes it is sent", "[rpc]") {
+  EventLoop Loop;
+  RpcServer Server(Loop, Where, kj::heap<ProbeService>());
+  std::mt19937_64 Random(5);
+  auto Bytes = [&](std::size_t Count) {
+    std::string Text(Count, '\0');
+    for (auto &Byte : Text)
+      Byte = static_cast<char>(Random());
+    return Text;
+  };
+  for (int I = 0; I < 100; ++I)
+    sendRaw(Loop, Where, Bytes(1 + Random() % 300));
+  // One segment of 4 G words; one of 8 words that hold nonsense.
+  sendRaw(Loop, Where, std::string("\0\0\0\0\xff\xff\xff\xff", 8));
+  for (int I = 0; I < 100; ++I)
+    sendRaw(Loop, Where, std::string("\0\0\0\0\x08\0\0\0", 8) + Bytes(64));
+  RpcClient Client(Loop, Where);
+  CHECK(probe(Loop, Client) == 42);
+}
+
+TEST_CASE("PeerPool hands nothing over to a node that has gone", "[rpc]") {
+  EventLoop Loop;
+  Metrics Counters;
+  PeerPool Peers(Loop, Counters);
+  Member To;
+  To.Node = NodeId("gone");
+  To.Rpc = Where;
+  auto Execute = [&]() {
+    std::optional<PeerResult> Got;
+    Peers.execute(To, AttemptSpec(), [&](const PeerResult &Result) {
+      Got = Result;
+      Loop.stop();
+    });
+    while (!Got)
+      Loop.run();
+    return *Got;
+  };
+  auto Server =
+      std::make_unique<RpcServer>(Loop, Where, kj::heap<ProbeService>());
+  // It answers, if only that it does not know the call.
+  CHECK(Execute().Kind == PeerResult::Kind::Malformed);
+  Server.reset();
+  auto Settle = Loop.after(Milliseconds(20), [&]() { Loop.stop(); });
+  Loop.run();
+  auto Lost = Execute();
+  CHECK(Lost.Kind == PeerResult::Kind::Lost);
+  CHECK_FALSE(Lost.HandedOver);
+}
+
 TEST_CASE("RpcClient tells a refused connection from a lost one", "[rpc]") {
   EventLoop Loop;
   RpcClient Client(Loop, Where);
