--- a/include/limpetdrum/request/KeyLedger.h
+++ b/include/limpetdrum/request/KeyLedger.h
@@ -83,7 +83,8 @@
   Microseconds Retention;
   std::size_t BodyBytesLeft;
   RecordMap Records;
-  std::deque<std::pair<TimePoint, IdempotencyKey>> Expiries;
+  /// Keys stand in Records, whose elements keep their place until swept.
+  std::deque<std::pair<TimePoint, const IdempotencyKey *>> Expiries;
 };
 
 } // namespace limpetdrum
--- a/lib/daemon/NodeAdmin.cpp
+++ b/lib/daemon/NodeAdmin.cpp
@@ -1,5 +1,7 @@
 #include "NodeState.h"
 
+#include "limpetdrum/request/Position.h"
+
 #include <fstream>
 
 namespace limpetdrum {
@@ -62,11 +64,25 @@
                            {"platform-reached", this->Feed.platformReached()}};
   for (const auto &M : this->Members.list())
     Result["members"].push_back(describe(M));
+  Result["levels"] = this->knownLevels();
   Result["p50-ms"] = this->Counters.quantiles(0.5);
   Result["p99-ms"] = this->Counters.quantiles(0.99);
   return Result;
 }
 
+nlohmann::json Node::State::knownLevels() const {
+  auto Result = nlohmann::json::object();
+  auto Current = this->Releases.current();
+  if (!Current)
+    return Result;
+  for (const auto &Entry : Current->release().Services) {
+    auto Level = this->Levels.threshold(Entry.second.Name, this->Now());
+    if (Level < MaxRanks)
+      Result[Entry.first] = Level;
+  }
+  return Result;
+}
+
 nlohmann::json Node::State::inForce() const {
   auto Current = this->Releases.current();
   auto Time = this->Now();
--- a/lib/daemon/NodeState.h
+++ b/lib/daemon/NodeState.h
@@ -99,6 +99,8 @@
   // The operator's view
   void onAdmin(const std::shared_ptr<HttpExchange> &Exchange);
   [[nodiscard]] nlohmann::json status() const;
+  /// \returns the levels of other services that admit less than everything.
+  [[nodiscard]] nlohmann::json knownLevels() const;
   [[nodiscard]] nlohmann::json inForce() const;
   void refreshGauges();
 };
--- a/lib/daemon/RpcService.cpp
+++ b/lib/daemon/RpcService.cpp
@@ -9,6 +9,28 @@
 
 namespace {
 
+/// The answer to a call that ends later than its handler.
+template <typename Context> class LateAnswer {
+public:
+  explicit LateAnswer(Context Call)
+      : Call(Call), Pair(kj::newPromiseAndFulfiller<void>()) {}
+
+  /// To be returned by the handler; once only.
+  kj::Promise<void> promise() { return kj::mv(this->Pair.promise); }
+
+  /// Does nothing if the caller has hung up.
+  template <typename Writer> void give(const Writer &Write) {
+    if (!this->Pair.fulfiller->isWaiting())
+      return;
+    Write(this->Call.getResults());
+    this->Pair.fulfiller->fulfill();
+  }
+
+private:
+  Context Call;
+  kj::PromiseFulfillerPair<void> Pair;
+};
+
 /// The node's side of the interface in Node.capnp.
 class RpcService final : public rpc::Node::Server {
 public:
@@ -24,19 +46,12 @@
       return KJ_EXCEPTION(FAILED, E.what());
     }
     Context.releaseParams();
-    auto Pair = kj::newPromiseAndFulfiller<void>();
-    auto Fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
-        kj::mv(Pair.fulfiller));
-    auto SharedContext = std::make_shared<ExecuteContext>(Context);
-    auto Done = [Fulfiller, SharedContext](const Reply &Value) {
-      // The caller may have hung up.
-      if (!(*Fulfiller)->isWaiting())
-        return;
-      codec::write(SharedContext->getResults().initReply(), Value);
-      (*Fulfiller)->fulfill();
-    };
-    this->Of.Keyed.arrive(Spec, Done);
-    return kj::mv(Pair.promise);
+    auto Late = std::make_shared<LateAnswer<ExecuteContext>>(Context);
+    this->Of.Keyed.arrive(Spec, [Late](const Reply &Value) {
+      Late->give(
+          [&Value](auto Results) { codec::write(Results.initReply(), Value); });
+    });
+    return Late->promise();
   }
 
   kj::Promise<void> cancel(CancelContext Context) override {
@@ -95,24 +110,18 @@
   kj::Promise<void> watchLevels(WatchLevelsContext Context) override {
     auto Seen = Context.getParams().getSeen();
     Context.releaseParams();
-    auto Pair = kj::newPromiseAndFulfiller<void>();
-    auto Fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
-        kj::mv(Pair.fulfiller));
-    auto SharedContext = std::make_shared<WatchLevelsContext>(Context);
-    auto Deliver = [Fulfiller, SharedContext](const LevelNotice &News) {
-      // The caller may have hung up.
-      if (!(*Fulfiller)->isWaiting())
-        return;
-      auto Results = SharedContext->getResults();
-      Results.setNumber(News.Number);
-      codec::write(
-          Results.initLevels(static_cast<unsigned>(News.Levels.size())),
-          News.Levels);
-      (*Fulfiller)->fulfill();
+    auto Late = std::make_shared<LateAnswer<WatchLevelsContext>>(Context);
+    auto Deliver = [Late](const LevelNotice &News) {
+      Late->give([&News](auto Results) {
+        Results.setNumber(News.Number);
+        codec::write(
+            Results.initLevels(static_cast<unsigned>(News.Levels.size())),
+            News.Levels);
+      });
     };
     if (!this->Of.Board.watch(Seen, Deliver))
       return KJ_EXCEPTION(OVERLOADED, "too many watch the levels of this node");
-    return kj::mv(Pair.promise);
+    return Late->promise();
   }
 
 private:
--- a/lib/request/KeyLedger.cpp
+++ b/lib/request/KeyLedger.cpp
@@ -28,7 +28,7 @@
     Record.Holder = Candidate;
     Record.Expiry = Now + this->Retention;
     Record.Runs = 1;
-    this->Expiries.emplace_back(Record.Expiry, Key);
+    this->Expiries.emplace_back(Record.Expiry, &Found->first);
     return {Verdict::Begin, Candidate, {}};
   }
   if (!Record.Settled)
@@ -71,7 +71,7 @@
   if (Found->second.Settled)
     this->keepBody(Found->second, Taken);
   if (IsNew)
-    this->Expiries.emplace_back(Found->second.Expiry, Key);
+    this->Expiries.emplace_back(Found->second.Expiry, &Found->first);
 }
 
 std::optional<KeyRecord> KeyLedger::find(const IdempotencyKey &Key) const {
@@ -83,11 +83,9 @@
 
 void KeyLedger::sweep(TimePoint Now) {
   while (!this->Expiries.empty() && this->Expiries.front().first <= Now) {
-    auto Found = this->Records.find(this->Expiries.front().second);
-    if (Found != this->Records.end()) {
-      this->BodyBytesLeft += Found->second.Reply.Body.size();
-      this->Records.erase(Found);
-    }
+    auto Found = this->Records.find(*this->Expiries.front().second);
+    this->BodyBytesLeft += Found->second.Reply.Body.size();
+    this->Records.erase(Found);
     this->Expiries.pop_front();
   }
 }
--- a/tools/limpetctl/main.cpp
+++ b/tools/limpetctl/main.cpp
@@ -210,6 +210,8 @@
               << M["failure-domain"].get<std::string>() << "  "
               << M["target"].get<std::string>() << "  "
               << M["health"].get<std::string>() << "\n";
+  for (const auto &[Name, Level] : Body["levels"].items())
+    std::cout << "  " << Name << " admits positions below " << Level << "\n";
   for (const auto &[Name, Value] : Body["p99-ms"].items())
     std::cout << "  p99 " << Name << ": " << Value << " ms\n";
   return Ok;
