Forget level watches whose callers have hung up

Found by reading: a watch stayed parked until the next notice, so callers that came and went while no level moved filled the board (4,000), after which new ones were refused and heard of levels with replies only. The test for it then showed that Cap'n Proto keeps a held call waiting when its caller hangs up, unless the handler allows its cancellation.

Change: watchLevels allows cancellation, and the board drops dead watches each second; a gauge shows how many watch.

--- a/include/limpetdrum/request/LevelBoard.h
+++ b/include/limpetdrum/request/LevelBoard.h
@@ -23,17 +23,23 @@
 /// a busy node spends little on them.
 /// \code
 ///   LevelBoard Board;
-///   Board.watch(0, [](const LevelNotice &News) { use(News.Levels); });
+///   Board.watch(0, [](const LevelNotice &News) { use(News.Levels); },
+///               []() { return true; });
 ///   Board.tick([]() { return levelsNow(); }, now());
 /// \endcode
 class LevelBoard {
 public:
   using Deliver = std::function<void(const LevelNotice &)>;
+  using IsWaiting = std::function<bool()>;
   using ReadLevels = std::function<std::vector<LevelReport>()>;
 
   /// \param Seen the number of the last notice that the caller had, or 0.
+  /// \param StillWaits whether the caller has not hung up; see sweep().
   /// \returns false if too many watch already.
-  [[nodiscard]] bool watch(std::uint64_t Seen, Deliver OnNotice);
+  [[nodiscard]] bool watch(std::uint64_t Seen, Deliver OnNotice,
+                           IsWaiting StillWaits);
+  /// \brief Forgets watches whose callers have hung up.
+  void sweep();
   /// \param Read is called only when a notice may go out.
   void tick(const ReadLevels &Read, TimePoint Now);
   [[nodiscard]] std::size_t watchers() const noexcept {
@@ -41,12 +47,17 @@
   }
 
 private:
+  struct Watcher {
+    Deliver OnNotice;
+    IsWaiting StillWaits;
+  };
+
   [[nodiscard]] bool hasMoved(const std::vector<LevelReport> &Levels) const;
   void publish(std::vector<LevelReport> Levels);
 
   LevelNotice Last;
   std::unordered_map<ServiceName, float> Told;
-  std::vector<Deliver> Watchers;
+  std::vector<Watcher> Watchers;
   TimePoint NextNotice{};
 };
 
--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -124,7 +124,10 @@
       });
   Every(GossipTick, [this]() { this->perform(this->Members.tick(Now())); });
   Every(LivenessTick, [this]() { this->Peers.tick(); });
-  Every(Housekeeping, [this]() { this->Keyed.sweep(); });
+  Every(Housekeeping, [this]() {
+    this->Keyed.sweep();
+    this->Board.sweep();
+  });
   Every(ContactSearch, [this]() { this->searchContacts(); });
   this->findContacts();
   this->Feed.start();
--- a/lib/daemon/NodeAdmin.cpp
+++ b/lib/daemon/NodeAdmin.cpp
@@ -44,6 +44,8 @@
                        static_cast<double>(this->Releases.revision().value()));
   this->Counters.gauge("attempts_remembered",
                        static_cast<double>(this->Own.remembered()));
+  this->Counters.gauge("level_watchers",
+                       static_cast<double>(this->Board.watchers()));
   this->Counters.gauge("keys_remembered",
                        static_cast<double>(this->Keyed.size()));
   this->Counters.gauge("peer_connections_open",
--- a/lib/daemon/RpcService.cpp
+++ b/lib/daemon/RpcService.cpp
@@ -18,9 +18,11 @@
   /// To be returned by the handler; once only.
   kj::Promise<void> promise() { return kj::mv(this->Pair.promise); }
 
+  bool isWaiting() { return this->Pair.fulfiller->isWaiting(); }
+
   /// Does nothing if the caller has hung up.
   template <typename Writer> void give(const Writer &Write) {
-    if (!this->Pair.fulfiller->isWaiting())
+    if (!this->isWaiting())
       return;
     Write(this->Call.getResults());
     this->Pair.fulfiller->fulfill();
@@ -110,6 +112,8 @@
   kj::Promise<void> watchLevels(WatchLevelsContext Context) override {
     auto Seen = Context.getParams().getSeen();
     Context.releaseParams();
+    // Without this the call would wait on when its caller has hung up.
+    Context.allowCancellation();
     auto Late = std::make_shared<LateAnswer<WatchLevelsContext>>(Context);
     auto Deliver = [Late](const LevelNotice &News) {
       Late->give([&News](auto Results) {
@@ -119,7 +123,8 @@
             News.Levels);
       });
     };
-    if (!this->Of.Board.watch(Seen, Deliver))
+    auto StillWaits = [Late]() { return Late->isWaiting(); };
+    if (!this->Of.Board.watch(Seen, Deliver, StillWaits))
       return KJ_EXCEPTION(OVERLOADED, "too many watch the levels of this node");
     return Late->promise();
   }
--- a/lib/request/LevelBoard.cpp
+++ b/lib/request/LevelBoard.cpp
@@ -18,17 +18,25 @@
 
 } // namespace
 
-bool LevelBoard::watch(std::uint64_t Seen, Deliver OnNotice) {
+bool LevelBoard::watch(std::uint64_t Seen, Deliver OnNotice,
+                       IsWaiting StillWaits) {
   if (Seen < this->Last.Number) {
     OnNotice(this->Last);
     return true;
   }
   if (this->Watchers.size() >= MaxWatchers)
     return false;
-  this->Watchers.push_back(std::move(OnNotice));
+  this->Watchers.push_back({std::move(OnNotice), std::move(StillWaits)});
   return true;
 }
 
+void LevelBoard::sweep() {
+  auto HungUp = [](const Watcher &Parked) { return !Parked.StillWaits(); };
+  this->Watchers.erase(
+      std::remove_if(this->Watchers.begin(), this->Watchers.end(), HungUp),
+      this->Watchers.end());
+}
+
 void LevelBoard::tick(const ReadLevels &Read, TimePoint Now) {
   if (this->Watchers.empty() || Now < this->NextNotice)
     return;
@@ -59,8 +67,8 @@
   // A delivery may bring the caller's next watch with it.
   auto Parked = std::move(this->Watchers);
   this->Watchers.clear();
-  for (const auto &OnNotice : Parked)
-    OnNotice(this->Last);
+  for (const auto &Watcher : Parked)
+    Watcher.OnNotice(this->Last);
 }
 
 } // namespace limpetdrum
--- a/unittests/LevelBoardTest.cpp
+++ b/unittests/LevelBoardTest.cpp
@@ -14,14 +14,17 @@
   FakeClock Clock;
   LevelBoard Board;
   float Level = MaxRanks;
+  bool Waits = true;
   std::vector<float> Heard;
   std::uint64_t Seen = 0;
 
   void watch() {
-    CHECK(this->Board.watch(this->Seen, [this](const LevelNotice &News) {
+    auto Hear = [this](const LevelNotice &News) {
       this->Seen = News.Number;
       this->Heard.push_back(News.Levels.front().Threshold);
-    }));
+    };
+    CHECK(
+        this->Board.watch(this->Seen, Hear, [this]() { return this->Waits; }));
   }
   void tick(Milliseconds Passed) {
     this->Clock.advance(Passed);
@@ -70,14 +73,15 @@
 TEST_CASE("LevelBoard spends less a watcher the more watch", "[level]") {
   Watched W;
   std::size_t Notices = 0;
+  auto Yes = []() { return true; };
   std::function<void(const LevelNotice &)> Again =
       [&](const LevelNotice &News) {
         ++Notices;
-        static_cast<void>(W.Board.watch(News.Number, Again));
+        static_cast<void>(W.Board.watch(News.Number, Again, Yes));
       };
   constexpr std::size_t Callers = 200;
   for (std::size_t I = 0; I < Callers; ++I)
-    static_cast<void>(W.Board.watch(0, Again));
+    static_cast<void>(W.Board.watch(0, Again, Yes));
   for (int I = 0; I < 100; ++I) {
     W.Level = I % 2 == 0 ? 0.5F : 2.0F;
     W.tick(Milliseconds(10));
@@ -86,3 +90,19 @@
   CHECK(Notices <= 1000 + Callers);
   CHECK(Notices >= Callers);
 }
+
+TEST_CASE("LevelBoard forgets callers that have hung up", "[level]") {
+  Watched W;
+  // Many more than may watch at a time, all of them gone again.
+  for (int I = 0; I < 10000; ++I) {
+    W.Waits = true;
+    W.watch();
+    W.Waits = false;
+    W.Board.sweep();
+  }
+  CHECK(W.Board.watchers() == 0);
+  W.Waits = true;
+  W.watch();
+  W.Board.sweep();
+  CHECK(W.Board.watchers() == 1);
+}
--- a/unittests/RpcTest.cpp
+++ b/unittests/RpcTest.cpp
@@ -21,6 +21,33 @@
   }
 };
 
+/// Holds whatever watches its levels.
+class HoldingService final : public rpc::Node::Server {
+public:
+  explicit HoldingService(kj::Own<kj::PromiseFulfiller<void>> &Held)
+      : Held(Held) {}
+
+protected:
+  kj::Promise<void> watchLevels(WatchLevelsContext Context) override {
+    Context.allowCancellation();
+    auto Pair = kj::newPromiseAndFulfiller<void>();
+    this->Held = kj::mv(Pair.fulfiller);
+    return kj::mv(Pair.promise);
+  }
+
+private:
+  kj::Own<kj::PromiseFulfiller<void>> &Held;
+};
+
+/// Runs the loop until something holds, for 5 seconds at most.
+bool runUntil(EventLoop &Loop, const std::function<bool()> &Holds) {
+  for (int Passes = 0; Passes < 1000 && !Holds(); ++Passes) {
+    auto Pause = Loop.after(Milliseconds(5), [&]() { Loop.stop(); });
+    Loop.run();
+  }
+  return Holds();
+}
+
 /// \returns the incarnation that a probe gave, or 0 if it failed.
 std::uint64_t probe(EventLoop &Loop, RpcClient &Client) {
   std::uint64_t Seen = 0;
@@ -69,6 +96,23 @@
   CHECK(probe(Loop, Client) == 42);
 }
 
+TEST_CASE("RpcServer tells that the caller of a held call has hung up",
+          "[rpc]") {
+  EventLoop Loop;
+  kj::Own<kj::PromiseFulfiller<void>> Held;
+  RpcServer Server(Loop, Where, kj::heap<HoldingService>(Held));
+  auto Client = std::make_unique<RpcClient>(Loop, Where);
+  auto Task =
+      Client->node().watchLevelsRequest().send().ignoreResult().eagerlyEvaluate(
+          [](kj::Exception &&) {});
+  REQUIRE(runUntil(Loop, [&]() { return Held.get() != nullptr; }));
+  CHECK(Held->isWaiting());
+  Client->fail("the test hangs up");
+  Task = nullptr;
+  Client.reset();
+  CHECK(runUntil(Loop, [&]() { return !Held->isWaiting(); }));
+}
+
 TEST_CASE("PeerPool hands nothing over to a node that has gone", "[rpc]") {
   EventLoop Loop;
   Metrics Counters;
@@ -90,9 +134,13 @@
       std::make_unique<RpcServer>(Loop, Where, kj::heap<ProbeService>());
   // It answers, if only that it does not know the call.
   CHECK(Execute().Kind == PeerResult::Kind::Malformed);
+  RpcClient Other(Loop, Where);
+  CHECK(probe(Loop, Other) == 42);
   Server.reset();
-  auto Settle = Loop.after(Milliseconds(20), [&]() { Loop.stop(); });
-  Loop.run();
+  // Both connections end at once.
+  REQUIRE(runUntil(Loop, [&]() { return Other.isClosed(); }));
+  static_cast<void>(
+      runUntil(Loop, [Passes = 2]() mutable { return Passes-- == 0; }));
   auto Lost = Execute();
   CHECK(Lost.Kind == PeerResult::Kind::Lost);
   CHECK_FALSE(Lost.HandedOver);
