--- a/lib/request/Admission.cpp
+++ b/lib/request/Admission.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/// The queue holds this share of the limit: the wait stays under a service
-/// time, and after a surge there is no standing queue to work off.
+/// The queue holds this share of the limit, so that the wait stays near a
+/// service time and a surge leaves no standing queue.
 constexpr double QueueShare = 1.0;
-/// Of a few slots, that is too short to even out the arrivals.
+/// Targets of a few slots have a longer queue, which evens out their arrivals.
 constexpr std::size_t LeastQueue = 10;
 /// A tenant beyond this multiple of its fair share goes last in its class.
 constexpr double ShareTolerance = 1.5;
--- a/unittests/CodecTest.cpp
+++ b/unittests/CodecTest.cpp
@@ -76,6 +76,18 @@
   CHECK_THROWS_AS(codec::read(Out.asReader()), ValueError);
 }
 
+TEST_CASE("Codec refuses levels out of range", "[codec]") {
+  capnp::MallocMessageBuilder Message;
+  auto Level = Message.initRoot<rpc::Reply>().initLevels(1)[0];
+  auto Read = [&]() {
+    return codec::read(Message.getRoot<rpc::Reply>().asReader());
+  };
+  Level.setThreshold(0.5F);
+  CHECK(Read().Levels.size() == 1);
+  Level.setThreshold(GENERATE(-1.0F, 1000.0F, std::nanf("")));
+  CHECK_THROWS_AS(Read(), ValueError);
+}
+
 TEST_CASE("Codec carries a reply and a key record", "[codec]") {
   FakeClock Clock;
   capnp::MallocMessageBuilder Message;
--- a/unittests/SurgeTest.cpp
+++ b/unittests/SurgeTest.cpp
@@ -155,10 +155,6 @@
   Figures Seen;
 };
 
-} // namespace
-
-namespace {
-
 constexpr Milliseconds Usual{50};
 constexpr Milliseconds Slowed{150};
 constexpr double SlowedCapacity = 100;
