Let calls inherit rank and cohort of the request that makes them

Ruled out: matching the deadline of a call with that of what runs (calls have shorter ones of their own). Change: the id of a call was seen to extend that of its parent. Where the own target runs a request with such an id, the call takes over its rank and cohort, is no subject of the entry gate, and is learned exactly; a 500 after a call that failed says so and blames nobody. Ids of another form leave all as it was.

--- a/include/limpetdrum/daemon/Forwarder.h
+++ b/include/limpetdrum/daemon/Forwarder.h
@@ -25,6 +25,9 @@
     limpetdrum::Incarnation Incarnation;
     ServiceName OwnService;
     std::uint64_t Seed = 1;
+    /// The request whose run makes a call, as far as the call's id tells.
+    std::function<std::optional<std::string>(const std::string &RequestId)>
+        ParentOf;
   };
   using PolicyInForce = std::function<std::shared_ptr<const TrafficPolicy>()>;
 
@@ -41,6 +44,8 @@
   struct Forwarding;
   using Shared = std::shared_ptr<Forwarding>;
 
+  /// Takes over rank and cohort from the request whose run makes this call.
+  void inherit(const Shared &Of);
   void admit(const Shared &Of);
   void send(const Shared &Of);
   void sendTo(const Shared &Of, const NodeId &Node);
@@ -54,6 +59,8 @@
   [[nodiscard]] bool mayRepeat(const Shared &Of);
   void giveBackRepeat(const Shared &Of);
   void endTurn(const Shared &Of, CallEnd How);
+  /// If this is a call of the own target, what it answers is no fault of its.
+  void blameCall(const Forwarding &Of);
   /// The client has gone.
   void abandon(const Shared &Of);
   void cancelTurn(const Shared &Of);
--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -8,6 +8,7 @@
 #include "limpetdrum/process/Metrics.h"
 #include "limpetdrum/request/Admission.h"
 #include "limpetdrum/request/AttemptLedger.h"
+#include "limpetdrum/request/CallContext.h"
 #include "limpetdrum/request/DrainGate.h"
 
 #include <functional>
@@ -57,6 +58,12 @@
   void cancel(Incarnation Caller, std::uint64_t Call);
   /// \brief The caller has the reply to an attempt.
   void acknowledge(Incarnation Caller, std::uint64_t Call);
+  /// \returns what calls of the request with this id inherit; nothing if the
+  ///   target does not run it.
+  [[nodiscard]] std::optional<CallContext>
+  callContext(const std::string &RequestId) const;
+  /// \brief A call of the run of this request has failed.
+  void onCallFailed(const std::string &RequestId);
   /// \brief Call it every 10 to 20 ms.
   void tick();
 
@@ -84,6 +91,7 @@
     TimePoint Dispatched;
     std::vector<ReplyDone> Waiting;
     std::uint64_t Ticket = 0; ///< 0: queued
+    bool CallFailed = false;  ///< of those that the run made
     /// Nobody waits any more: ended then, if the target has not answered.
     std::optional<TimePoint> CancelAt;
   };
@@ -114,7 +122,8 @@
   AttemptLedger Ledger;
   Admission Queue;
   std::unordered_map<AttemptId, Entry> Active;
-  std::size_t Cancelled = 0; ///< of Active
+  std::unordered_map<std::string, AttemptId> RunningById; ///< by request id
+  std::size_t Cancelled = 0;                              ///< of Active
   std::function<void(const std::string &Route, RunEvent)> OnRun;
   std::function<void()> OnChange;
 };
--- a/include/limpetdrum/daemon/PlatformAdapter.h
+++ b/include/limpetdrum/daemon/PlatformAdapter.h
@@ -37,6 +37,11 @@
   /// \throws ValueError if a report names no target that can be used.
   [[nodiscard]] virtual TargetMessage
   decodeTargetMessage(const HttpExchange &From) const = 0;
+  /// \brief The request whose run makes a call, as far as the call's id tells.
+  ///
+  /// Only a hint: ids may take another form.
+  [[nodiscard]] virtual std::optional<std::string>
+  parentOf(const std::string &RequestId) const = 0;
   /// \brief The body that acknowledges a message of the target.
   [[nodiscard]] virtual std::string acknowledgement() const = 0;
 };
--- a/include/limpetdrum/request/CallLearner.h
+++ b/include/limpetdrum/request/CallLearner.h
@@ -34,7 +34,7 @@
 
 /// \brief Learns which calls the own target makes for which routes.
 ///
-/// Calls name no parent. They are ascribed to the routes that run at the
+/// Calls whose parent is not known are ascribed to the routes that run at the
 /// target by how the rate of requests follows the number of runs: each request
 /// is shared out among its possible causes in proportion to what each is
 /// believed to cause, and the beliefs follow from the shares (expectation
@@ -47,7 +47,9 @@
   /// \param Served whether the run came to a good end.
   void onRunEnd(const std::string &Route, bool Served, TimePoint Now);
   /// \brief A request was made at this node, by a client or the own target.
-  void onRequest(const std::string &Route, TimePoint Now);
+  /// \param Parent the route whose run made it, if that is known; else empty.
+  void onRequest(const std::string &Route, TimePoint Now,
+                 const std::string &Parent = "");
   /// \brief What has been learned; fades older observations.
   [[nodiscard]] std::vector<RouteUse> report(TimePoint Now);
 
--- a/include/limpetdrum/request/Reply.h
+++ b/include/limpetdrum/request/Reply.h
@@ -32,10 +32,11 @@
   TimedOut,        ///< no answer within the deadline
   WrongTarget,     ///< another target is at the address now
   RefusedByTarget, ///< the target said that it did not run it
+  CallFailed,      ///< the target answers so as one of its own calls failed
 };
 
 /// \brief How many values Reason has.
-inline constexpr std::size_t ReasonCount = 14;
+inline constexpr std::size_t ReasonCount = 15;
 
 /// \brief The name of a reason in headers, logs and metrics.
 [[nodiscard]] const char *toString(Reason Value) noexcept;
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -1,7 +1,5 @@
 #include "limpetdrum/daemon/Forwarder.h"
 
-#include "limpetdrum/request/Position.h"
-
 #include <algorithm>
 #include <strings.h>
 
@@ -54,6 +52,9 @@
   Timer DeadlineTimer;
   ClassRank Rank;
   float Cohort = 0;
+  /// The request that the own target runs and that makes this call, if known.
+  std::string Parent;
+  std::string ParentRoute;
   std::vector<NodeId> Excluded;
   NodeId Node;            ///< of the present turn
   std::uint64_t Call = 0; ///< of the present turn; 0: none
@@ -104,8 +105,7 @@
                             Of->Chosen->Timeout);
   Of->Deadline = Of->Request.Started + Limit;
   Of->Service = this->Splits.choose(*Of->Chosen);
-  Of->Rank = ClassRank(static_cast<std::uint8_t>(Of->Chosen->Rank.value() + 1));
-  Of->Cohort = static_cast<float>(this->Random() % 65536) / 65536;
+  this->inherit(Of);
   removeConnectionHeaders(Of->Request.Headers);
   for (const auto *Name : {&this->Names.TimeLeft, &this->Names.ExpectedTarget,
                            &this->Names.CallerService})
@@ -125,14 +125,35 @@
   this->admit(Of);
 }
 
+void Forwarder::inherit(const Shared &Of) {
+  auto Parent = this->Chosen.ParentOf(Of->Id);
+  auto Context = Parent ? this->Own.callContext(*Parent) : std::nullopt;
+  if (Context) {
+    Of->Parent = std::move(*Parent);
+    Of->ParentRoute = Context->Route;
+    Of->Rank = callRank(Context->Rank);
+    Of->Cohort = Context->Cohort;
+    return;
+  }
+  Of->Rank = rootRank(Of->Chosen->Rank);
+  if (this->Overload.isCalled(Of->Chosen->Name))
+    Of->Rank = callRank(Of->Rank);
+  Of->Cohort = static_cast<float>(this->Random() % 65536) / 65536;
+}
+
 void Forwarder::admit(const Shared &Of) {
   auto Time = this->Loop.now();
-  (void)this->Overload.learner().onRequest(Of->Chosen->Name, Time);
-  if (auto ComeBack = this->Leaving.refuses(
-          this->Overload.isCalled(Of->Chosen->Name), Time)) {
+  this->Overload.learner().onRequest(Of->Chosen->Name, Time, Of->ParentRoute);
+  bool IsCall =
+      !Of->Parent.empty() || this->Overload.isCalled(Of->Chosen->Name);
+  if (auto ComeBack = this->Leaving.refuses(IsCall, Time)) {
     this->refuse(Of, Reason::Draining, *ComeBack);
     return;
   }
+  if (IsCall) {
+    this->send(Of);
+    return;
+  }
   OverloadControl::Request Asked;
   Asked.Route = Of->Chosen->Name;
   Asked.Fingerprint = stableHash(Of->Request.Method + ' ' + Of->Request.Target,
@@ -278,7 +299,13 @@
   switch (Value.Outcome) {
   case Outcome::Answered: {
     bool Failed = Value.Status >= 500;
-    this->endTurn(Of, Failed ? CallEnd::Failed : CallEnd::Served);
+    auto End = Failed ? CallEnd::Failed : CallEnd::Served;
+    // The target is not to blame for what failed below it.
+    if (Failed && Value.Reason == Reason::CallFailed)
+      End = CallEnd::Refused;
+    if (Failed)
+      this->blameCall(*Of);
+    this->endTurn(Of, End);
     this->answer(Of, Value.Status, Value.Headers, Value.Body,
                  Failed ? "target-failed" : "served");
     return;
@@ -391,6 +418,11 @@
   this->cancelTurn(Of);
 }
 
+void Forwarder::blameCall(const Forwarding &Of) {
+  if (!Of.Parent.empty())
+    this->Own.onCallFailed(Of.Parent);
+}
+
 void Forwarder::cancelTurn(const Shared &Of) {
   if (Of->Call == 0)
     return;
@@ -403,6 +435,7 @@
 }
 
 void Forwarder::refuse(const Shared &Of, Reason Why, Milliseconds RetryAfter) {
+  this->blameCall(*Of);
   this->Log.request(
       "refused", {{"id", Of->Id},
                   {"route", Of->Chosen == nullptr ? "" : Of->Chosen->Name},
@@ -417,6 +450,7 @@
 }
 
 void Forwarder::fail(const Shared &Of, int Status, Reason Why) {
+  this->blameCall(*Of);
   this->Log.request("failed", {{"id", Of->Id},
                                {"route", Of->Chosen->Name},
                                {"service", Of->Service.value()},
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -11,8 +11,6 @@
 /// Statuses by which a node promises that a request has not run.
 constexpr std::array<int, 4> PromisesNotRun = {408, 421, 429, 503};
 constexpr int Misdirected = 421;
-/// Ranks that admission tells apart: calls of targets, and four priorities.
-constexpr std::size_t RankCount = 5;
 /// Targets slow down when their last slots are taken.
 constexpr double UsableSlots = 0.95;
 constexpr Milliseconds LeastRetryAfter{300};
@@ -213,6 +211,7 @@
     return;
   }
   Entry.Dispatched = Time;
+  this->RunningById[Entry.Attempt.RequestId] = Id;
   this->Ledger.dispatch(Id);
   if (this->OnRun)
     this->OnRun(Entry.Attempt.Route, RunEvent::Begins);
@@ -255,6 +254,8 @@
     return;
   auto Time = this->Now();
   auto Value = this->toReply(Answer);
+  if (Found->second.CallFailed && Value.Status >= 500)
+    Value.Reason = Reason::CallFailed;
   auto How = Completion::Served;
   // A refusal says nothing of the limit either: the target is never given more
   // than its slots, so it refuses for reasons of its own.
@@ -279,6 +280,9 @@
     return;
   auto Ended = std::move(Found->second);
   this->Active.erase(Found);
+  auto ById = this->RunningById.find(Ended.Attempt.RequestId);
+  if (ById != this->RunningById.end() && ById->second == Id)
+    this->RunningById.erase(ById);
   auto Time = this->Now();
   if (Ended.CancelAt)
     --this->Cancelled;
@@ -341,6 +345,21 @@
   this->Ledger.release({Caller, Call});
 }
 
+std::optional<CallContext>
+LocalTarget::callContext(const std::string &RequestId) const {
+  auto Found = this->RunningById.find(RequestId);
+  if (Found == this->RunningById.end())
+    return std::nullopt;
+  const auto &Attempt = this->Active.at(Found->second).Attempt;
+  return CallContext{Attempt.Route, Attempt.Rank, Attempt.Cohort};
+}
+
+void LocalTarget::onCallFailed(const std::string &RequestId) {
+  auto Found = this->RunningById.find(RequestId);
+  if (Found != this->RunningById.end())
+    this->Active.at(Found->second).CallFailed = true;
+}
+
 void LocalTarget::closeIfDrained() {
   if (!this->Gate.isClosed(this->Now()) ||
       std::exchange(this->GateWasClosed, true))
@@ -355,7 +374,7 @@
   this->endCancelled();
   this->closeIfDrained();
   this->Ledger.sweep(this->Now());
-  this->perform(this->Queue.tick(RankCount, this->Now()));
+  this->perform(this->Queue.tick(MaxRanks, this->Now()));
 }
 
 void LocalTarget::describe(NodeStatus &Into) const {
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -115,7 +115,10 @@
         Entry(
             {Chosen.Node, Chosen.FailureDomain, Chosen.Region,
              callerKey(Chosen.Node, this->Incarnation), Chosen.Service,
-             this->Seed + 3},
+             this->Seed + 3,
+             [&Adapter](const std::string &Id) {
+               return Adapter.parentOf(Id);
+             }},
             Adapter.headers(), Loop, this->Others, this->Own, this->Repeats,
             this->Overload, this->Leaving,
             [this]() { return this->Policies.current(); }, Log, Counters) {}
--- a/lib/request/CallLearner.cpp
+++ b/lib/request/CallLearner.cpp
@@ -54,10 +54,15 @@
     Of.NewFailed += 1;
 }
 
-void CallLearner::onRequest(const std::string &Route, TimePoint Now) {
+void CallLearner::onRequest(const std::string &Route, TimePoint Now,
+                            const std::string &Parent) {
   this->advance(Now);
   auto &Of = this->Callees[Route];
   Of.Arrivals += 1;
+  if (!Parent.empty()) {
+    Of.Credits[Parent].New += 1;
+    return;
+  }
   auto FromClients = (Of.FromClients + PriorRequests) / (this->Elapsed + 1);
   std::map<std::string, double> Rates;
   auto Total = FromClients;
--- a/lib/request/Reply.cpp
+++ b/lib/request/Reply.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 constexpr std::array<const char *, ReasonCount> ReasonNames = {
-    "none",          "overload",         "level-at-entry", "displaced",
-    "deadline",      "cancelled",        "no-target",      "draining",
-    "retries-spent", "target-broke",     "node-gone",      "timed-out",
-    "wrong-target",  "refused-by-target"};
+    "none",          "overload",          "level-at-entry", "displaced",
+    "deadline",      "cancelled",         "no-target",      "draining",
+    "retries-spent", "target-broke",      "node-gone",      "timed-out",
+    "wrong-target",  "refused-by-target", "call-failed"};
 
 constexpr std::array<const char *, 3> OutcomeNames = {"answered", "not-run",
                                                       "unknown"};
--- a/unittests/CallLearnerTest.cpp
+++ b/unittests/CallLearnerTest.cpp
@@ -145,3 +145,25 @@
   Play(600, 2, true);
   CHECK(PerRun == Approx(2).epsilon(0.3));
 }
+
+TEST_CASE("CallLearner takes the parent of a call where it is known") {
+  // Two routes run side by side all the time; only one of them calls.
+  FakeClock Clock;
+  CallLearner Learner;
+  for (int I = 0; I < 200; ++I) {
+    Learner.onRunBegin("caller", Clock.now());
+    Learner.onRunBegin("plain", Clock.now());
+    for (int C = 0; C < 3; ++C) {
+      Clock.advance(Milliseconds(5));
+      Learner.onRequest("called", Clock.now(), "caller");
+    }
+    Learner.onRunEnd("caller", true, Clock.now());
+    Learner.onRunEnd("plain", true, Clock.now());
+  }
+  for (const auto &Use : Learner.report(Clock.now())) {
+    if (Use.Route == "caller")
+      CHECK(callsOf(Use, "called") == Approx(3).epsilon(0.01));
+    if (Use.Route == "plain")
+      CHECK(callsOf(Use, "called") == 0);
+  }
+}
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -285,3 +285,44 @@
   CHECK(Node.Sent.size() == 1);
   CHECK(Node.Replies.back().Outcome == Outcome::NotRun);
 }
+
+TEST_CASE("LocalTarget tells what calls of its runs inherit") {
+  Beside Node;
+  REQUIRE(
+      Node.Own.onReport(Beside::report("t1", 100, 1, TargetState::Ready, 1)));
+  MeshAttempt Asked;
+  Asked.Call = 1;
+  Asked.RequestId = "r1";
+  Asked.TargetId = "t1";
+  Asked.TimeLeft = Milliseconds(1000);
+  Asked.Route = "order";
+  Asked.Rank = ClassRank(3);
+  Asked.Cohort = 0.25F;
+  Node.Own.arrive(Incarnation(7), Asked, [](const Reply &) {});
+  Node.arrive(2); // queued: it makes no calls yet
+  auto Context = Node.Own.callContext("r1");
+  REQUIRE(Context);
+  CHECK(Context->Route == "order");
+  CHECK(Context->Rank == ClassRank(3));
+  CHECK(Context->Cohort == 0.25F);
+  CHECK_FALSE(Node.Own.callContext("r2"));
+  Node.Sent[0](Beside::answer(200));
+  CHECK_FALSE(Node.Own.callContext("r1"));
+  CHECK(Node.Own.callContext("r2"));
+}
+
+TEST_CASE("LocalTarget tells a failure of a call from one of its target") {
+  Beside Node;
+  REQUIRE(Node.Own.onReport(Beside::report("t1", 100, 1)));
+  for (std::uint64_t Call = 1; Call <= 3; ++Call)
+    Node.arrive(Call);
+  Node.Own.onCallFailed("r1");
+  Node.Own.onCallFailed("r3");
+  Node.Sent[0](Beside::answer(500));
+  Node.Sent[1](Beside::answer(500));
+  Node.Sent[2](Beside::answer(200)); // it did without
+  REQUIRE(Node.Replies.size() == 3);
+  CHECK(Node.Replies[0].Reason == Reason::CallFailed);
+  CHECK(Node.Replies[1].Reason == Reason::None);
+  CHECK(Node.Replies[2].Reason == Reason::None);
+}
--- a/unittests/PlatformAdapterTest.cpp
+++ b/unittests/PlatformAdapterTest.cpp
@@ -129,3 +129,12 @@
   auto Wrong = GENERATE("", "ms", "15", "5m", "-1s", "1 s", "nans");
   CHECK_THROWS_AS(platform::parseSpan(Wrong), ValueError);
 }
+
+TEST_CASE("The adapter takes the parent of a call from its id") {
+  platform::Adapter Adapter;
+  CHECK(Adapter.parentOf("9c41d07be2a35f68.77ab.12").value_or("") ==
+        "9c41d07be2a35f68.77ab");
+  CHECK_FALSE(Adapter.parentOf("9c41d07be2a35f68"));
+  CHECK_FALSE(Adapter.parentOf(""));
+  CHECK_FALSE(Adapter.parentOf(".12"));
+}
