Ask a node that has calls and says nothing whether it lives

Ruled out: shorter periods of load (bytes between failure domains). Change: Liveness, which limpetdrumd uses for its RPC connections, can ask on the old connection before it makes a fresh one. Mesh asks after 150 ms without a byte while calls wait, and after 250 ms more suspects the node: others are chosen before it, calls that may be repeated are told, a spare link is made. Tests: "Mesh suspects a node that has calls...", "Mesh does not suspect a node whose target is slow", "Liveness asks on the old connection...".

--- a/include/limpetdrum/connection/Liveness.h
+++ b/include/limpetdrum/connection/Liveness.h
@@ -10,15 +10,25 @@
 /// While calls are outstanding and nothing comes in, a probe goes out on the
 /// connection and one on a fresh connection. If only the fresh one is
 /// answered, the old connection is dead; if neither, the peer is suspected.
+/// Where fresh connections are dear, the old one is probed alone at first.
 class Liveness {
 public:
+  struct Limits {
+    Milliseconds Silence{250}; ///< after which a probe goes out
+    Milliseconds Ask{0};       ///< for the old connection alone; 0: skipped
+    Milliseconds Probe{250};   ///< for both
+  };
   enum class Action : std::uint8_t {
     None,
+    Ask,       ///< probe on the old connection
     ProbeBoth, ///< probe on the old connection and on a fresh one
     Replace,   ///< the old connection is dead: use the fresh one
     Suspect,   ///< the peer answers on neither
   };
 
+  explicit Liveness(const Limits &Chosen = defaults()) noexcept
+      : Chosen(Chosen) {}
+
   /// \param Outstanding whether calls wait for an answer.
   /// \param LastRead when bytes last came in, or the oldest call went out.
   [[nodiscard]] Action tick(bool Outstanding, TimePoint LastRead,
@@ -27,8 +37,11 @@
   void onFreshAnswer() noexcept { this->FreshAnswered = true; }
 
 private:
-  enum class State : std::uint8_t { Quiet, Probing, Suspected };
+  enum class State : std::uint8_t { Quiet, Asking, Probing, Suspected };
+  [[nodiscard]] static Limits defaults() noexcept { return {}; }
+  Action beginProbing(TimePoint Now);
 
+  Limits Chosen;
   Liveness::State Phase = State::Quiet;
   TimePoint ProbedAt{};
   bool FreshAnswered = false;
--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETDRUM_DAEMON_MESH_H
 #define LIMPETDRUM_DAEMON_MESH_H
 
+#include "limpetdrum/connection/Liveness.h"
 #include "limpetdrum/daemon/MeshCodec.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
@@ -19,7 +20,7 @@
     Replied,
     NeverSent, ///< the node could not be reached: it did not run
     Lost,      ///< the node's process is gone: it may have run
-    Silent,    ///< the node answers on no connection; the call goes on
+    Silent,    ///< the node gives no sign of life; the call goes on
   };
   MeshResult::Kind How = Kind::Lost;
   limpetdrum::Reply Reply;
@@ -42,6 +43,8 @@
     limpetdrum::Contact Contact;
     std::optional<NodeStatus> Status; ///< as last heard
     bool IsReachable = false;         ///< a link is up and not silent
+    /// It has calls, and has not answered when it was asked for a sign of life.
+    bool IsSuspect = false;
     TimePoint HeardAt{};
   };
 
@@ -94,6 +97,11 @@
   struct PendingCall;
 
   void tick();
+  /// Asks a node that has calls and says nothing whether it lives.
+  void checkAlive(const NodeId &Node, OutLink &Peer, TimePoint Now);
+  /// A frame has come from the node.
+  void hear(const NodeId &Node);
+  void tellSilent(OutLink &Peer);
   /// Tells all nodes that this one lives, and its load.
   void tellLoad();
   void connect(OutLink &To, bool AsSpare);
--- a/include/limpetdrum/daemon/MeshCodec.h
+++ b/include/limpetdrum/daemon/MeshCodec.h
@@ -55,6 +55,8 @@
                                       const NodeStatus &Load);
 /// \brief What changes all the time in a status; the rest is told on a change.
 [[nodiscard]] std::string encodeLoad(const NodeStatus &Value);
+/// \brief Asks for a load at once.
+[[nodiscard]] std::string encodeAsk();
 [[nodiscard]] std::string encodeUsage(const MeshUsage &Value);
 [[nodiscard]] std::string encodeCancel(std::uint64_t Call);
 [[nodiscard]] std::string encodePolicy(const std::string &Text);
--- a/lib/connection/Liveness.cpp
+++ b/lib/connection/Liveness.cpp
@@ -4,28 +4,41 @@
 
 namespace {
 
-constexpr Milliseconds SilenceLimit{250};
-constexpr Milliseconds ProbeLimit{250};
 constexpr Milliseconds SuspectPause{1000};
 
 } // namespace
 
+Liveness::Action Liveness::beginProbing(TimePoint Now) {
+  this->Phase = State::Probing;
+  this->ProbedAt = Now;
+  this->FreshAnswered = false;
+  return Action::ProbeBoth;
+}
+
 Liveness::Action Liveness::tick(bool Outstanding, TimePoint LastRead,
                                 TimePoint Now) {
   switch (this->Phase) {
   case State::Quiet:
-    if (!Outstanding || Now - LastRead < SilenceLimit)
+    if (!Outstanding || Now - LastRead < this->Chosen.Silence)
       return Action::None;
-    this->Phase = State::Probing;
+    if (this->Chosen.Ask == Milliseconds(0))
+      return this->beginProbing(Now);
+    this->Phase = State::Asking;
     this->ProbedAt = Now;
-    this->FreshAnswered = false;
-    return Action::ProbeBoth;
+    return Action::Ask;
+  case State::Asking:
+    if (LastRead > this->ProbedAt) {
+      this->Phase = State::Quiet;
+      return Action::None;
+    }
+    return Now - this->ProbedAt < this->Chosen.Ask ? Action::None
+                                                   : this->beginProbing(Now);
   case State::Probing:
     if (LastRead > this->ProbedAt) {
       this->Phase = State::Quiet;
       return Action::None;
     }
-    if (Now - this->ProbedAt < ProbeLimit)
+    if (Now - this->ProbedAt < this->Chosen.Probe)
       return Action::None;
     if (this->FreshAnswered) {
       this->Phase = State::Quiet;
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -170,25 +170,30 @@
 std::vector<PlacementCandidate>
 Forwarder::candidates(const ServiceName &Service) const {
   std::vector<PlacementCandidate> Ready;
-  // Targets that leave serve on for a moment: better than none.
+  // Nodes that do not answer, and targets that leave and serve on for a
+  // moment: better than none.
+  std::vector<PlacementCandidate> Suspect;
   std::vector<PlacementCandidate> Draining;
-  auto Consider = [&](const NodeStatus &Status, const Contact &Where) {
+  auto Consider = [&](const NodeStatus &Status, const Contact &Where,
+                      bool IsSuspect) {
     if (Status.Target.Service != Service || Status.Target.Id.empty())
       return;
     PlacementCandidate Found{Where.Node, Where.FailureDomain,
                              Status.Running + Status.Queued, Status.Limit};
     if (Status.Target.State == TargetState::Ready && !Status.Leaving)
-      Ready.push_back(std::move(Found));
+      (IsSuspect ? Suspect : Ready).push_back(std::move(Found));
     else if (Status.Target.State != TargetState::Starting)
       Draining.push_back(std::move(Found));
   };
   NodeStatus Local;
   this->Own.describe(Local);
-  Consider(Local, {this->Chosen.Node, {}, this->Chosen.FailureDomain});
+  Consider(Local, {this->Chosen.Node, {}, this->Chosen.FailureDomain}, false);
   for (const auto &[Node, Peer] : this->Others.peers())
     if (Peer.IsReachable && Peer.Status)
-      Consider(*Peer.Status, Peer.Contact);
-  return Ready.empty() ? Draining : Ready;
+      Consider(*Peer.Status, Peer.Contact, Peer.IsSuspect);
+  if (!Ready.empty())
+    return Ready;
+  return Suspect.empty() ? Draining : Suspect;
 }
 
 const TargetRecord *Forwarder::targetAt(const NodeId &Node) const {
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -15,6 +15,12 @@
 constexpr unsigned LoadsForStatus = 10;
 /// More than two load periods: the other end or the way to it has stopped.
 constexpr Milliseconds SilenceLimit{1300};
+/// A node with calls that sends nothing is asked for a sign of life; most calls
+/// are answered sooner. It answers within a round trip, and the tenth of a
+/// second for which a spent processor allowance may stop it; twice that, as a
+/// packet may be lost.
+constexpr Liveness::Limits LinkLimits{Milliseconds(150), Milliseconds(250),
+                                      Milliseconds(500)};
 /// For a connection to come up; longer than any way between failure domains.
 constexpr Milliseconds ConnectLimit{1000};
 constexpr Milliseconds FirstRetry{100};
@@ -33,6 +39,7 @@
 struct Mesh::PendingCall {
   MeshAttempt Attempt; ///< to be sent again over another link
   TimePoint Deadline;
+  TimePoint SentAt; ///< or made, if there is no link yet
   Done OnResult;
   bool Sent = false;
   bool ToldSilent = false;
@@ -52,6 +59,7 @@
   Milliseconds RetryPause = FirstRetry;
   std::map<std::uint64_t, PendingCall> Calls;
   std::vector<std::uint64_t> Unacknowledged;
+  Liveness Live{LinkLimits};
 };
 
 /// A link that another node made to this one.
@@ -188,8 +196,15 @@
   }
 }
 
+void Mesh::hear(const NodeId &Node) {
+  if (std::exchange(this->Views[Node].IsSuspect, false))
+    this->Log.state("peer_answers", {{"node", Node.value()}});
+}
+
 void Mesh::onOutFrame(const NodeId &Node, bool AsSpare,
                       mesh::Frame::Reader Frame) {
+  if (!AsSpare)
+    this->hear(Node);
   try {
     switch (Frame.which()) {
     case mesh::Frame::HELLO:
@@ -251,6 +266,7 @@
     return;
   }
   Peer.IsUp = true;
+  Peer.Live = Liveness(LinkLimits);
   Peer.LastUp = this->Loop.now();
   Peer.RetryPause = FirstRetry;
   auto Theirs = Hello.Status.Incarnation;
@@ -375,7 +391,8 @@
   bool SendNow = Peer.IsUp && Peer.Link;
   auto Deadline = this->Loop.now() + Attempt.TimeLeft;
   auto &Call = Peer.Calls[Number];
-  Call = {std::move(Attempt), Deadline, std::move(OnResult), SendNow, false};
+  Call = {std::move(Attempt),  Deadline, this->Loop.now(),
+          std::move(OnResult), SendNow,  false};
   if (SendNow)
     this->send(Peer, Call);
   return Number;
@@ -468,6 +485,7 @@
       this->connect(Peer, false);
       this->Views[Node].IsReachable = false;
     }
+    this->checkAlive(Node, Peer, Now);
     bool IsSilent =
         Peer.Link && Peer.IsUp && Now - Peer.Link->lastRead() > SilenceLimit;
     if (!IsSilent)
@@ -483,12 +501,7 @@
       this->retire(std::move(Peer.Spare));
       this->connect(Peer, true);
     }
-    std::vector<Done> Told;
-    for (auto &[Number, Call] : Peer.Calls)
-      if (!std::exchange(Call.ToldSilent, true))
-        Told.push_back(Call.OnResult);
-    for (auto &OnResult : Told)
-      OnResult({MeshResult::Kind::Silent, {}});
+    this->tellSilent(Peer);
   }
   for (const auto &Node : Forgotten) {
     this->Log.state("peer_forgotten", {{"node", Node.value()}});
@@ -497,6 +510,42 @@
   }
 }
 
+void Mesh::checkAlive(const NodeId &Node, OutLink &Peer, TimePoint Now) {
+  if (!Peer.Link || !Peer.IsUp)
+    return;
+  auto Since = Peer.Link->lastRead();
+  if (!Peer.Calls.empty())
+    Since = std::max(Since, Peer.Calls.begin()->second.SentAt);
+  switch (Peer.Live.tick(!Peer.Calls.empty(), Since, Now)) {
+  case Liveness::Action::Ask:
+    Peer.Link->send(codec::encodeAsk());
+    return;
+  case Liveness::Action::ProbeBoth:
+    this->Counters.count("peers_suspected");
+    this->Log.state("peer_suspect", {{"node", Node.value()},
+                                     {"calls", Peer.Calls.size()},
+                                     {"quiet_us", (Now - Since).count()}});
+    this->Views[Node].IsSuspect = true;
+    if (!Peer.Spare)
+      this->connect(Peer, true);
+    this->tellSilent(Peer);
+    return;
+  case Liveness::Action::None:
+  case Liveness::Action::Replace: // done when the spare link says hello
+  case Liveness::Action::Suspect: // told when the probes went out
+    return;
+  }
+}
+
+void Mesh::tellSilent(OutLink &Peer) {
+  std::vector<Done> Told;
+  for (auto &[Number, Call] : Peer.Calls)
+    if (!std::exchange(Call.ToldSilent, true))
+      Told.push_back(Call.OnResult);
+  for (auto &OnResult : Told)
+    OnResult({MeshResult::Kind::Silent, {}});
+}
+
 void Mesh::accept(int Socket) {
   auto Key = ++this->LastKey;
   PeerLink::Events Events;
@@ -560,6 +609,9 @@
     case mesh::Frame::CANCEL:
       this->To.OnCancel(*Link.Caller, Frame.getCancel());
       break;
+    case mesh::Frame::ASK:
+      Link.Link->send(codec::encodeLoad(this->To.OwnStatus()));
+      break;
     case mesh::Frame::ACKNOWLEDGED:
       for (auto Call : Frame.getAcknowledged())
         this->To.OnAcknowledged(*Link.Caller, Call);
--- a/lib/daemon/MeshCodec.cpp
+++ b/lib/daemon/MeshCodec.cpp
@@ -162,6 +162,12 @@
   return toBytes(Message);
 }
 
+std::string encodeAsk() {
+  capnp::MallocMessageBuilder Message;
+  Message.initRoot<mesh::Frame>().setAsk();
+  return toBytes(Message);
+}
+
 std::string encodeUsage(const MeshUsage &Value) {
   capnp::MallocMessageBuilder Message;
   auto To = Message.initRoot<mesh::Frame>().initUsage();
--- a/lib/rpc/Mesh.capnp
+++ b/lib/rpc/Mesh.capnp
@@ -114,5 +114,6 @@
     acknowledged @6 :List(UInt64);
     usage @7 :Usage;
     load @8 :Load;
+    ask @9 :Void;          # a load is wanted at once
   }
 }
--- a/lib/rpc/Mesh.capnp.h
+++ b/lib/rpc/Mesh.capnp.h
@@ -216,6 +216,7 @@
     ACKNOWLEDGED,
     USAGE,
     LOAD,
+    ASK,
   };
 
   struct _capnpPrivate {
@@ -1557,6 +1558,9 @@
   inline bool hasLoad() const;
   inline  ::limpetdrum::mesh::Load::Reader getLoad() const;
 
+  inline bool isAsk() const;
+  inline  ::capnp::Void getAsk() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1655,6 +1659,10 @@
   inline void adoptLoad(::capnp::Orphan< ::limpetdrum::mesh::Load>&& value);
   inline ::capnp::Orphan< ::limpetdrum::mesh::Load> disownLoad();
 
+  inline bool isAsk();
+  inline  ::capnp::Void getAsk();
+  inline void setAsk( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3726,6 +3734,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isAsk() const {
+  return which() == Frame::ASK;
+}
+inline bool Frame::Builder::isAsk() {
+  return which() == Frame::ASK;
+}
+inline  ::capnp::Void Frame::Reader::getAsk() const {
+  KJ_IREQUIRE((which() == Frame::ASK),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Frame::Builder::getAsk() {
+  KJ_IREQUIRE((which() == Frame::ASK),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setAsk( ::capnp::Void value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ASK);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/unittests/LivenessTest.cpp
+++ b/unittests/LivenessTest.cpp
@@ -59,3 +59,19 @@
   Clock.advance(Milliseconds(50));
   CHECK(L.tick(true, Clock.now(), Clock.now()) == Action::None);
 }
+
+TEST_CASE("Liveness asks on the old connection before it makes a fresh one",
+          "[liveness]") {
+  FakeClock Clock;
+  Liveness L({Milliseconds(150), Milliseconds(250), Milliseconds(500)});
+  auto Last = Clock.now();
+  CHECK(next(L, Clock, Last) == Action::Ask);
+  // It answers: a fresh connection is not needed.
+  Last = Clock.now() + Milliseconds(1);
+  Clock.advance(Milliseconds(20));
+  CHECK(L.tick(true, Last, Clock.now()) == Action::None);
+  CHECK(next(L, Clock, Last) == Action::Ask);
+  auto Asked = Clock.now();
+  CHECK(next(L, Clock, Last) == Action::ProbeBoth);
+  CHECK(Clock.now() - Asked == Milliseconds(250));
+}
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -286,3 +286,48 @@
   });
   CHECK(B.Usages.size() == 1);
 }
+
+TEST_CASE("Mesh suspects a node that has calls and does not answer when asked",
+          "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  // A process that stands still right after it has said hello.
+  std::vector<std::unique_ptr<PeerLink>> Accepted;
+  MeshHello Hello;
+  Hello.Status.Self = contact("b", PortB);
+  Hello.Status.Incarnation = Incarnation(2);
+  PeerListener Listener(Loop, local(PortB), [&](int Socket) {
+    bool IsFirst = Accepted.empty();
+    PeerLink::Events Ignored;
+    Ignored.OnFrame = [](mesh::Frame::Reader) {};
+    Ignored.OnClosed = [](bool) {};
+    Accepted.push_back(std::make_unique<PeerLink>(Loop, Socket, Ignored));
+    if (IsFirst)
+      Accepted.back()->send(codec::encodeHello(Hello));
+  });
+  A.Links.add(contact("b", PortB));
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  Results Of;
+  A.Links.call(NodeId("b"), attempt(), Of.take());
+  waitUntil(Loop, [&]() { return !Of.All.empty(); });
+  REQUIRE(Of.All.size() == 1);
+  CHECK(Of.All[0].How == MeshResult::Kind::Silent);
+  CHECK(A.Links.peers().at(NodeId("b")).IsSuspect);
+}
+
+TEST_CASE("Mesh does not suspect a node whose target is slow", "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  MeshNode B(Loop, "b", PortB, 2);
+  B.Holds = true;
+  A.Links.add(contact("b", PortB));
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  Results Of;
+  A.Links.call(NodeId("b"), attempt(), Of.take());
+  wait(Loop, 1500);
+  CHECK(Of.All.empty());
+  CHECK_FALSE(A.Links.peers().at(NodeId("b")).IsSuspect);
+  B.answer(0);
+  waitUntil(Loop, [&]() { return !Of.All.empty(); });
+  CHECK(Of.All.size() == 1);
+}
