Compress links between failure domains

Ruled out: what nodes tell each other (17 MB), and bodies, which do not compress. What a few bytes inflate to is bounded.

--- a/include/limpetdrum/connection/PeerLink.h
+++ b/include/limpetdrum/connection/PeerLink.h
@@ -18,8 +18,11 @@
 [[nodiscard]] std::string toBytes(capnp::MessageBuilder &Message);
 
 /// \brief One connection between two nodes that carries framed messages.
+///
+/// The end that connects says in its first byte whether both compress.
 class PeerLink {
 public:
+  enum class Format : std::uint8_t { Plain, Compressed };
   struct Events {
     std::function<void()> OnConnected;
     std::function<void(mesh::Frame::Reader)> OnFrame;
@@ -28,7 +31,8 @@
   };
 
   /// \brief Begins to connect.
-  PeerLink(EventLoop &Loop, Endpoint Peer, Events Callbacks);
+  PeerLink(EventLoop &Loop, Endpoint Peer, Events Callbacks,
+           Format Chosen = Format::Plain);
   /// \brief Takes over an accepted socket.
   PeerLink(EventLoop &Loop, int Socket, Events Callbacks);
   ~PeerLink();
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "limpetdrum/connection/PeerLink.h"
 
 #include "limpetdrum/Config.h"
+#include "limpetdrum/connection/Deflate.h"
 #include "limpetdrum/connection/SocketAddress.h"
 #include "limpetdrum/process/Error.h"
 
@@ -12,6 +13,7 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <vector>
 
 namespace limpetdrum {
@@ -54,6 +56,11 @@
   bool Stopped = false;
   TimePoint LastRead;
   std::vector<kj::byte> Packed; ///< the message being read
+  std::optional<Format> Chosen; ///< until the first byte of the other end: none
+  std::unique_ptr<Deflater> Outgoing;
+  std::unique_ptr<Inflater> Incoming;
+  std::string Inflated;         ///< and not delivered yet
+  std::size_t InflatedUsed = 0; ///< at its begin
 
   State(EventLoop &Loop, Events Callbacks)
       : Loop(Loop), Callbacks(std::move(Callbacks)), LastRead(Loop.now()) {}
@@ -79,13 +86,71 @@
       this->Callbacks.OnClosed(Was);
   }
 
+  void choose(Format Value) {
+    this->Chosen = Value;
+    if (Value != Format::Compressed)
+      return;
+    this->Outgoing = std::make_unique<Deflater>();
+    this->Incoming = std::make_unique<Inflater>();
+  }
+
+  /// Takes the first byte of the end that has connected.
+  /// \returns false if it is not there, or the link has failed.
+  bool readFormat() {
+    unsigned char First = 0;
+    if (evbuffer_remove(bufferevent_get_input(this->Event), &First, 1) != 1)
+      return false;
+    if (First > static_cast<unsigned char>(Format::Compressed)) {
+      this->fail();
+      return false;
+    }
+    this->choose(static_cast<Format>(First));
+    return true;
+  }
+
+  /// \returns false if the link has failed.
+  bool inflateInput() {
+    auto *Input = bufferevent_get_input(this->Event);
+    std::vector<char> Bytes(evbuffer_get_length(Input));
+    evbuffer_remove(Input, Bytes.data(), Bytes.size());
+    if (this->Incoming->put(Bytes.data(), Bytes.size(), 2 * MaxFrameBytes,
+                            this->Inflated))
+      return true;
+    this->fail();
+    return false;
+  }
+
+  [[nodiscard]] std::size_t available() const {
+    return this->Incoming
+               ? this->Inflated.size() - this->InflatedUsed
+               : evbuffer_get_length(bufferevent_get_input(this->Event));
+  }
+
+  void peek(void *Into, std::size_t Size) const {
+    if (this->Incoming)
+      this->Inflated.copy(static_cast<char *>(Into), Size, this->InflatedUsed);
+    else
+      evbuffer_copyout(bufferevent_get_input(this->Event), Into, Size);
+  }
+
+  void skip(std::size_t Size) {
+    if (!this->Incoming) {
+      evbuffer_drain(bufferevent_get_input(this->Event), Size);
+      return;
+    }
+    this->InflatedUsed += Size;
+    if (this->InflatedUsed == this->Inflated.size()) {
+      this->Inflated.clear();
+      this->InflatedUsed = 0;
+    }
+  }
+
   /// \returns false if no whole message is there, or the link has failed.
   bool readFrame() {
-    auto *Input = bufferevent_get_input(this->Event);
     unsigned char Length[LengthBytes];
-    if (evbuffer_copyout(Input, Length, LengthBytes) !=
-        static_cast<ev_ssize_t>(LengthBytes))
+    if (this->available() < LengthBytes)
       return false;
+    this->peek(Length, LengthBytes);
     std::size_t Size = 0;
     for (unsigned I = 0; I < LengthBytes; ++I)
       Size |= std::size_t{Length[I]} << (8 * I);
@@ -93,11 +158,12 @@
       this->fail();
       return false;
     }
-    if (evbuffer_get_length(Input) < LengthBytes + Size)
+    if (this->available() < LengthBytes + Size)
       return false;
-    evbuffer_drain(Input, LengthBytes);
+    this->skip(LengthBytes);
     this->Packed.resize(Size);
-    evbuffer_remove(Input, this->Packed.data(), Size);
+    this->peek(this->Packed.data(), Size);
+    this->skip(Size);
     if (!this->deliver()) {
       this->fail();
       return false;
@@ -121,6 +187,10 @@
   static void onReadable(bufferevent * /*Event*/, void *Context) {
     auto Self = static_cast<State *>(Context)->shared_from_this();
     Self->LastRead = Self->Loop.now();
+    if (!Self->Chosen && !Self->readFormat())
+      return;
+    if (Self->Incoming && !Self->inflateInput())
+      return;
     while (Self->Event != nullptr && Self->readFrame()) {
     }
   }
@@ -139,9 +209,13 @@
   }
 };
 
-PeerLink::PeerLink(EventLoop &Loop, Endpoint Peer, Events Callbacks)
+PeerLink::PeerLink(EventLoop &Loop, Endpoint Peer, Events Callbacks,
+                   Format Chosen)
     : Impl(std::make_shared<State>(Loop, std::move(Callbacks))) {
   this->Impl->attach(-1);
+  this->Impl->choose(Chosen);
+  auto First = static_cast<unsigned char>(Chosen);
+  bufferevent_write(this->Impl->Event, &First, 1);
   auto Address = toSocketAddress(Peer);
   // A failure is reported through the event callback.
   bufferevent_socket_connect(this->Impl->Event,
@@ -171,7 +245,12 @@
     });
     return;
   }
-  bufferevent_write(this->Impl->Event, Bytes.data(), Bytes.size());
+  if (!this->Impl->Outgoing) {
+    bufferevent_write(this->Impl->Event, Bytes.data(), Bytes.size());
+    return;
+  }
+  auto Packed = this->Impl->Outgoing->put(Bytes);
+  bufferevent_write(this->Impl->Event, Packed.data(), Packed.size());
 }
 
 void PeerLink::stop() noexcept {
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -121,8 +121,12 @@
   Events.OnClosed = [this, Node, AsSpare](bool WasConnected) {
     this->onDown(Node, AsSpare, WasConnected);
   };
+  // Bytes between failure domains are dear, the processor within them.
+  auto Format = Peer.Contact.FailureDomain == this->Self.FailureDomain
+                    ? PeerLink::Format::Plain
+                    : PeerLink::Format::Compressed;
   auto Link = std::make_unique<PeerLink>(this->Loop, Peer.Contact.Link,
-                                         std::move(Events));
+                                         std::move(Events), Format);
   this->Counters.count("peer_connections");
   if (AsSpare) {
     Peer.Spare = std::move(Link);
