Give those that come back the chance of new ones, in time for their target

Ruled out: that the preference saves refusals. Who is not served at once either is refused again or takes a new one's place, who then is refused: with a share s let in, 1 - s end refused whatever the order. Change: the gate no longer knows who comes back, and forgets no fingerprints. The time to come back lies within what is left of the latency target, less what such requests take.

--- a/include/limpetdrum/request/EntryGate.h
+++ b/include/limpetdrum/request/EntryGate.h
@@ -42,9 +42,12 @@
     return this->Balances;
   }
   /// \brief Whether a request of a route may go in.
-  /// \param Returning whether its client was refused and told to come back:
-  ///   such requests go before new ones.
-  [[nodiscard]] bool admit(const std::string &Route, bool Returning);
+  ///
+  /// New requests and those that come back have the same chance. While an
+  /// overload lasts, a preference for either leaves the number of those served
+  /// as it is; one for those that come back would have nearly all served only
+  /// after a refusal, and late.
+  [[nodiscard]] bool admit(const std::string &Route);
   /// \brief The share of a route's requests that goes in, 0 to 1.
   [[nodiscard]] double share(const std::string &Route) const;
 
--- a/include/limpetdrum/request/OverloadControl.h
+++ b/include/limpetdrum/request/OverloadControl.h
@@ -3,7 +3,6 @@
 
 #include "limpetdrum/request/EntryGate.h"
 
-#include <deque>
 #include <optional>
 #include <unordered_map>
 
@@ -16,8 +15,9 @@
   /// \brief A request that asks to go in.
   struct Request {
     std::string Route;
-    std::uint64_t Fingerprint = 0; ///< the same if a client sends it again
     Milliseconds TimeLeft{0};
+    /// From now on, within which an answer has its full value.
+    Milliseconds TargetLeft{0};
   };
 
   explicit OverloadControl(std::uint64_t Seed);
@@ -40,20 +40,20 @@
   /// \brief Works out anew what goes in; call it every 200 ms or so.
   void update(const TrafficPolicy &Policy,
               const std::map<ServiceName, ServiceLoad> &Loads, TimePoint Now);
+  /// \brief A request of a route has been served.
+  void onServed(const std::string &Route, Microseconds Latency);
   /// \returns nothing if the request goes in, else when it may come back.
-  [[nodiscard]] std::optional<Milliseconds> admit(const Request &Asked,
-                                                  TimePoint Now);
+  [[nodiscard]] std::optional<Milliseconds> admit(const Request &Asked);
 
 private:
-  [[nodiscard]] bool takeReturning(std::uint64_t Fingerprint, TimePoint Now);
   [[nodiscard]] Milliseconds appointment(const Request &Asked);
 
   CallLearner Learner;
   DemandModel Demand;
   EntryGate Gate;
   std::mt19937_64 Random;
-  std::unordered_map<std::uint64_t, TimePoint> Refused;
-  std::deque<std::pair<TimePoint, std::uint64_t>> RefusedOrder;
+  /// The smoothed time that requests of a route take, in microseconds.
+  std::unordered_map<std::string, double> Latencies;
 };
 
 } // namespace limpetdrum
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -156,11 +156,11 @@
   }
   OverloadControl::Request Asked;
   Asked.Route = Of->Chosen->Name;
-  Asked.Fingerprint = stableHash(Of->Request.Method + ' ' + Of->Request.Target,
-                                 Of->Request.Body.size());
   Asked.TimeLeft =
       std::chrono::duration_cast<Milliseconds>(Of->Deadline - Time);
-  if (auto ComeBack = this->Overload.admit(Asked, Time)) {
+  Asked.TargetLeft = std::chrono::duration_cast<Milliseconds>(
+      Of->Request.Started + Of->Chosen->LatencyTarget - Time);
+  if (auto ComeBack = this->Overload.admit(Asked)) {
     this->refuse(Of, Reason::LevelAtEntry, *ComeBack);
     return;
   }
@@ -474,6 +474,8 @@
   Of->DeadlineTimer.cancel();
   auto Latency = std::chrono::duration_cast<Microseconds>(this->Loop.now() -
                                                           Of->Request.Started);
+  if (Status < 400)
+    this->Overload.onServed(Of->Chosen->Name, Latency);
   this->Counters.request(Tenant(""), Of->Chosen ? Of->Chosen->Name : "none",
                          Outcome, Latency);
   Of->Exchange->reply(Status, Headers, Body);
--- a/lib/request/EntryGate.cpp
+++ b/lib/request/EntryGate.cpp
@@ -20,8 +20,6 @@
 constexpr double MostTrim = 2;
 /// No rank is refused altogether: its costs have to stay known.
 constexpr double LeastShare = 0.02;
-/// Returning requests that may go in ahead of new ones.
-constexpr double MostDebt = 8;
 
 } // namespace
 
@@ -86,7 +84,7 @@
   return Found == this->Gates.end() ? 1 : Found->second.Share;
 }
 
-bool EntryGate::admit(const std::string &Route, bool Returning) {
+bool EntryGate::admit(const std::string &Route) {
   auto Found = this->Gates.find(Route);
   if (Found == this->Gates.end())
     return true;
@@ -99,8 +97,6 @@
   // Nodes must not let in their requests in step.
   std::uniform_real_distribution<double> Dither(0, 1);
   bool Admitted = Of.Credit >= Dither(this->Random);
-  if (Returning)
-    Admitted = Of.Credit > -MostDebt;
   if (Admitted)
     Of.Credit -= 1;
   return Admitted;
--- a/lib/request/OverloadControl.cpp
+++ b/lib/request/OverloadControl.cpp
@@ -6,15 +6,16 @@
 
 namespace {
 
-/// Refused clients that are remembered; each takes some 50 bytes.
-constexpr std::size_t MostRefused = 4096;
-constexpr Milliseconds RememberRefused{5000};
 /// Clients come back after at most a third of the time that they have left.
 constexpr int ShareOfTimeLeft = 3;
-/// Time for the load to have changed since the refusal.
-constexpr Milliseconds LeastAppointment{400};
+/// Time for the load to have changed since the refusal: the gate is worked out
+/// anew every 200 ms.
+constexpr Milliseconds LeastAppointment{250};
+/// Returns need some spread, even if it makes them late.
+constexpr Milliseconds LeastSpread{200};
 /// Over which returns are spread, for a service that is twice overloaded.
 constexpr Milliseconds AppointmentSpread{1200};
+constexpr double LatencyWeight = 0.05; ///< of one request, in the mean
 
 } // namespace
 
@@ -35,34 +36,32 @@
   this->Gate.update(Policy, this->Demand, Loads);
 }
 
-bool OverloadControl::takeReturning(std::uint64_t Fingerprint, TimePoint Now) {
-  while (!this->RefusedOrder.empty() &&
-         this->RefusedOrder.front().first <= Now) {
-    this->Refused.erase(this->RefusedOrder.front().second);
-    this->RefusedOrder.pop_front();
-  }
-  return this->Refused.erase(Fingerprint) != 0;
+void OverloadControl::onServed(const std::string &Route, Microseconds Latency) {
+  auto New = static_cast<double>(Latency.count());
+  auto &Mean = this->Latencies.try_emplace(Route, New).first->second;
+  Mean += LatencyWeight * (New - Mean);
 }
 
 Milliseconds OverloadControl::appointment(const Request &Asked) {
   auto Cut = 1 - this->Gate.share(Asked.Route);
   auto Span = static_cast<std::int64_t>(
       static_cast<double>(AppointmentSpread.count()) * std::max(0.25, 2 * Cut));
+  // Whoever comes back in time for the latency target is served in full.
+  auto Typical = this->Latencies.find(Asked.Route);
+  if (Typical != this->Latencies.end()) {
+    auto Latest = Asked.TargetLeft - LeastAppointment -
+                  std::chrono::duration_cast<Milliseconds>(
+                      Microseconds(static_cast<std::int64_t>(Typical->second)));
+    Span = std::clamp<std::int64_t>(Latest.count(), LeastSpread.count(), Span);
+  }
   std::uniform_int_distribution<std::int64_t> Spread(0, Span);
   auto Wanted = LeastAppointment + Milliseconds(Spread(this->Random));
   return std::min(Wanted, Asked.TimeLeft / ShareOfTimeLeft);
 }
 
-std::optional<Milliseconds> OverloadControl::admit(const Request &Asked,
-                                                   TimePoint Now) {
-  bool Returning = this->takeReturning(Asked.Fingerprint, Now);
-  if (this->Demand.isCalled(Asked.Route) ||
-      this->Gate.admit(Asked.Route, Returning))
+std::optional<Milliseconds> OverloadControl::admit(const Request &Asked) {
+  if (this->Demand.isCalled(Asked.Route) || this->Gate.admit(Asked.Route))
     return std::nullopt;
-  if (!Returning && this->Refused.size() < MostRefused) {
-    this->Refused[Asked.Fingerprint] = Now + RememberRefused;
-    this->RefusedOrder.emplace_back(Now + RememberRefused, Asked.Fingerprint);
-  }
   return this->appointment(Asked);
 }
 
