Let the gate bear longer waits, and rank calls like requests

Cause: the gate kept the queue of a scarce service under 30 ms, at the price of its slots, since any wait there used to cost requests one of their calls. Since calls inherit rank and cohort, orders pass and whole requests complete in a longer queue. Change: waits of 20, 50 and 120 ms; a call has the rank of its request, and a request that a client makes has that of its route. Test changed: "EntryGate lets in less while the deep service queues" queues 84 ms where it queued 48: as many times the wait at which less is let in; it demands the same fall.

--- a/include/limpetdrum/request/CallContext.h
+++ b/include/limpetdrum/request/CallContext.h
@@ -1,7 +1,7 @@
 #ifndef LIMPETDRUM_REQUEST_CALLCONTEXT_H
 #define LIMPETDRUM_REQUEST_CALLCONTEXT_H
 
-#include "limpetdrum/request/Position.h"
+#include "limpetdrum/process/Types.h"
 
 #include <string>
 
@@ -11,22 +11,15 @@
 ///
 /// Answers overload of a service that many routes reach by calls: there the
 /// calls of a request stand or fall together, as its rank and cohort say, and
-/// those of an order go before those of a lookup.
+/// those of an order go before those of a lookup. Calls have no preference over
+/// requests of the same rank that clients make for that service, which would
+/// starve.
 struct CallContext {
   std::string Route; ///< of the request that makes the call
   ClassRank Rank;
   float Cohort = 0;
 };
 
-/// \brief The rank of a request that a client makes.
-/// \param Priority of its route; 0 is the most important.
-///
-/// Each priority has two ranks: calls of requests that are being served go
-/// before requests of the same priority that have not been served yet.
-[[nodiscard]] ClassRank rootRank(ClassRank Priority) noexcept;
-/// \brief The rank of a call that a run of a request with \p Parent makes.
-[[nodiscard]] ClassRank callRank(ClassRank Parent) noexcept;
-
 } // namespace limpetdrum
 
 #endif
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -131,13 +131,11 @@
   if (Context) {
     Of->Parent = std::move(*Parent);
     Of->ParentRoute = Context->Route;
-    Of->Rank = callRank(Context->Rank);
+    Of->Rank = Context->Rank;
     Of->Cohort = Context->Cohort;
     return;
   }
-  Of->Rank = rootRank(Of->Chosen->Rank);
-  if (this->Overload.isCalled(Of->Chosen->Name))
-    Of->Rank = callRank(Of->Rank);
+  Of->Rank = Of->Chosen->Rank;
   Of->Cohort = static_cast<float>(this->Random() % 65536) / 65536;
 }
 
--- a/lib/request/EntryGate.cpp
+++ b/lib/request/EntryGate.cpp
@@ -10,9 +10,9 @@
 /// slots are believed to give: a short wait while requests are held back means
 /// that more fits, a longer one that less does, and a long one ends in refusals
 /// in the depth.
-constexpr double ShortWait = 0.01;
-constexpr double LongWait = 0.03;
-constexpr double CriticalWait = 0.08;
+constexpr double ShortWait = 0.02;
+constexpr double LongWait = 0.05;
+constexpr double CriticalWait = 0.12;
 constexpr double TrimUp = 1.04;
 constexpr double TrimDown = 0.95;
 constexpr double TrimDownFast = 0.85;
--- a/unittests/EntryGateTest.cpp
+++ b/unittests/EntryGateTest.cpp
@@ -142,8 +142,9 @@
   Fleet Of;
   Of.learn(100, 400, 100);
   auto Before = Of.admitted("browse");
-  Of.Planning.Queued = 40;
-  Of.Planning.QueuedWork = 40 * 0.06;
+  // A wait of 84 ms.
+  Of.Planning.Queued = 70;
+  Of.Planning.QueuedWork = 70 * 0.06;
   for (int I = 0; I < 5; ++I)
     Of.learn(100, 400, 100);
   CHECK(Of.admitted("browse") < Before - 0.05);
