Tell the attempts of two nodes apart that started at the same moment

Cause: limpetdrumd's attempts were numbered by the time of their node's start in microseconds and a sequence. Two nodes that start together can share that time, and a call of the one was then attached to a running call of the other: its client got the other's answer. Ruled out: the connections of clients (one request each at a time), entries of HttpServer that wait behind another (held apart as long as they are listed). Change: the key by which the sidecar's Mesh tells callers apart, of node and incarnation, numbers these attempts too.

--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -26,10 +26,6 @@
   limpetdrum::Reply Reply;
 };
 
-/// \brief Names one process of one node: processes of two nodes may start at
-///   the same moment.
-[[nodiscard]] Incarnation callerKey(const NodeId &Node, Incarnation Current);
-
 /// \brief The other nodes: a link to each, their states, calls to them.
 ///
 /// A link that went silent is replaced while its calls go on: the executing
--- a/include/limpetdrum/process/Types.h
+++ b/include/limpetdrum/process/Types.h
@@ -114,6 +114,10 @@
 [[nodiscard]] std::uint64_t stableHash(const std::string &Bytes,
                                        std::uint64_t Seed = 0) noexcept;
 
+/// \brief Names one process of one node: processes of two nodes may start at
+///   the same moment.
+[[nodiscard]] Incarnation callerKey(const NodeId &Node, Incarnation Current);
+
 /// \brief Writes an endpoint as `a.b.c.d:port`.
 [[nodiscard]] std::string toString(Endpoint Value);
 
--- a/lib/daemon/Caller.cpp
+++ b/lib/daemon/Caller.cpp
@@ -40,7 +40,8 @@
       Random(Members.self().Incarnation.value()) {}
 
 AttemptId Caller::nextAttemptId() {
-  return {this->Members.self().Incarnation, ++this->LastSequence};
+  const auto &Self = this->Members.self();
+  return {callerKey(Self.Node, Self.Incarnation), ++this->LastSequence};
 }
 
 std::uint64_t Caller::start(CallRequest Request, ReplyDone Done) {
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -69,10 +69,6 @@
   std::optional<Incarnation> Caller;
 };
 
-Incarnation callerKey(const NodeId &Node, Incarnation Current) {
-  return Incarnation(stableHash(Node.value(), Current.value()));
-}
-
 Mesh::Mesh(EventLoop &Loop, Contact Self, Incarnation Current, EventLog &Log,
            Metrics &Counters)
     : Loop(Loop), Self(std::move(Self)), Current(Current), Log(Log),
--- a/lib/process/Types.cpp
+++ b/lib/process/Types.cpp
@@ -59,6 +59,10 @@
   return Result;
 }
 
+Incarnation callerKey(const NodeId &Node, Incarnation Current) {
+  return Incarnation(stableHash(Node.value(), Current.value()));
+}
+
 std::string toString(AttemptId Value) {
   char Text[2 * HexDigitsPerWord + 1];
   std::snprintf(Text, sizeof(Text), "%016llx%016llx",
