Do not refuse orders because a queue is full of lookups

A queue that is full lowers the level at the entries by a share of what arrives, also where lookups fill it and orders take their places: the level dipped into the rank of the orders, and came back slowly. Ruled out: refusals at the targets (lookups are displaced). Change: without a refusal in a rank, a full queue does not lower the level into it; and a rank of which nothing is refused is reopened by a tenth a window.

--- a/include/limpetdrum/request/AdmissionLevel.h
+++ b/include/limpetdrum/request/AdmissionLevel.h
@@ -36,6 +36,10 @@
 
   void lower() noexcept;
   void raise(const Occupancy &Mean) noexcept;
+  /// Raises the threshold to the end of a rank of which nothing is refused.
+  void reopenRank() noexcept;
+  /// How far down a full queue may take the threshold in a window.
+  [[nodiscard]] float lowestCut() const noexcept;
   [[nodiscard]] float quantile(double Share) const noexcept;
   [[nodiscard]] double arrivalsBelow(float Position) const noexcept;
   void beginWindow(TimePoint Time) noexcept;
--- a/lib/request/AdmissionLevel.cpp
+++ b/lib/request/AdmissionLevel.cpp
@@ -1,6 +1,7 @@
 #include "limpetdrum/request/AdmissionLevel.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limpetdrum {
 
@@ -22,6 +23,8 @@
 constexpr double FullQueueCut = 0.05;
 constexpr double RiseWhenFull = 0.04;
 constexpr double RiseWhenIdle = 1.0;
+/// A window's rise while only lower ranks are refused.
+constexpr float RiseWithinRank = 0.1F;
 /// Enough requests always pass to learn of a recovery.
 constexpr float LeastThreshold = 0.02F;
 
@@ -64,10 +67,14 @@
     double Kept = 1 - FullQueueCut * Excess;
     double Below = this->arrivalsBelow(this->Threshold);
     if (Below > 0)
-      this->Threshold = std::min(this->Threshold,
-                                 this->quantile(Kept * Below / this->Arrivals));
+      this->Threshold =
+          std::min(this->Threshold,
+                   std::max(this->quantile(Kept * Below / this->Arrivals),
+                            this->lowestCut()));
   } else if (this->RefusedNow == 0 && Mean.QueueShare < QueueLow) {
     this->raise(Mean);
+  } else {
+    this->reopenRank();
   }
   auto Most = std::max(static_cast<float>(RankCount), LeastThreshold);
   this->Threshold = std::clamp(this->Threshold, LeastThreshold, Most);
@@ -85,6 +92,20 @@
   this->Threshold = std::min(this->Threshold, Served);
 }
 
+void AdmissionLevel::reopenRank() noexcept {
+  // What is refused are lower ranks: the one that the threshold cuts fits.
+  auto Next = std::ceil(this->Threshold);
+  if (this->LowestRefused >= Next)
+    this->Threshold = std::min(Next, this->Threshold + RiseWithinRank);
+}
+
+float AdmissionLevel::lowestCut() const noexcept {
+  // A queue that is full of a lower rank is no reason to refuse a higher one,
+  // whose requests take its places.
+  return this->RefusedNow > 0 ? this->LowestRefused
+                              : std::floor(this->Threshold);
+}
+
 void AdmissionLevel::raise(const Occupancy &Mean) noexcept {
   double Empty = 1 - Mean.QueueShare / QueueLow;
   double Idle = Mean.IdleShare * Mean.IdleShare;
