Send a policy to a node that lacks it once or so, not from all others

Ruled out: what nodes tell each other in calm (17 of 138 MB). Change: PolicyOffers has each node wait for a time of its own; a node that starts gets some three copies at once. Buffers of more than 16 KiB are not kept.

--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -5,6 +5,7 @@
 #include "limpetdrum/daemon/MeshCodec.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
+#include "limpetdrum/version/PolicyOffers.h"
 
 #include <functional>
 #include <map>
@@ -138,6 +139,7 @@
   bool BroadcastPending = false;
   Revision OwnPolicy; ///< as last seen, since OwnPolicySince
   TimePoint OwnPolicySince{};
+  PolicyOffers Offers;
   Timer Ticker;
   Timer Broadcast;
 };
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t MaxFrameBytes = MaxConnectionBacklogBytes;
+/// Buffers of larger messages, which are rare, are not kept: a node has a link
+/// to each other one.
+constexpr std::size_t KeptBytes = 16U * 1024U;
 /// Unacknowledged bytes end a link after this: the peer is cut off.
 constexpr unsigned UserTimeoutMillis = 3000;
 constexpr int ListenBacklog = 1024;
@@ -141,6 +144,8 @@
     this->InflatedUsed += Size;
     if (this->InflatedUsed == this->Inflated.size()) {
       this->Inflated.clear();
+      if (this->Inflated.capacity() > KeptBytes)
+        this->Inflated.shrink_to_fit();
       this->InflatedUsed = 0;
     }
   }
@@ -168,6 +173,8 @@
       this->fail();
       return false;
     }
+    if (this->Packed.capacity() > KeptBytes)
+      this->Packed = {};
     return this->Event != nullptr;
   }
 
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -27,9 +27,6 @@
 constexpr Milliseconds LongestRetry{2000};
 /// A node that was not reached for so long is forgotten.
 constexpr std::chrono::seconds ForgetAfter{60};
-/// Time for a new policy to arrive by the receiver's own watch; policies may be
-/// large, and all peers of a node would send theirs at once.
-constexpr Milliseconds PolicyGrace{300};
 /// Replies of one link that are acknowledged together at the latest.
 constexpr std::size_t MostUnacknowledged = 32;
 
@@ -72,7 +69,7 @@
 Mesh::Mesh(EventLoop &Loop, Contact Self, Incarnation Current, EventLog &Log,
            Metrics &Counters)
     : Loop(Loop), Self(std::move(Self)), Current(Current), Log(Log),
-      Counters(Counters) {}
+      Counters(Counters), Offers(this->Self.Node) {}
 
 Mesh::~Mesh() = default;
 
@@ -310,6 +307,7 @@
   auto Old = std::move(Found->second);
   this->Out.erase(Found);
   this->Views.erase(Gone);
+  this->Offers.forget(Gone);
   this->retire(std::move(Old->Link));
   if (Old->Spare)
     this->retire(std::move(Old->Spare));
@@ -324,9 +322,8 @@
     this->OwnPolicy = Mine;
     this->OwnPolicySince = Now;
   }
-  bool Starting = Theirs.Policy == Revision();
-  if (Theirs.Policy < Mine &&
-      (Starting || Now - this->OwnPolicySince >= PolicyGrace))
+  if (this->Offers.isDue(Theirs.Self.Node, Theirs.Policy, Mine,
+                         this->OwnPolicySince, this->Views.size(), Now))
     Over.send(codec::encodePolicy(this->To.PolicyText()));
 }
 
@@ -507,6 +504,7 @@
     this->Log.state("peer_forgotten", {{"node", Node.value()}});
     this->Out.erase(Node);
     this->Views.erase(Node);
+    this->Offers.forget(Node);
   }
 }
 
