Drop delivered bytes of a compressed link

Cause: found by reading: on a link that always holds part of a message the buffer of inflated bytes was never emptied, and grew.

--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -62,8 +62,8 @@
   std::optional<Format> Chosen; ///< until the first byte of the other end: none
   std::unique_ptr<Deflater> Outgoing;
   std::unique_ptr<Inflater> Incoming;
-  std::string Inflated;         ///< and not delivered yet
-  std::size_t InflatedUsed = 0; ///< at its begin
+  std::string Inflated;         ///< bytes of the last messages
+  std::size_t InflatedUsed = 0; ///< of those, delivered already
 
   State(EventLoop &Loop, Events Callbacks)
       : Loop(Loop), Callbacks(std::move(Callbacks)), LastRead(Loop.now()) {}
@@ -113,6 +113,10 @@
 
   /// \returns false if the link has failed.
   bool inflateInput() {
+    if (this->InflatedUsed > KeptBytes) {
+      this->Inflated.erase(0, this->InflatedUsed);
+      this->InflatedUsed = 0;
+    }
     auto *Input = bufferevent_get_input(this->Event);
     std::vector<char> Bytes(evbuffer_get_length(Input));
     evbuffer_remove(Input, Bytes.data(), Bytes.size());
