--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -5,6 +5,7 @@
 #include "limpetdrum/daemon/MeshCodec.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
+#include "limpetdrum/version/PolicyOffers.h"
 
 #include <functional>
 #include <map>
@@ -26,10 +27,6 @@
   limpetdrum::Reply Reply;
 };
 
-/// \brief Names one process of one node: processes of two nodes may start at
-///   the same moment.
-[[nodiscard]] Incarnation callerKey(const NodeId &Node, Incarnation Current);
-
 /// \brief The other nodes: a link to each, their states, calls to them.
 ///
 /// A link that went silent is replaced while its calls go on: the executing
@@ -142,6 +139,7 @@
   bool BroadcastPending = false;
   Revision OwnPolicy; ///< as last seen, since OwnPolicySince
   TimePoint OwnPolicySince{};
+  PolicyOffers Offers;
   Timer Ticker;
   Timer Broadcast;
 };
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t MaxFrameBytes = MaxConnectionBacklogBytes;
+/// Buffers of larger messages, which are rare, are not kept: a node has a link
+/// to each other one.
+constexpr std::size_t KeptBytes = 16U * 1024U;
 /// Unacknowledged bytes end a link after this: the peer is cut off.
 constexpr unsigned UserTimeoutMillis = 3000;
 constexpr int ListenBacklog = 1024;
@@ -59,8 +62,8 @@
   std::optional<Format> Chosen; ///< until the first byte of the other end: none
   std::unique_ptr<Deflater> Outgoing;
   std::unique_ptr<Inflater> Incoming;
-  std::string Inflated;         ///< and not delivered yet
-  std::size_t InflatedUsed = 0; ///< at its begin
+  std::string Inflated;         ///< bytes of the last messages
+  std::size_t InflatedUsed = 0; ///< of those, delivered already
 
   State(EventLoop &Loop, Events Callbacks)
       : Loop(Loop), Callbacks(std::move(Callbacks)), LastRead(Loop.now()) {}
@@ -110,6 +113,10 @@
 
   /// \returns false if the link has failed.
   bool inflateInput() {
+    if (this->InflatedUsed > KeptBytes) {
+      this->Inflated.erase(0, this->InflatedUsed);
+      this->InflatedUsed = 0;
+    }
     auto *Input = bufferevent_get_input(this->Event);
     std::vector<char> Bytes(evbuffer_get_length(Input));
     evbuffer_remove(Input, Bytes.data(), Bytes.size());
@@ -141,6 +148,8 @@
     this->InflatedUsed += Size;
     if (this->InflatedUsed == this->Inflated.size()) {
       this->Inflated.clear();
+      if (this->Inflated.capacity() > KeptBytes)
+        this->Inflated.shrink_to_fit();
       this->InflatedUsed = 0;
     }
   }
@@ -168,6 +177,8 @@
       this->fail();
       return false;
     }
+    if (this->Packed.capacity() > KeptBytes)
+      this->Packed = {};
     return this->Event != nullptr;
   }
 
