Log each repeat, and what a refusal at the entry went by

Change: repeat, with its reason, rank, cohort and whether it was granted; share and parent in refused, parent in failed. Bounded like all lines about requests.

--- a/include/limpetdrum/daemon/Forwarder.h
+++ b/include/limpetdrum/daemon/Forwarder.h
@@ -59,8 +59,8 @@
   /// Whether there is a node that the request has not been sent to.
   [[nodiscard]] bool hasOther(const Forwarding &Of) const;
   /// Takes a repeat out of the budget.
-  /// \param MayStay whether the target that refused it may be asked again.
-  [[nodiscard]] bool mayRepeat(const Shared &Of, bool MayStay = false);
+  /// \param Why the last turn brought no answer.
+  [[nodiscard]] bool mayRepeat(const Shared &Of, Reason Why);
   void giveBackRepeat(const Shared &Of);
   void endTurn(const Shared &Of, CallEnd How);
   /// If this is a call of the own target, what it answers is no fault of its.
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -302,7 +302,7 @@
     return;
   case MeshResult::Kind::Silent:
     // The call goes on where it is, unless it may be repeated elsewhere.
-    if (!Of->Chosen->Idempotent || !this->mayRepeat(Of))
+    if (!Of->Chosen->Idempotent || !this->mayRepeat(Of, Reason::NodeGone))
       return;
     this->Others.cancel(Of->Node, Of->Call);
     this->endTurn(Of, CallEnd::Failed);
@@ -355,8 +355,10 @@
   });
 }
 
-bool Forwarder::mayRepeat(const Shared &Of, bool MayStay) {
+bool Forwarder::mayRepeat(const Shared &Of, Reason Why) {
   auto Time = this->Loop.now();
+  // A target that refused without running may be asked again.
+  bool MayStay = Why == Reason::RefusedByTarget;
   bool MayMove = Of->Runs + 1 < Of->Chosen->MaxAttempts && this->hasOther(*Of);
   if ((!MayMove && !MayStay) || Of->Deadline - Time <= LeastTimeForRepeat ||
       Of->Turn >= MostTurns)
@@ -365,6 +367,18 @@
   auto Position = this->positionOf(*Of);
   bool Taken = this->Repeats.take(Of->Service, Position,
                                   shareOf(Of->Rank, Of->Cohort), Time);
+  this->Log.request("repeat",
+                    {{"id", Of->Id},
+                     {"route", Of->Chosen->Name},
+                     {"service", Of->Service.value()},
+                     {"reason", toString(Why)},
+                     {"node", Of->Node.value()},
+                     {"turns", Of->Turn},
+                     {"rank", Of->Rank.value()},
+                     {"cohort", Of->Cohort},
+                     {"leaf", Position == RepeatBudget::Position::Leaf},
+                     {"stays", Of->Stays},
+                     {"granted", Taken}});
   if (!Taken)
     this->Counters.count("repeats_over_budget");
   Of->Repeats = Taken ? std::optional(Position) : std::nullopt;
@@ -379,7 +393,7 @@
 
 void Forwarder::onUnknown(const Shared &Of, Reason Why) {
   if (Why != Reason::TimedOut && Of->Chosen->Idempotent &&
-      this->mayRepeat(Of)) {
+      this->mayRepeat(Of, Why)) {
     Of->MayHaveRun = true;
     ++Of->Runs;
     this->Counters.count("repeats", "reason", toString(Why));
@@ -398,7 +412,7 @@
   auto Time = this->Loop.now();
   bool Retry = false;
   if (Arrived)
-    Retry = this->mayRepeat(Of, Value.Reason == Reason::RefusedByTarget);
+    Retry = this->mayRepeat(Of, Value.Reason);
   else if (Elsewhere || Of->Turn < 2)
     Retry = Of->Turn < MostTurns && Of->Deadline - Time > LeastTimeForRepeat &&
             this->hasOther(*Of);
@@ -467,6 +481,10 @@
                   {"reason", toString(Why)},
                   {"node", Of->Node.value()},
                   {"turns", Of->Turn},
+                  {"share", Of->Chosen == nullptr ? 1
+                                                  : this->Overload.gate().share(
+                                                        Of->Chosen->Name)},
+                  {"parent", Of->Parent},
                   {"retry_after_ms", RetryAfter.count()},
                   {"policy", Of->Policy ? Of->Policy->version().value() : 0}});
   this->answer(Of, 503, {{"Retry-After", seconds(RetryAfter)}},
@@ -482,6 +500,7 @@
                                {"reason", toString(Why)},
                                {"node", Of->Node.value()},
                                {"turns", Of->Turn},
+                               {"parent", Of->Parent},
                                {"policy", Of->Policy->version().value()}});
   this->answer(Of, Status, {}, std::string("unknown: ") + toString(Why) + "\n",
                "failed");
