Take over only what others remember of the own service's target

The others told its node the target that they remembered at that address, of another service; for 0.9 s the node said that it had that target, and was sent calls of a scarce service (56 "target-broke" and others refused with 421). Ruled out: a wrong run (each send names its target; 421 is not run). Change: a node takes over only a record of its own service. Test: "LocalTarget forgets what others remember of another service", failing before.

--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -30,6 +30,8 @@
     std::uint64_t Seed = 1;
     /// The time of day that targets of this instance start by.
     std::function<std::int64_t()> UnixMillis;
+    /// That targets of this instance belong to.
+    ServiceName Service;
   };
   struct Report {
     TargetRecord Target;
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -90,6 +90,10 @@
   // Only a reported record tells the order of processes.
   if (Theirs.Id.empty() || Theirs.Started == 0)
     return;
+  // Another instance may have had this address; what others remember is then of
+  // the target there.
+  if (Theirs.Service != this->Chosen.Service)
+    return;
   bool Taken = this->onReport({Theirs, Milliseconds(0)});
   // When that leave was acknowledged is not known: its time may be over.
   if (Taken && this->Record.State != TargetState::Ready)
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -103,7 +103,7 @@
         Seed(stableHash(Chosen.Node.value(), this->Incarnation.value())),
         Started(Loop.now()),
         Port(Loop, Chosen.Target, targetOptions(Adapter.headers())),
-        Own({Chosen.DrainTimeout / 2, this->Seed, unixMillis},
+        Own({Chosen.DrainTimeout / 2, this->Seed, unixMillis, Chosen.Service},
             Adapter.headers(), this->Port, Log, Counters,
             [&Loop]() { return Loop.now(); }),
         Others(Loop, this->contact(), this->Incarnation, Log, Counters),
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -25,7 +25,8 @@
   EventLog Log{open("/dev/null", O_WRONLY)};
   MockPort Port;
   std::int64_t UnixTime = 5000;
-  LocalTarget Own{{Milliseconds(1000), 1, [this]() { return this->UnixTime; }},
+  LocalTarget Own{{Milliseconds(1000), 1, [this]() { return this->UnixTime; },
+                   ServiceName("ordering")},
                   HeaderNames{},
                   Port,
                   Log,
@@ -326,3 +327,14 @@
   CHECK(Node.Replies[1].Reason == Reason::None);
   CHECK(Node.Replies[2].Reason == Reason::None);
 }
+
+TEST_CASE("LocalTarget forgets what others remember of another service") {
+  // Its instance got the address of one that is gone.
+  Beside Node;
+  auto Before = Beside::report("t0", 1000, 20);
+  Before.Target.Service = ServiceName("planning");
+  Node.Own.onRemembered(Before.Target);
+  CHECK(Node.Own.record().Id.empty());
+  Node.Own.onRemembered(Beside::report("t1", 1000, 20).Target);
+  CHECK(Node.Own.record().Id == "t1");
+}
