Begin no runs in the last two seconds of a leaving node

A leaving node refused late clients and late calls of its own target, but took attempts of other nodes to the last. Ruled out: the target (it was at work), the client's node (it waited). Change: in the last two of the six seconds the own target gets no further attempts: not run. Known ones go on and can be attached to. Tests: "LeavePlan lets runs begin that end before the process", "LocalTarget begins no run shortly before its node ends" (there was nothing to call before).

--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -56,6 +56,8 @@
   /// \param OnReply called once for each call of arrive().
   void arrive(Incarnation Caller, const MeshAttempt &Attempt,
               ReplyDone OnReply);
+  /// \brief Takes no further attempts; known ones go on and can be attached to.
+  void close() noexcept { this->IsClosed = true; }
   /// \brief Ends an attempt that nobody waits for.
   void cancel(Incarnation Caller, std::uint64_t Call);
   /// \brief The caller has the reply to an attempt.
@@ -121,6 +123,7 @@
   std::unordered_map<std::string, std::int64_t> Departed;
   DrainGate Gate;
   bool GateWasClosed = false;
+  bool IsClosed = false; ///< the node ends soon
   AttemptLedger Ledger;
   Admission Queue;
   std::unordered_map<AttemptId, Entry> Active;
--- a/include/limpetdrum/request/LeavePlan.h
+++ b/include/limpetdrum/request/LeavePlan.h
@@ -27,6 +27,9 @@
   /// \returns nothing if the request is taken, else when to come back.
   [[nodiscard]] std::optional<Milliseconds> refuses(bool IsCall,
                                                     TimePoint Now) const;
+  /// \brief Whether the own target gets no further runs: the other nodes know
+  ///   of the leave, and send what has nowhere else to go.
+  [[nodiscard]] bool refusesRuns(TimePoint Now) const;
   /// \brief Whether the process may end.
   /// \param Idle whether nothing is in flight.
   [[nodiscard]] bool mayEnd(bool Idle, TimePoint Now) const;
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -160,7 +160,7 @@
     this->finish(Id, notRun(Reason::WrongTarget, LeastRetryAfter));
     return;
   }
-  if (this->Gate.isClosed(Time) ||
+  if (this->IsClosed || this->Gate.isClosed(Time) ||
       this->Record.State == TargetState::Starting) {
     this->finish(Id, notRun(Reason::Draining, LeastRetryAfter));
     return;
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -432,6 +432,8 @@
 void Sidecar::State::continueLeaving() {
   if (this->HasLeft)
     return;
+  if (this->Leaving.refusesRuns(this->Loop.now()))
+    this->Own.close();
   bool Idle = this->Outbound->open() == 0 && this->Own.busy() == 0;
   if (!this->Leaving.mayEnd(Idle, this->Loop.now()))
     return;
--- a/lib/request/LeavePlan.cpp
+++ b/lib/request/LeavePlan.cpp
@@ -13,6 +13,8 @@
 constexpr int ClientShareOfLimit = 2;
 /// Calls that come by then have this long to be answered.
 constexpr Milliseconds CallMargin{1000};
+/// Runs that begin by then end before the process: most take less than 1.5 s.
+constexpr Milliseconds RunMargin{2000};
 /// Of the time to exit, kept for the end of the process itself.
 constexpr Milliseconds ExitMargin{400};
 /// From the end of a process to readiness of the next one.
@@ -34,6 +36,11 @@
   return std::max(Milliseconds(0), this->ExitLimit - Passed) / 2 + RestartTime;
 }
 
+bool LeavePlan::refusesRuns(TimePoint Now) const {
+  return this->Ended ||
+         (this->Began && Now - *this->Began >= this->ExitLimit - RunMargin);
+}
+
 bool LeavePlan::mayEnd(bool Idle, TimePoint Now) const {
   if (!this->Began)
     return false;
--- a/unittests/LeavePlanTest.cpp
+++ b/unittests/LeavePlanTest.cpp
@@ -52,3 +52,15 @@
   CHECK(Plan.refuses(false, Clock.now()));
   CHECK(Plan.refuses(true, Clock.now()));
 }
+
+TEST_CASE("LeavePlan lets runs begin that end before the process") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  CHECK_FALSE(Plan.refusesRuns(Clock.now()));
+  Plan.begin(Clock.now());
+  Clock.advance(Milliseconds(3900));
+  CHECK_FALSE(Plan.refusesRuns(Clock.now()));
+  Clock.advance(Milliseconds(100));
+  CHECK(Plan.refusesRuns(Clock.now()));
+  CHECK_FALSE(Plan.mayEnd(false, Clock.now()));
+}
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -338,3 +338,19 @@
   Node.Own.onRemembered(Beside::report("t1", 1000, 20).Target);
   CHECK(Node.Own.record().Id == "t1");
 }
+
+TEST_CASE("LocalTarget begins no run shortly before its node ends") {
+  Beside Node;
+  REQUIRE(Node.Own.onReport(Beside::report("t1", 100, 1)));
+  Node.arrive(1);
+  Node.Own.close();
+  Node.arrive(2);
+  CHECK(Node.Sent.size() == 1);
+  REQUIRE(Node.Replies.size() == 1);
+  CHECK(Node.Replies[0].Outcome == Outcome::NotRun);
+  // What runs goes on, also for a caller that asks again.
+  Node.arrive(1);
+  Node.Sent[0](Beside::answer(200));
+  REQUIRE(Node.Replies.size() == 2);
+  CHECK(Node.Replies[1].Outcome == Outcome::Answered);
+}
