Take the decision on the next turn out of the Forwarder

The metric of repeats counted one of three ways to make one, and whether a request is a call was asked twice for each request. Ruled out: Call, which decides the same for limpetdrumd by a split retry budget and keys, which the sidecar has not. Change: TurnPlan, without I/O, as strategy of one request; Forwarder follows its steps and takes repeats out of the budget in one place. OverloadControl is told that a request is a call. blameCall is tellParent. Meant to behave as before but for the metric.

--- a/include/limpetdrum/daemon/Forwarder.h
+++ b/include/limpetdrum/daemon/Forwarder.h
@@ -8,6 +8,7 @@
 #include "limpetdrum/request/Placement.h"
 #include "limpetdrum/request/RepeatBudget.h"
 #include "limpetdrum/request/SplitChooser.h"
+#include "limpetdrum/request/TurnPlan.h"
 #include "limpetdrum/version/TrafficPolicy.h"
 
 #include <random>
@@ -58,13 +59,16 @@
   [[nodiscard]] RepeatBudget::RouteKind kindOf(const Forwarding &Of) const;
   /// Whether there is a node that the request has not been sent to.
   [[nodiscard]] bool hasOther(const Forwarding &Of) const;
-  /// Takes a repeat out of the budget.
+  [[nodiscard]] TurnPlan::Surroundings around(const Shared &Of) const;
+  /// Takes a repeat out of the budget, and logs whether it was granted.
   /// \param Why the last turn brought no answer.
-  [[nodiscard]] bool mayRepeat(const Shared &Of, Reason Why);
-  void giveBackRepeat(const Shared &Of);
+  [[nodiscard]] bool takeRepeat(const Shared &Of, TurnPlan::Step Which,
+                                Reason Why);
+  /// \param Why what the last turn came to.
+  void follow(const Shared &Of, TurnPlan::Step Which, const Reply &Why);
   void endTurn(const Shared &Of, CallEnd How);
-  /// If this is a call of the own target, what it answers is no fault of its.
-  void blameCall(const Forwarding &Of);
+  /// Notes a call that failed at the run that made it, if that is known.
+  void tellParent(const Forwarding &Of);
   /// The client has gone.
   void abandon(const Shared &Of);
   void cancelTurn(const Shared &Of);
--- a/include/limpetdrum/request/OverloadControl.h
+++ b/include/limpetdrum/request/OverloadControl.h
@@ -15,6 +15,7 @@
   /// \brief A request that asks to go in.
   struct Request {
     std::string Route;
+    bool IsCall = false; ///< made by a target: its request has been let in
     Milliseconds TimeLeft{0};
     /// From now on, within which an answer has its full value.
     Milliseconds TargetLeft{0};
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -11,11 +11,8 @@
 
 /// Kept from the time that is left, for the way back of the answer.
 constexpr Milliseconds ReturnMargin{5};
-/// A repeat with less time than this would hardly be answered.
-constexpr Milliseconds LeastTimeForRepeat{30};
 constexpr Milliseconds NoPolicyRetryAfter{500};
 constexpr Milliseconds NoTargetRetryAfter{500};
-constexpr unsigned MostTurns = 8;
 /// Of its latency target, a request may spend this part in a queue.
 constexpr int WaitShare = 2;
 
@@ -60,14 +57,10 @@
   std::vector<NodeId> Excluded;
   NodeId Node;            ///< of the present turn
   std::uint64_t Call = 0; ///< of the present turn; 0: none
-  std::uint64_t Turn = 0; ///< sends to a node so far
-  std::uint32_t Runs = 0; ///< targets that may have been reached
+  TurnPlan Plan{false, 1};
   TimePoint TurnStarted;
   /// The turn is a repeat that was taken out of this part of the budget.
   std::optional<RepeatBudget::RouteKind> Repeats;
-  bool Stays = false;      ///< the repeat goes to the same target
-  bool Sent = false;       ///< to a node, in any turn
-  bool MayHaveRun = false; ///< in an earlier turn
   bool Ended = false;
 };
 
@@ -108,6 +101,7 @@
                             Of->Chosen->Timeout);
   Of->Deadline = Of->Request.Started + Limit;
   Of->Service = this->Splits.choose(*Of->Chosen);
+  Of->Plan = TurnPlan(Of->Chosen->Idempotent, Of->Chosen->MaxAttempts);
   this->inherit(Of);
   removeConnectionHeaders(Of->Request.Headers);
   for (const auto *Name : {&this->Names.TimeLeft, &this->Names.ExpectedTarget,
@@ -151,12 +145,9 @@
     this->refuse(Of, Reason::Draining, *ComeBack);
     return;
   }
-  if (IsCall) {
-    this->send(Of);
-    return;
-  }
   OverloadControl::Request Asked;
   Asked.Route = Of->Chosen->Name;
+  Asked.IsCall = IsCall;
   Asked.TimeLeft =
       std::chrono::duration_cast<Milliseconds>(Of->Deadline - Time);
   Asked.TargetLeft = std::chrono::duration_cast<Milliseconds>(
@@ -215,10 +206,8 @@
   auto Node =
       this->Places.pick(this->candidates(Of->Service), Of->Excluded, Time);
   if (!Node) {
-    if (Of->MayHaveRun)
-      this->fail(Of, 502, Reason::NoTarget);
-    else
-      this->refuse(Of, Reason::NoTarget, NoTargetRetryAfter);
+    this->follow(Of, Of->Plan.onDenied(),
+                 notRun(Reason::NoTarget, NoTargetRetryAfter));
     return;
   }
   this->sendTo(Of, *Node);
@@ -257,8 +246,8 @@
 void Forwarder::sendTo(const Shared &Of, const NodeId &Node) {
   Of->Node = Node;
   Of->TurnStarted = this->Loop.now();
-  auto Turn = ++Of->Turn;
-  Of->Sent = true;
+  Of->Plan.onSent();
+  auto Turn = Of->Plan.turns();
   Of->Excluded.push_back(Node);
   auto Attempt = this->makeAttempt(*Of, *this->targetAt(Node));
   auto OnResult = [this, Of, Turn](const MeshResult &Result) {
@@ -284,7 +273,7 @@
 
 void Forwarder::onResult(const Shared &Of, std::uint64_t Turn,
                          const MeshResult &Result) {
-  if (Of->Ended || Turn != Of->Turn)
+  if (Of->Ended || Turn != Of->Plan.turns())
     return;
   switch (Result.How) {
   case MeshResult::Kind::Replied:
@@ -300,17 +289,18 @@
     this->endTurn(Of, CallEnd::Failed);
     this->onUnknown(Of, Reason::NodeGone);
     return;
-  case MeshResult::Kind::Silent:
-    // The call goes on where it is, unless it may be repeated elsewhere.
-    if (!Of->Chosen->Idempotent || !this->mayRepeat(Of, Reason::NodeGone))
+  case MeshResult::Kind::Silent: {
+    auto Step = Of->Plan.onSilent(this->around(Of));
+    if (Step == TurnPlan::Step::Wait ||
+        !this->takeRepeat(Of, Step, Reason::NodeGone))
       return;
     this->Others.cancel(Of->Node, Of->Call);
     this->endTurn(Of, CallEnd::Failed);
-    Of->MayHaveRun = true;
-    ++Of->Runs;
+    Of->Plan.onGranted(Step, true);
     this->send(Of);
     return;
   }
+  }
 }
 
 void Forwarder::onReply(const Shared &Of, const Reply &Value) {
@@ -322,7 +312,7 @@
     if (Failed && Value.Reason == Reason::CallFailed)
       End = CallEnd::Refused;
     if (Failed)
-      this->blameCall(*Of);
+      this->tellParent(*Of);
     this->endTurn(Of, End);
     this->answer(Of, Value.Status, Value.Headers, Value.Body,
                  Failed ? "target-failed" : "served");
@@ -356,89 +346,80 @@
   });
 }
 
-bool Forwarder::mayRepeat(const Shared &Of, Reason Why) {
-  auto Time = this->Loop.now();
-  // A target that refused without running may be asked again.
-  bool MayStay = Why == Reason::RefusedByTarget;
-  bool MayMove = Of->Runs + 1 < Of->Chosen->MaxAttempts && this->hasOther(*Of);
-  if ((!MayMove && !MayStay) || Of->Deadline - Time <= LeastTimeForRepeat ||
-      Of->Turn >= MostTurns)
-    return false;
-  Of->Stays = !MayMove;
+TurnPlan::Surroundings Forwarder::around(const Shared &Of) const {
+  auto Left =
+      std::chrono::duration_cast<Milliseconds>(Of->Deadline - this->Loop.now());
+  return {Left, [this, Of]() { return this->hasOther(*Of); }};
+}
+
+bool Forwarder::takeRepeat(const Shared &Of, TurnPlan::Step Which, Reason Why) {
   auto Kind = this->kindOf(*Of);
-  bool Taken = this->Repeats.take(Of->Service, Kind,
-                                  shareOf(Of->Rank, Of->Cohort), Time);
+  bool Granted = this->Repeats.take(
+      Of->Service, Kind, shareOf(Of->Rank, Of->Cohort), this->Loop.now());
   this->Log.request("repeat", {{"id", Of->Id},
                                {"route", Of->Chosen->Name},
                                {"service", Of->Service.value()},
                                {"reason", toString(Why)},
                                {"node", Of->Node.value()},
-                               {"turns", Of->Turn},
+                               {"turns", Of->Plan.turns()},
                                {"rank", Of->Rank.value()},
                                {"cohort", Of->Cohort},
                                {"leaf", Kind == RepeatBudget::RouteKind::Leaf},
-                               {"stays", Of->Stays},
-                               {"granted", Taken}});
-  if (!Taken)
+                               {"stays", Which == TurnPlan::Step::RepeatHere},
+                               {"granted", Granted}});
+  if (Granted)
+    this->Counters.count("repeats", "reason", toString(Why));
+  else
     this->Counters.count("repeats_over_budget");
-  Of->Repeats = Taken ? std::optional(Kind) : std::nullopt;
-  return Taken;
+  Of->Repeats = Granted ? std::optional(Kind) : std::nullopt;
+  return Granted;
 }
 
-void Forwarder::giveBackRepeat(const Shared &Of) {
-  if (Of->Repeats)
+void Forwarder::onUnknown(const Shared &Of, Reason Why) {
+  auto Step = Of->Plan.onUnknown(Why, this->around(Of));
+  this->follow(Of, Step, unknownOutcome(Why, Milliseconds(0)));
+}
+
+void Forwarder::onNotRun(const Shared &Of, const Reply &Value) {
+  auto Step = Of->Plan.onNotRun(Value.Reason, this->around(Of));
+  bool Ends = Step == TurnPlan::Step::Refuse || Step == TurnPlan::Step::Fail;
+  if (Ends && Of->Repeats && !TurnPlan::reachedTarget(Value.Reason))
     this->Repeats.giveBack(Of->Service, *Of->Repeats, this->Loop.now());
-  Of->Repeats.reset();
+  this->follow(Of, Step, Value);
 }
 
-void Forwarder::onUnknown(const Shared &Of, Reason Why) {
-  if (Why != Reason::TimedOut && Of->Chosen->Idempotent &&
-      this->mayRepeat(Of, Why)) {
-    Of->MayHaveRun = true;
-    ++Of->Runs;
-    this->Counters.count("repeats", "reason", toString(Why));
+void Forwarder::follow(const Shared &Of, TurnPlan::Step Which,
+                       const Reply &Why) {
+  if (TurnPlan::isRepeat(Which)) {
+    if (this->takeRepeat(Of, Which, Why.Reason))
+      Of->Plan.onGranted(Which, false);
+    else
+      Which = Of->Plan.onDenied();
+  }
+  switch (Which) {
+  case TurnPlan::Step::Move:
+  case TurnPlan::Step::RepeatElsewhere:
     this->send(Of);
     return;
-  }
-  this->fail(Of, Why == Reason::TimedOut ? 504 : 502, Why);
-}
-
-void Forwarder::onNotRun(const Shared &Of, const Reply &Value) {
-  bool Arrived = Value.Reason == Reason::RefusedByTarget ||
-                 Value.Reason == Reason::WrongTarget;
-  bool Elsewhere =
-      Value.Reason == Reason::Draining || Value.Reason == Reason::WrongTarget ||
-      Value.Reason == Reason::NodeGone || Value.Reason == Reason::TargetBroke;
-  auto Time = this->Loop.now();
-  bool Retry = false;
-  if (Arrived)
-    Retry = this->mayRepeat(Of, Value.Reason);
-  else if (Elsewhere || Of->Turn < 2)
-    Retry = Of->Turn < MostTurns && Of->Deadline - Time > LeastTimeForRepeat &&
-            this->hasOther(*Of);
-  if (Arrived && Retry && Of->Stays) {
+  case TurnPlan::Step::RepeatHere:
     this->sendAgain(Of);
     return;
-  }
-  if (Arrived && Retry)
-    ++Of->Runs;
-  if (Retry) {
-    this->send(Of);
+  case TurnPlan::Step::Fail:
+    this->fail(Of, Why.Reason == Reason::TimedOut ? 504 : 502, Why.Reason);
+    return;
+  case TurnPlan::Step::Refuse:
+    this->refuse(Of, Why.Reason, Why.RetryAfter);
+    return;
+  case TurnPlan::Step::Wait:
     return;
   }
-  if (!Arrived)
-    this->giveBackRepeat(Of);
-  if (Of->MayHaveRun)
-    this->fail(Of, 502, Value.Reason);
-  else
-    this->refuse(Of, Value.Reason, Value.RetryAfter);
 }
 
 void Forwarder::onDeadline(const Shared &Of) {
   if (Of->Ended)
     return;
   this->cancelTurn(Of);
-  if (Of->Sent)
+  if (Of->Plan.turns() > 0)
     this->fail(Of, 504, Reason::TimedOut);
   else
     this->refuse(Of, Reason::DeadlineTooNear, NoTargetRetryAfter);
@@ -452,11 +433,11 @@
                                     {"route", Of->Chosen->Name},
                                     {"node", Of->Node.value()},
                                     {"sent", Of->Call != 0},
-                                    {"turns", Of->Turn}});
+                                    {"turns", Of->Plan.turns()}});
   this->cancelTurn(Of);
 }
 
-void Forwarder::blameCall(const Forwarding &Of) {
+void Forwarder::tellParent(const Forwarding &Of) {
   if (!Of.Parent.empty())
     this->Own.onCallFailed(Of.Parent);
 }
@@ -473,14 +454,14 @@
 }
 
 void Forwarder::refuse(const Shared &Of, Reason Why, Milliseconds RetryAfter) {
-  this->blameCall(*Of);
+  this->tellParent(*Of);
   this->Log.request(
       "refused", {{"id", Of->Id},
                   {"route", Of->Chosen == nullptr ? "" : Of->Chosen->Name},
                   {"service", Of->Service.value()},
                   {"reason", toString(Why)},
                   {"node", Of->Node.value()},
-                  {"turns", Of->Turn},
+                  {"turns", Of->Plan.turns()},
                   {"share", Of->Chosen == nullptr ? 1
                                                   : this->Overload.gate().share(
                                                         Of->Chosen->Name)},
@@ -492,14 +473,14 @@
 }
 
 void Forwarder::fail(const Shared &Of, int Status, Reason Why) {
-  this->blameCall(*Of);
+  this->tellParent(*Of);
   this->Log.request("failed", {{"id", Of->Id},
                                {"route", Of->Chosen->Name},
                                {"service", Of->Service.value()},
                                {"status", Status},
                                {"reason", toString(Why)},
                                {"node", Of->Node.value()},
-                               {"turns", Of->Turn},
+                               {"turns", Of->Plan.turns()},
                                {"parent", Of->Parent},
                                {"policy", Of->Policy->version().value()}});
   this->answer(Of, Status, {}, std::string("unknown: ") + toString(Why) + "\n",
--- a/lib/request/OverloadControl.cpp
+++ b/lib/request/OverloadControl.cpp
@@ -60,7 +60,7 @@
 }
 
 std::optional<Milliseconds> OverloadControl::admit(const Request &Asked) {
-  if (this->Demand.isCalled(Asked.Route) || this->Gate.admit(Asked.Route))
+  if (Asked.IsCall || this->Gate.admit(Asked.Route))
     return std::nullopt;
   return this->appointment(Asked);
 }
--- a/unittests/EntryGateTest.cpp
+++ b/unittests/EntryGateTest.cpp
@@ -83,7 +83,8 @@
   double admitted(const std::string &Name, int Count = 2000) {
     int In = 0;
     for (int I = 0; I < Count; ++I)
-      if (!this->Control.admit({Name, Milliseconds(2000), Milliseconds(1000)}))
+      if (!this->Control.admit({Name, this->Control.isCalled(Name),
+                                Milliseconds(2000), Milliseconds(1000)}))
         ++In;
     return static_cast<double>(In) / Count;
   }
@@ -166,8 +167,8 @@
     while (!Arrivals.empty()) {
       auto [At, Returns] = *Arrivals.begin();
       Arrivals.erase(Arrivals.begin());
-      auto ComeBack =
-          Of.Control.admit({"browse", Milliseconds(3000), Milliseconds(1200)});
+      auto ComeBack = Of.Control.admit(
+          {"browse", false, Milliseconds(3000), Milliseconds(1200)});
       if (!ComeBack) {
         ++(Returns ? Later : AtFirst);
         continue;
@@ -194,8 +195,8 @@
   int Early = 0;
   int Refused = 0;
   for (int I = 0; I < 1000; ++I) {
-    auto ComeBack =
-        Of.Control.admit({"browse", Milliseconds(5000), Milliseconds(1200)});
+    auto ComeBack = Of.Control.admit(
+        {"browse", false, Milliseconds(5000), Milliseconds(1200)});
     if (!ComeBack)
       continue;
     ++Refused;
