Part the links that others made from those that this node made

Ruled out: two files of one class, which would part no state. Change: IncomingLinks owns the second; Mesh binds both. retire() stands once, beside PeerLink.

--- a/include/limpetdrum/connection/Deflate.h
+++ b/include/limpetdrum/connection/Deflate.h
@@ -7,7 +7,7 @@
 
 namespace limpetdrum {
 
-/// \brief Compresses a stream of messages; each can be read on its own arrival.
+/// \brief Compresses a stream of messages, flushed after each of them.
 class Deflater {
 public:
   /// \throws std::bad_alloc if there is no memory for the stream.
--- a/include/limpetdrum/connection/PeerLink.h
+++ b/include/limpetdrum/connection/PeerLink.h
@@ -51,6 +51,9 @@
   std::shared_ptr<State> Impl;
 };
 
+/// \brief Stops a link and frees it later: it may be in a callback now.
+void retire(EventLoop &Loop, std::unique_ptr<PeerLink> Old);
+
 /// \brief Accepts links of other nodes.
 class PeerListener {
 public:
--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -2,7 +2,7 @@
 #define LIMPETDRUM_DAEMON_MESH_H
 
 #include "limpetdrum/connection/Liveness.h"
-#include "limpetdrum/daemon/MeshCodec.h"
+#include "limpetdrum/daemon/IncomingLinks.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
 #include "limpetdrum/version/PolicyOffers.h"
@@ -11,7 +11,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
 
 namespace limpetdrum {
 
@@ -89,7 +88,6 @@
   void sendUsage(const std::vector<NodeId> &To, const MeshUsage &Value);
 
 private:
-  struct InLink;
   struct OutLink;
   struct PendingCall;
 
@@ -115,11 +113,8 @@
   void send(OutLink &Over, PendingCall &Call);
   void sendHello(PeerLink &Over, const NodeId &To);
   void offerPolicy(PeerLink &Over, const NodeStatus &Theirs);
-  void accept(int Socket);
-  /// The latest of the links from a caller carries the replies to it.
-  void chooseReplyLink(Incarnation Caller);
-  void onInFrame(std::uint64_t Key, mesh::Frame::Reader Frame);
-  void retire(std::unique_ptr<PeerLink> Old);
+  /// Another node has made a link to this one.
+  void onIncomingHello(PeerLink &Over, const MeshHello &Hello);
 
   EventLoop &Loop;
   Contact Self;
@@ -127,13 +122,10 @@
   EventLog &Log;
   Metrics &Counters;
   Handlers To;
-  std::unique_ptr<PeerListener> Listener;
+  IncomingLinks Incoming;
   std::map<NodeId, Peer> Views;
   std::map<NodeId, std::unique_ptr<OutLink>> Out;
-  std::map<std::uint64_t, std::unique_ptr<InLink>> In;
-  std::unordered_map<Incarnation, std::uint64_t> InByCaller;
   std::uint64_t LastCall = 0;
-  std::uint64_t LastKey = 0;
   TimePoint LastTold{};
   unsigned LoadsTold = 0; ///< since the last whole status
   bool BroadcastPending = false;
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -271,6 +271,12 @@
 
 TimePoint PeerLink::lastRead() const noexcept { return this->Impl->LastRead; }
 
+void retire(EventLoop &Loop, std::unique_ptr<PeerLink> Old) {
+  Old->stop();
+  std::shared_ptr<PeerLink> Shared = std::move(Old);
+  Loop.post([Shared]() {});
+}
+
 struct PeerListener::State {
   evconnlistener *Listener = nullptr;
   OnAccept Accept;
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -59,24 +59,23 @@
   Liveness Live{LinkLimits};
 };
 
-/// A link that another node made to this one.
-struct Mesh::InLink {
-  std::unique_ptr<PeerLink> Link;
-  NodeId From;
-  std::optional<Incarnation> Caller;
-};
-
 Mesh::Mesh(EventLoop &Loop, Contact Self, Incarnation Current, EventLog &Log,
            Metrics &Counters)
     : Loop(Loop), Self(std::move(Self)), Current(Current), Log(Log),
-      Counters(Counters), Offers(this->Self.Node) {}
+      Counters(Counters), Incoming(Loop, Log, Counters),
+      Offers(this->Self.Node) {}
 
 Mesh::~Mesh() = default;
 
 void Mesh::start(Handlers Callbacks, Endpoint Listen) {
   this->To = std::move(Callbacks);
-  this->Listener = std::make_unique<PeerListener>(
-      this->Loop, Listen, [this](int Socket) { this->accept(Socket); });
+  this->Incoming.start({[this](PeerLink &Over, const MeshHello &Hello) {
+                          this->onIncomingHello(Over, Hello);
+                        },
+                        this->To.OnAttempt, this->To.OnCancel,
+                        this->To.OnAcknowledged, this->To.OnPolicy,
+                        this->To.OwnStatus},
+                       Listen);
   this->Ticker = this->Loop.every(TickPeriod, [this]() { this->tick(); });
 }
 
@@ -93,9 +92,9 @@
                                    {"address", toString(Which.Link)}});
     this->failCalls(*Entry, MeshResult::Kind::Lost);
     if (Entry->Link)
-      this->retire(std::move(Entry->Link));
+      retire(this->Loop, std::move(Entry->Link));
     if (Entry->Spare)
-      this->retire(std::move(Entry->Spare));
+      retire(this->Loop, std::move(Entry->Spare));
   }
   Entry = std::make_unique<OutLink>();
   Entry->Contact = Which;
@@ -156,13 +155,13 @@
   auto Now = this->Loop.now();
   if (AsSpare) {
     // A refused connection: the process is gone, whatever the old one holds.
-    this->retire(std::move(Peer.Spare));
+    retire(this->Loop, std::move(Peer.Spare));
     if (WasConnected)
       return;
     if (Peer.Link)
-      this->retire(std::move(Peer.Link));
+      retire(this->Loop, std::move(Peer.Link));
   } else {
-    this->retire(std::move(Peer.Link));
+    retire(this->Loop, std::move(Peer.Link));
   }
   if (std::exchange(Peer.IsUp, false)) {
     this->Log.state("peer_lost", {{"node", Node.value()},
@@ -252,9 +251,9 @@
   if (AsSpare) {
     this->Counters.count("peer_connections_replaced");
     if (Peer.Link)
-      this->retire(std::move(Peer.Link));
+      retire(this->Loop, std::move(Peer.Link));
     // Its callbacks name the spare: a link of its own takes the place.
-    this->retire(std::move(Peer.Spare));
+    retire(this->Loop, std::move(Peer.Spare));
     this->connect(Peer, false);
     return;
   }
@@ -308,9 +307,9 @@
   this->Out.erase(Found);
   this->Views.erase(Gone);
   this->Offers.forget(Gone);
-  this->retire(std::move(Old->Link));
+  retire(this->Loop, std::move(Old->Link));
   if (Old->Spare)
-    this->retire(std::move(Old->Spare));
+    retire(this->Loop, std::move(Old->Spare));
   this->failCalls(*Old, MeshResult::Kind::Lost);
   this->add(Instead);
 }
@@ -419,12 +418,8 @@
 }
 
 bool Mesh::reply(Incarnation Caller, std::uint64_t Call, const Reply &Value) {
-  auto Found = this->InByCaller.find(Caller);
-  if (Found == this->InByCaller.end())
-    return false;
-  this->In.at(Found->second)
-      ->Link->send(codec::encodeReply(Call, Value, this->To.OwnStatus()));
-  return true;
+  return this->Incoming.sendToCaller(
+      Caller, codec::encodeReply(Call, Value, this->To.OwnStatus()));
 }
 
 void Mesh::broadcast() {
@@ -435,28 +430,18 @@
     this->BroadcastPending = false;
     this->LastTold = this->Loop.now();
     this->LoadsTold = 0;
-    auto Frame = codec::encodeStatus(this->To.OwnStatus());
-    for (auto &[Key, Link] : this->In)
-      if (Link->Caller)
-        Link->Link->send(Frame);
+    this->Incoming.sendToAll(codec::encodeStatus(this->To.OwnStatus()));
   });
 }
 
 void Mesh::tellLoad() {
   this->LastTold = this->Loop.now();
   ++this->LoadsTold;
-  auto Frame = codec::encodeLoad(this->To.OwnStatus());
-  for (auto &[Key, Link] : this->In)
-    if (Link->Caller)
-      Link->Link->send(Frame);
+  this->Incoming.sendToAll(codec::encodeLoad(this->To.OwnStatus()));
 }
 
 void Mesh::sendUsage(const std::vector<NodeId> &Nodes, const MeshUsage &Value) {
-  auto Frame = codec::encodeUsage(Value);
-  for (auto &[Key, Link] : this->In)
-    if (Link->Caller &&
-        std::find(Nodes.begin(), Nodes.end(), Link->From) != Nodes.end())
-      Link->Link->send(Frame);
+  this->Incoming.sendToNodes(Nodes, codec::encodeUsage(Value));
 }
 
 void Mesh::tick() {
@@ -478,7 +463,7 @@
       this->connect(Peer, false);
     if (Peer.Link && !Peer.IsUp && Now - Peer.ConnectStarted > ConnectLimit) {
       // Neither refused nor accepted: cut off, or too busy to answer.
-      this->retire(std::move(Peer.Link));
+      retire(this->Loop, std::move(Peer.Link));
       this->connect(Peer, false);
       this->Views[Node].IsReachable = false;
     }
@@ -495,7 +480,7 @@
     if (!Peer.Spare) {
       this->connect(Peer, true);
     } else if (Now - Peer.SpareStarted > ConnectLimit) {
-      this->retire(std::move(Peer.Spare));
+      retire(this->Loop, std::move(Peer.Spare));
       this->connect(Peer, true);
     }
     this->tellSilent(Peer);
@@ -544,94 +529,16 @@
     OnResult({MeshResult::Kind::Silent, {}});
 }
 
-void Mesh::accept(int Socket) {
-  auto Key = ++this->LastKey;
-  PeerLink::Events Events;
-  Events.OnFrame = [this, Key](mesh::Frame::Reader Frame) {
-    this->onInFrame(Key, Frame);
-  };
-  Events.OnClosed = [this, Key](bool /*WasConnected*/) {
-    auto Found = this->In.find(Key);
-    if (Found == this->In.end())
-      return;
-    auto &Ended = *Found->second;
-    auto Caller = Ended.Caller;
-    this->retire(std::move(Ended.Link));
-    this->In.erase(Found);
-    if (Caller)
-      this->chooseReplyLink(*Caller);
-  };
-  auto Link = std::make_unique<InLink>();
-  Link->Link = std::make_unique<PeerLink>(this->Loop, Socket, Events);
-  this->In.emplace(Key, std::move(Link));
-}
-
-void Mesh::chooseReplyLink(Incarnation Caller) {
-  this->InByCaller.erase(Caller);
-  for (const auto &[Key, Link] : this->In)
-    if (Link->Caller == Caller)
-      this->InByCaller[Caller] = Key;
-}
-
-void Mesh::onInFrame(std::uint64_t Key, mesh::Frame::Reader Frame) {
-  auto &Link = *this->In.at(Key);
-  if (!Link.Caller && Frame.which() != mesh::Frame::HELLO) {
-    this->Counters.count("mesh_frames_unexpected");
-    return;
-  }
-  try {
-    switch (Frame.which()) {
-    case mesh::Frame::HELLO: {
-      auto Hello = codec::decode(Frame.getHello());
-      Link.From = Hello.Status.Self.Node;
-      Link.Caller = callerKey(Link.From, Hello.Status.Incarnation);
-      this->InByCaller[*Link.Caller] = Key;
-      this->sendHello(*Link.Link, Link.From);
-      this->offerPolicy(*Link.Link, Hello.Status);
-      this->To.OnRemembered(Hello.YourTarget);
-      this->add(Hello.Status.Self);
-      // It is up: there is no reason to wait with the way back.
-      auto Back = this->Out.find(Link.From);
-      if (Back != this->Out.end() && !Back->second->Link &&
-          !Back->second->Spare)
-        this->connect(*Back->second, false);
-      break;
-    }
-    case mesh::Frame::ATTEMPT: {
-      auto Attempt = Frame.getAttempt();
-      for (auto Call : Attempt.getAcknowledged())
-        this->To.OnAcknowledged(*Link.Caller, Call);
-      this->To.OnAttempt(Link.From, *Link.Caller, codec::decode(Attempt));
-      break;
-    }
-    case mesh::Frame::CANCEL:
-      this->To.OnCancel(*Link.Caller, Frame.getCancel());
-      break;
-    case mesh::Frame::ASK:
-      Link.Link->send(codec::encodeLoad(this->To.OwnStatus()));
-      break;
-    case mesh::Frame::ACKNOWLEDGED:
-      for (auto Call : Frame.getAcknowledged())
-        this->To.OnAcknowledged(*Link.Caller, Call);
-      break;
-    case mesh::Frame::POLICY:
-      this->To.OnPolicy(std::string(Frame.getPolicy().cStr()));
-      break;
-    default:
-      this->Counters.count("mesh_frames_unexpected");
-    }
-  } catch (const ValueError &E) {
-    this->Counters.count("mesh_frames_malformed");
-    this->Log.state("peer_malformed",
-                    {{"node", Link.From.value()}, {"error", E.what()}});
-  }
-}
-
-void Mesh::retire(std::unique_ptr<PeerLink> Old) {
-  // It may be in a callback now.
-  Old->stop();
-  std::shared_ptr<PeerLink> Shared = std::move(Old);
-  this->Loop.post([Shared]() {});
+void Mesh::onIncomingHello(PeerLink &Over, const MeshHello &Hello) {
+  const auto &From = Hello.Status.Self;
+  this->sendHello(Over, From.Node);
+  this->offerPolicy(Over, Hello.Status);
+  this->To.OnRemembered(Hello.YourTarget);
+  this->add(From);
+  // It is up: there is no reason to wait with the way back.
+  auto Back = this->Out.find(From.Node);
+  if (Back != this->Out.end() && !Back->second->Link && !Back->second->Spare)
+    this->connect(*Back->second, false);
 }
 
 } // namespace limpetdrum
