--- a/unittests/CallerTest.cpp
+++ b/unittests/CallerTest.cpp
@@ -1,9 +1,9 @@
 #include "limpetdrum/daemon/Caller.h"
 #include "FakeClock.h"
+#include "MockPorts.h"
 #include "limpetdrum/daemon/Executor.h"
 
 #include <catch2/catch.hpp>
-#include <catch2/trompeloeil.hpp>
 
 using namespace limpetdrum;
 using namespace limpetdrum::test;
@@ -12,20 +12,6 @@
 
 using trompeloeil::_;
 
-class MockTarget : public TargetPort {
-public:
-  MAKE_MOCK2(send, std::uint64_t(const HttpCall &, HttpClient::Callback),
-             override);
-  MAKE_MOCK1(cancel, void(std::uint64_t), override);
-};
-
-class MockPeers : public PeerPort {
-public:
-  MAKE_MOCK3(execute, void(const Member &, const AttemptSpec &, Done),
-             override);
-  MAKE_MOCK2(cancel, void(const Member &, AttemptId), override);
-};
-
 Member member(const std::string &Name) {
   Member M;
   M.Node = NodeId(Name);
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -1,8 +1,8 @@
 #include "limpetdrum/daemon/KeyedCalls.h"
 #include "FakeClock.h"
+#include "MockPorts.h"
 
 #include <catch2/catch.hpp>
-#include <catch2/trompeloeil.hpp>
 #include <set>
 
 using namespace limpetdrum;
@@ -12,20 +12,6 @@
 
 using trompeloeil::_;
 
-class MockTarget : public TargetPort {
-public:
-  MAKE_MOCK2(send, std::uint64_t(const HttpCall &, HttpClient::Callback),
-             override);
-  MAKE_MOCK1(cancel, void(std::uint64_t), override);
-};
-
-class MockPeers : public PeerPort {
-public:
-  MAKE_MOCK3(execute, void(const Member &, const AttemptSpec &, Done),
-             override);
-  MAKE_MOCK2(cancel, void(const Member &, AttemptId), override);
-};
-
 constexpr const char *Release = R"(revision: 1
 classes: [{name: order, importance: 1}]
 services:
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -1,8 +1,8 @@
 #include "limpetdrum/daemon/LocalTarget.h"
 #include "FakeClock.h"
+#include "MockPorts.h"
 
 #include <catch2/catch.hpp>
-#include <catch2/trompeloeil.hpp>
 #include <fcntl.h>
 
 using namespace limpetdrum;
@@ -12,18 +12,11 @@
 
 using trompeloeil::_;
 
-class MockPort : public TargetPort {
-public:
-  MAKE_MOCK2(send, std::uint64_t(const HttpCall &, HttpClient::Callback),
-             override);
-  MAKE_MOCK1(cancel, void(std::uint64_t), override);
-};
-
 struct Beside {
   FakeClock Clock;
   Metrics Counters;
   EventLog Log{open("/dev/null", O_WRONLY)};
-  MockPort Port;
+  MockTarget Port;
   std::int64_t UnixTime = 5000;
   LocalTarget Own{{Milliseconds(1000), 1, [this]() { return this->UnixTime; },
                    ServiceName("ordering")},
--- /dev/null
+++ b/unittests/MockPorts.h
@@ -0,0 +1,29 @@
+#ifndef LIMPETDRUM_UNITTESTS_MOCKPORTS_H
+#define LIMPETDRUM_UNITTESTS_MOCKPORTS_H
+
+#include "limpetdrum/daemon/Ports.h"
+
+// trompeloeil reports by the macros of Catch2.
+#include <catch2/catch.hpp>
+
+#include <catch2/trompeloeil.hpp>
+
+namespace limpetdrum::test {
+
+class MockTarget : public TargetPort {
+public:
+  MAKE_MOCK2(send, std::uint64_t(const HttpCall &, HttpClient::Callback),
+             override);
+  MAKE_MOCK1(cancel, void(std::uint64_t), override);
+};
+
+class MockPeers : public PeerPort {
+public:
+  MAKE_MOCK3(execute, void(const Member &, const AttemptSpec &, Done),
+             override);
+  MAKE_MOCK2(cancel, void(const Member &, AttemptId), override);
+};
+
+} // namespace limpetdrum::test
+
+#endif
