Run no keyed attempt that was addressed to an earlier incarnation

For requests without a key, Executor compares the incarnation. KeyedCalls did not, and overwrote the attempt's incarnation with its own before it called Executor, so the new process, whose key records are empty, ran the order once more. If its target was not announced yet it answered "not run", which the witness believed, and the next try of the client ran the order again.

Ruled out by reading: the hand-over flag of a lost connection (conservative for closed, replaced and re-made clients), the witness's record (its holder is the old incarnation, which is not reachable), the stand-in target (reports each run by datagram, once).

Change: a keyed attempt for another incarnation gets "unknown", in both roles. The test fails without it (the target gets the request, twice). The test of a leaving node now addresses the node's incarnation, as callers do.

--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -92,6 +92,7 @@
     return;
   }
   Request.Spec.Role = AttemptRole::Witness;
+  Request.Spec.Executor = this->self().Incarnation;
   if (Nodes->Witness.value_or(Nodes->Home) == this->self().Node) {
     this->execute(Request.Spec, std::move(Done));
     return;
@@ -112,10 +113,18 @@
 }
 
 void KeyedCalls::execute(const AttemptSpec &Attempt, ReplyCallback Done) {
-  if (Attempt.Key.value().empty())
+  if (Attempt.Key.value().empty()) {
     this->LocalExecutor.execute(Attempt, std::move(Done));
-  else
-    this->handleKeyed(Attempt, {}, std::move(Done));
+    return;
+  }
+  if (Attempt.Executor != this->self().Incarnation) {
+    // The records of the earlier incarnation are lost, and it may have run the
+    // key.
+    this->Counters.count("keys_unknown");
+    Done(unknownOutcome(Reason::NodeGone, ShortRetryAfter));
+    return;
+  }
+  this->handleKeyed(Attempt, {}, std::move(Done));
 }
 
 std::optional<NodeIncarnation>
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -142,6 +142,30 @@
   CHECK(Node.Counters.counter("keys_unknown") == 1);
 }
 
+// A node that is killed and restarted at the same address within a moment
+// receives the attempts that its callers send again after the lost connection.
+// The earlier incarnation may have run them.
+TEST_CASE("KeyedCalls runs no attempt addressed to an earlier incarnation",
+          "[keys]") {
+  KeyedNode Node;
+  ALLOW_CALL(Node.Peers, execute(_, _, _));
+  FORBID_CALL(Node.Target, send(_, _));
+  AttemptSpec Spec;
+  Spec.Path = "/ordering/place";
+  Spec.Key = scopedKey(Tenant(), Spec.Path, KeyedNode::keyWithHomeHere());
+  Spec.Executor = Incarnation(0);
+  Spec.TimeLeft = std::chrono::seconds(2);
+  for (auto Role : {AttemptRole::Execute, AttemptRole::Witness}) {
+    Spec.Role = Role;
+    std::optional<Reply> Received;
+    Node.Keyed.execute(Spec, [&](const Reply &Value) { Received = Value; });
+    REQUIRE(Received);
+    CHECK(Received->Outcome == Outcome::Unknown);
+    CHECK(Received->Reason == Reason::NodeGone);
+    CHECK(Node.Keyed.size() == 0);
+  }
+}
+
 // A record that a leaving node makes after its hand-over would be lost with it.
 TEST_CASE("KeyedCalls of a leaving node refuses a new key without recording it",
           "[keys]") {
@@ -153,6 +177,7 @@
   Spec.Path = "/ordering/place";
   Spec.Key = scopedKey(Tenant(), Spec.Path, "k");
   Spec.Role = AttemptRole::Witness;
+  Spec.Executor = Incarnation(1);
   Spec.TimeLeft = std::chrono::seconds(2);
   std::optional<Reply> Received;
   Node.Keyed.execute(Spec, [&](const Reply &Value) { Received = Value; });
