--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -95,6 +95,9 @@
   Milliseconds IdleTimeout{60'000};    ///< of a connection without requests
   /// Maximum number of requests of one connection handled concurrently.
   std::size_t PipelineDepth = 64;
+  /// Time in which a client must receive at least some of the response bytes
+  /// that are waiting for it.
+  Milliseconds StallTimeout{15'000};
   /// Number of response bytes not yet sent on a connection above which no more
   /// requests are read from it.
   std::size_t MaxUnreadBytes = 256U * 1024U;
@@ -170,6 +173,9 @@
   std::size_t MaxBodyBytes = limpetdrum::MaxBodyBytes;
   /// Idle connections are closed this long before the server's idle timeout.
   Milliseconds IdleMargin{500};
+  /// True to detect a connection that has gone silent while a response is
+  /// pending for long, by the kernel's keep-alive probes.
+  bool ProbesSilentConnections = false;
   /// Idle timeout assumed for servers that don't announce one in `Keep-Alive`.
   Milliseconds DefaultIdleLimit{4000};
 };
--- a/include/limpetdrum/connection/ObjectStore.h
+++ b/include/limpetdrum/connection/ObjectStore.h
@@ -10,6 +10,12 @@
 
 namespace limpetdrum {
 
+/// \brief Period between two restorations of the store from an older copy.
+///
+/// Revisions only compare within one era: after a restoration, they are
+/// assigned again.
+using StoreEra = StrongType<struct StoreEraTag, std::uint64_t>;
+
 /// \brief Object in the platform's store.
 struct StoredObject {
   std::string Name;
@@ -19,10 +25,12 @@
 
 enum class StoreOutcome : std::uint8_t {
   Done,
-  Conflict,        ///< the object already exists or has changed
-  RevisionExpired, ///< the history since the watched revision is gone
-  Refused,         ///< the store rejected the call and changed nothing
-  Lost,            ///< no answer: a write may take effect now or later
+  Conflict, ///< the object already exists or has changed
+  /// The history since the watched revision is gone, or the store has been
+  /// restored from a copy, so that the revision may mean something else now.
+  RevisionExpired,
+  Refused, ///< the store rejected the call and changed nothing
+  Lost,    ///< no answer: a write may take effect now or later
 };
 
 [[nodiscard]] const char *toString(StoreOutcome Value) noexcept;
@@ -33,6 +41,7 @@
   std::vector<StoredObject> Objects;
   std::vector<std::string> Deleted; ///< names; watches only
   std::uint64_t Revision = 0; ///< revision of the store from which to watch
+  StoreEra Era;
 };
 
 /// \brief Operations on the platform's object store that the nodes use.
@@ -50,7 +59,9 @@
                     const char *Purpose, ListDone OnDone) = 0;
   /// \brief Waits for changes after the revision \p After.
   /// \param Limit how long the store may hold the call open without a change.
-  virtual void watch(const std::string &Kind, std::uint64_t After,
+  /// \param Era in which \p After was read; the watch ends with RevisionExpired
+  ///   if the store is in another one.
+  virtual void watch(const std::string &Kind, std::uint64_t After, StoreEra Era,
                      Milliseconds Limit, const char *Purpose,
                      ListDone OnDone) = 0;
   /// \brief Creates an object or replaces an existing one.
--- a/include/limpetdrum/daemon/Forwarder.h
+++ b/include/limpetdrum/daemon/Forwarder.h
@@ -30,6 +30,11 @@
     /// derived from the id of the call.
     std::function<std::optional<std::string>(const std::string &RequestId)>
         ParentRequestId;
+    /// Returns a node of a service that this one is not linked to, except the
+    /// given ones.
+    std::function<std::optional<Contact>(const ServiceName &,
+                                         const std::vector<NodeId> &)>
+        FindUnlinkedNode;
   };
   using PolicyInForce = std::function<std::shared_ptr<const TrafficPolicy>()>;
 
@@ -86,8 +91,19 @@
   void fail(const RequestPtr &Request, int Status, Reason Cause);
   void answer(const RequestPtr &Request, int Status, const HttpHeaders &Headers,
               const std::string &Body, const char *Outcome);
-  [[nodiscard]] std::vector<PlacementCandidate>
-  candidates(const ServiceName &Service) const;
+  /// Nodes of a service that this one is linked to.
+  struct Candidates {
+    std::vector<PlacementCandidate> Ready;
+    /// Used only if no other node is ready: nodes that do not respond, or else
+    /// targets that are leaving but still serve requests for a short time.
+    std::vector<PlacementCandidate> Fallback;
+    [[nodiscard]] const std::vector<PlacementCandidate> &best() const noexcept {
+      return this->Ready.empty() ? this->Fallback : this->Ready;
+    }
+  };
+  [[nodiscard]] Candidates candidates(const ServiceName &Service) const;
+  /// Selects the node for the next attempt, and links to it if need be.
+  [[nodiscard]] std::optional<NodeId> selectNode(const RequestPtr &Request);
   [[nodiscard]] const TargetRecord *targetAt(const NodeId &Node) const;
   [[nodiscard]] MeshAttempt makeAttempt(const ForwardedRequest &Request,
                                         const TargetRecord &Target) const;
--- a/include/limpetdrum/daemon/IncomingLinks.h
+++ b/include/limpetdrum/daemon/IncomingLinks.h
@@ -26,9 +26,12 @@
         OnAttempt;
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnCancel;
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnAcknowledged;
+    std::function<void(MeshUsage)> OnUsage;
     std::function<void(const std::string &Text)> OnPolicy;
     /// Returns the status of this node.
     std::function<NodeStatus()> LocalStatus;
+    /// Returns the text of the traffic policy in force at this node.
+    std::function<std::string()> PolicyText;
   };
 
   IncomingLinks(EventLoop &Loop, EventLog &Log, Metrics &Counters);
@@ -43,7 +46,9 @@
   /// \returns false if there is no link from it.
   bool sendToCaller(Incarnation Caller, const std::string &Frame);
   void sendToAll(const std::string &Frame);
-  void sendToNodes(const std::vector<NodeId> &Nodes, const std::string &Frame);
+  /// \brief Sends a frame to the nodes of a failure domain that are linked to
+  ///   this one.
+  void sendToDomain(const FailureDomain &Domain, const std::string &Frame);
 
 private:
   struct IncomingLink;
--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -107,7 +107,6 @@
     MeshAttempt Attempt;
     TimePoint Deadline;
     TimePoint ArrivedAt;
-    TimePoint DispatchedAt;
     std::vector<ReplyCallback> ReplyCallbacks;
     std::uint64_t Ticket = 0; ///< 0: queued
     bool CallFailed = false;  ///< true if a call that the run made has failed
--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -5,7 +5,7 @@
 #include "limpetdrum/daemon/IncomingLinks.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
-#include "limpetdrum/version/PolicyOffers.h"
+#include "limpetdrum/version/PolicyRequests.h"
 
 #include <functional>
 #include <map>
@@ -26,7 +26,11 @@
   limpetdrum::Reply Reply;
 };
 
-/// \brief Links to the other nodes, their last known states, and calls to them.
+/// \brief Links to the nodes that this one calls, their last known states, and
+///   calls to them.
+///
+/// Which nodes these are is decided by the owner. Other nodes may be linked to
+/// this one without being called by it.
 ///
 /// A silent link is replaced while its calls are pending. A call that is sent
 /// again over the new link is attached to its running attempt by the executing
@@ -66,21 +70,27 @@
   Mesh(const Mesh &) = delete;
   Mesh &operator=(const Mesh &) = delete;
 
-  /// \brief Starts to accept links and to send the status of this node.
+  /// \brief Starts to accept links, and to send the status of this node over
+  ///   them.
   /// \param Listen address at which links from other nodes are accepted.
   /// \throws NetworkError if the address cannot be bound.
   void start(Handlers Callbacks, Endpoint Listen);
 
-  /// \brief Adds a node and keeps a link to it from now on.
+  /// \brief Keeps a link to a node from now on.
   ///
   /// Ignores this node, a known contact, and an address that a connected node
   /// already uses.
   void add(const Contact &NewContact);
+  /// \brief Closes the link to a node once its pending calls have ended.
+  void remove(const NodeId &Node);
   [[nodiscard]] const std::map<NodeId, Peer> &peers() const noexcept {
     return this->Peers;
   }
 
-  /// \brief Sends an attempt to a node.
+  /// \brief Sends an attempt to a node, as soon as there is a link to it.
+  ///
+  /// An attempt without a target id is sent to the target that the node has
+  /// when the link is established, if that target is ready.
   /// \param OnResult called with the final result, and before that each time
   ///   the node becomes suspected.
   /// \returns the number of the call, for cancel().
@@ -93,8 +103,14 @@
   /// \brief Sends a changed status of this node to all nodes, without waiting
   ///   for the next load message.
   void broadcast();
-  /// \brief Sends observed route usage to some nodes.
-  void sendUsage(const std::vector<NodeId> &Nodes, const MeshUsage &Value);
+  /// \brief Sends the load and the policy version of this node to all nodes
+  ///   that are linked to it, without waiting for the next load message.
+  void broadcastLoad();
+  /// \brief Sends observed route usage to a node that this one is linked to.
+  void sendUsage(const NodeId &Node, const MeshUsage &Value);
+  /// \brief Sends observed route usage to the nodes of a failure domain that
+  ///   are linked to this one.
+  void sendUsage(const FailureDomain &Domain, const MeshUsage &Value);
 
 private:
   struct OutgoingLink;
@@ -107,24 +123,30 @@
   void clearSuspicion(const NodeId &Node);
   /// Reports the pending calls as suspected, each at most once per link.
   void reportSuspected(OutgoingLink &Outgoing);
-  /// Sends the load of this node to all nodes, also as a heartbeat.
-  void broadcastLoad();
   void connect(OutgoingLink &Outgoing, bool AsSpare);
   void onConnected(const NodeId &Node, bool AsSpare);
   void onClosed(const NodeId &Node, bool AsSpare, bool WasConnected);
   void onFrame(const NodeId &Node, bool AsSpare, mesh::Frame::Reader Frame);
   void onHello(const NodeId &Node, bool AsSpare, const MeshHello &Hello);
   /// Removes a node whose address is now used by \p Replacement.
-  void replacePeer(const NodeId &Removed, const Contact &Replacement);
+  void dropReplacedPeer(const NodeId &Removed, const Contact &Replacement);
   void onStatus(const NodeId &Node, const NodeStatus &Status);
   void onLoad(const NodeId &Node, mesh::Reply::Reader Reply);
   void onReply(OutgoingLink &Outgoing, std::uint64_t Number,
                const Reply &Value);
+  /// Ends calls that have waited too long for a link, as NeverSent.
+  void failUnsentCalls(OutgoingLink &Outgoing, TimePoint Now);
+  /// Ends the calls that the process at the other end must not run: those sent
+  /// to an earlier one, and those for any target if its target is not ready.
+  void failMisdirectedCalls(OutgoingLink &Outgoing, const NodeStatus &Status);
+  /// Closes a link, and forgets its node.
+  void close(const NodeId &Node);
   /// Ends the pending calls: sent ones with \p SentAs, others as NeverSent.
   void failCalls(OutgoingLink &Outgoing, enum MeshResult::Kind SentAs);
   void send(OutgoingLink &Outgoing, PendingCall &Call);
   void sendHello(PeerLink &Link, const NodeId &Receiver);
-  void offerPolicy(PeerLink &Link, const NodeStatus &PeerStatus);
+  /// Asks for the policy of a node if it is newer than the local one.
+  void requestPolicy(PeerLink &Link, const NodeStatus &PeerStatus);
   /// Handles the hello on a link that another node made to this one.
   void onIncomingHello(PeerLink &Link, const MeshHello &Hello);
 
@@ -141,9 +163,7 @@
   TimePoint LastStateSentAt{}; ///< of a status or a load
   unsigned LoadsSinceStatus = 0;
   bool BroadcastPending = false;
-  Revision LocalPolicy; ///< last seen in force at this node
-  TimePoint LocalPolicySince{};
-  PolicyOffers Offers;
+  PolicyRequests Requests;
   Timer Ticker;
   Timer Broadcast;
 };
--- a/include/limpetdrum/daemon/MeshCodec.h
+++ b/include/limpetdrum/daemon/MeshCodec.h
@@ -29,18 +29,21 @@
 /// \brief First message that two nodes exchange on a new link.
 struct MeshHello {
   NodeStatus Status;
-  std::vector<Contact> KnownContacts; ///< nodes that the sender reaches
   /// Record of the receiver's target that the sender last received.
   TargetRecord ReceiverTarget;
 };
 
-/// \brief Route usage observed by one node, or the sum over the nodes of a
-///   failure domain.
+/// \brief Route usage observed by one node, or summed over several.
 struct MeshUsage {
-  NodeId Node; ///< empty for a sum
+  enum class Scope : std::uint8_t {
+    Node,          ///< observed by one node
+    FailureDomain, ///< summed over the nodes of a failure domain
+    Fleet,         ///< summed over all nodes
+  };
+  MeshUsage::Scope Scope = Scope::Node;
+  limpetdrum::NodeId Node;                 ///< the observer; empty for a sum
+  limpetdrum::FailureDomain FailureDomain; ///< summed over; otherwise empty
   UsageSummary Usage;
-  limpetdrum::FailureDomain FailureDomain; ///< of a sum, otherwise empty
-  bool Relayed = false; ///< by a node in the receiver's failure domain
 };
 
 namespace codec {
@@ -63,6 +66,8 @@
 [[nodiscard]] std::string encodeUsage(const MeshUsage &Value);
 [[nodiscard]] std::string encodeCancel(std::uint64_t Call);
 [[nodiscard]] std::string encodePolicy(const std::string &Text);
+/// \brief Encodes a request for the policy in force at the receiver.
+[[nodiscard]] std::string encodePolicyRequest();
 [[nodiscard]] std::string
 encodeAcknowledged(const std::vector<std::uint64_t> &Calls);
 
--- a/include/limpetdrum/daemon/PolicyFeed.h
+++ b/include/limpetdrum/daemon/PolicyFeed.h
@@ -7,23 +7,33 @@
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
 
+#include <functional>
+#include <optional>
 #include <random>
 
 namespace limpetdrum {
 
 /// \brief Keeps the newest traffic policy in force; its version only rises.
 ///
-/// Watches the store and accepts policies that other nodes offer, so that a
-/// policy arrives although the store is unreachable.
+/// A few nodes of the fleet watch the store; the others receive new policies
+/// from them. A node without any policy reads the store if no other node has
+/// sent one.
 class PolicyFeed {
 public:
+  struct Handlers {
+    /// Called with each policy that comes into force.
+    std::function<void(const TrafficPolicy &)> OnPolicyChange;
+    /// Called when the store has been restored from an older copy.
+    std::function<void()> OnStoreRestored;
+  };
+
   PolicyFeed(EventLoop &Loop, ObjectStore &Store,
              const PlatformAdapter &Adapter, EventLog &Log, Metrics &Counters,
              std::uint64_t Seed);
 
-  /// \brief Starts to read and watch the store.
-  /// \param Action called with each policy that comes into force.
-  void start(std::function<void(const TrafficPolicy &)> Action);
+  void start(Handlers Callbacks);
+  /// \brief Sets whether this node watches the store.
+  void setWatching(bool Value);
   /// \brief Puts a policy into force if it is newer than the current one.
   ///
   /// A malformed policy is counted, logged and ignored.
@@ -35,16 +45,20 @@
   current() const noexcept {
     return this->Current;
   }
-  [[nodiscard]] bool isStoreReached() const noexcept {
-    return this->StoreReached;
+  /// \brief Returns true if this node watches the store and its last call
+  ///   failed.
+  [[nodiscard]] bool isStoreLost() const noexcept {
+    return this->Watching && this->Failures > 0;
   }
 
 private:
-  void read();
+  void read(bool AllowStale);
   void watch();
+  /// Checks the store rarely, in case no other node announced a newer policy.
+  void schedulePoll();
   void onListing(const StoreListing &Listing);
-  void onStoreState(StoreOutcome Outcome);
-  void retry();
+  void onStoreState(const StoreListing &Listing);
+  void readAfterPause();
 
   EventLoop &Loop;
   ObjectStore &Store;
@@ -52,12 +66,14 @@
   EventLog &Log;
   Metrics &Counters;
   std::mt19937_64 Random;
-  std::function<void(const TrafficPolicy &)> OnPolicyChange;
+  Handlers Callbacks;
   std::shared_ptr<const TrafficPolicy> Current;
   std::uint64_t StoreRevision = 0;
-  bool StoreReached = false;
-  unsigned Failures = 0;
-  Timer RetryTimer;
+  std::optional<StoreEra> Era; ///< none before the first answer
+  bool Watching = false;
+  bool CallPending = false;
+  unsigned Failures = 0; ///< calls in series that failed
+  Timer NextCall;
 };
 
 } // namespace limpetdrum
--- a/include/limpetdrum/daemon/ReleaseFeed.h
+++ b/include/limpetdrum/daemon/ReleaseFeed.h
@@ -28,9 +28,6 @@
   /// \brief Brings a release into force if it is newer. Ignores empty text.
   void offer(const std::string &Text);
 
-  /// \brief Returns true if this node watches the platform for its failure
-  ///   domain.
-  [[nodiscard]] bool isWatcher() const;
   /// \brief Returns true if the last request reached the platform.
   [[nodiscard]] bool platformReached() const noexcept {
     return this->PlatformReached;
--- a/include/limpetdrum/process/Membership.h
+++ b/include/limpetdrum/process/Membership.h
@@ -37,11 +37,21 @@
   limpetdrum::Health Health = Health::Alive;
 };
 
+/// \brief Returns true if the node's process has ended, as far as is known.
+[[nodiscard]] bool isGone(const Member &Value) noexcept;
+
 /// \brief Returns true if \p New overrides \p Old: the later incarnation wins,
 ///   then the higher version, then the worse health.
 [[nodiscard]] bool supersedes(const Member &New, const Member &Old) noexcept;
 
-enum class GossipKind : std::uint8_t { Ping, Ack, PingRequest, Rumor };
+enum class GossipKind : std::uint8_t {
+  Ping,
+  Ack,
+  PingRequest,
+  Rumor,
+  /// Asks for all members that the receiver knows, as rumors.
+  ListRequest,
+};
 
 /// \brief A datagram of the membership protocol.
 struct GossipMessage {
@@ -62,8 +72,13 @@
   std::size_t Fanout = 3;                ///< receivers of a round of updates
   std::size_t IndirectProbes = 3;        ///< helpers for an indirect probe
   std::size_t UpdatesPerMessage = 12;
-  Milliseconds MinSyncInterval{10000};    ///< between two full exchanges
-  std::chrono::minutes DeadRetention{10}; ///< until a dead member is removed
+  Milliseconds MinSyncInterval{10000}; ///< between two full exchanges
+  /// Time until a member that is dead or has left is removed.
+  std::chrono::minutes DeadRetention{10};
+  /// A later incarnation under this node's name is an earlier process of the
+  /// node, whose clock was ahead: the node continues with a higher one. If
+  /// false, it is another process, which supersedes this one.
+  bool OwnsName = false;
 };
 
 /// \brief Group membership by the SWIM protocol, with suspicion and
@@ -92,8 +107,12 @@
   /// \param Seed for all random choices.
   Membership(Member Self, MembershipOptions Options, std::uint64_t Seed);
 
-  /// \brief Sets and disseminates the state of this node's target.
+  /// \brief Sets the state of this node's target, and disseminates it if it
+  ///   has changed.
   void announce(const ServiceName &Service, Slots Slots, TargetState Target);
+  /// \brief Disseminates this node's record, for nodes that do not know this
+  ///   incarnation yet.
+  void disseminateSelf() { this->enqueueUpdate(this->Self.Node); }
   void setRevision(Revision InForce);
 
   [[nodiscard]] Output tick(TimePoint Now);
@@ -102,6 +121,14 @@
   [[nodiscard]] Output pingAll();
   /// \brief Merges the full member list of another node.
   [[nodiscard]] Output merge(const std::vector<Member> &Members, TimePoint Now);
+  /// \brief Merges members that all nodes read from the same source, so that
+  ///   they need not be disseminated.
+  [[nodiscard]] Output learn(const std::vector<Member> &Members, TimePoint Now);
+  /// \brief Exchanges the full member lists with another node by datagrams.
+  ///
+  /// Lost datagrams are made up for by the next exchange, since the digests
+  /// still differ then.
+  [[nodiscard]] Output exchangeLists(Endpoint Gossip);
 
   [[nodiscard]] const Member &self() const noexcept { return this->Self; }
   /// \brief Returns all members except this node, including dead ones.
@@ -115,7 +142,8 @@
   [[nodiscard]] bool isSuperseded() const noexcept { return this->Superseded; }
   /// \brief Returns a counter that increases with each change of a member.
   [[nodiscard]] std::uint64_t changes() const noexcept { return this->Changes; }
-  /// \brief Returns a hash of all members, for comparing member lists.
+  /// \brief Returns a hash of all members that are not gone, for comparing
+  ///   member lists.
   [[nodiscard]] std::uint64_t digest() const noexcept;
 
 private:
@@ -147,6 +175,8 @@
   void enqueueUpdate(const NodeId &Node);
   void setHealth(const NodeId &Node, Health Value, TimePoint Now, Output &Out);
   void handlePing(const GossipMessage &Message, Output &Out);
+  /// Sends all members as rumors.
+  void sendList(Endpoint Receiver, Output &Out);
   void handleAck(const GossipMessage &Message, Output &Out);
   void relayPing(const GossipMessage &Message, TimePoint Now, Output &Out);
   void compareDigest(const GossipMessage &Message, TimePoint Now, Output &Out);
@@ -164,9 +194,9 @@
   limpetdrum::Revision InForce;
   std::map<NodeId, Member> Peers;
   std::uint64_t Changes = 1;
-  std::uint64_t PeersDigest = 0; ///< XOR of the hashes of Peers
+  std::uint64_t PeersDigest = 0; ///< XOR of the digests of Peers
   std::unordered_map<NodeId, TimePoint> Suspects;
-  std::unordered_map<NodeId, TimePoint> DeadSince;
+  std::unordered_map<NodeId, TimePoint> GoneSince;
   std::vector<PendingUpdate> PendingUpdates;
   unsigned RevisionRounds = 0;
   std::vector<NodeId> ProbeOrder;
--- a/include/limpetdrum/process/NodeStatus.h
+++ b/include/limpetdrum/process/NodeStatus.h
@@ -43,6 +43,7 @@
   std::uint64_t Version = 0; ///< incremented with each change
   bool Leaving = false;      ///< accepts no new work
   Revision Policy;           ///< in force at the node
+  bool StoreLost = false;    ///< its last call to the store failed
   TargetRecord Target;
   std::uint32_t Running = 0; ///< requests running at the target
   std::uint32_t Queued = 0;
--- a/include/limpetdrum/request/DemandModel.h
+++ b/include/limpetdrum/request/DemandModel.h
@@ -22,9 +22,15 @@
   ///   domain.
   void recordDomain(const FailureDomain &Domain, UsageSummary Usage,
                     TimePoint Now);
+  /// \brief Records the latest usage summed over the whole fleet, which is used
+  ///   instead of all other reports while it is fresh.
+  void recordFleet(UsageSummary Usage, TimePoint Now);
   /// \brief Returns the sums by service of the fresh reports of single nodes,
   ///   for other failure domains.
   [[nodiscard]] std::vector<UsageSummary> summaries(TimePoint Now) const;
+  /// \brief Returns the sums by service of the fresh reports of single nodes
+  ///   and of other failure domains.
+  [[nodiscard]] std::vector<UsageSummary> fleetSummaries(TimePoint Now) const;
   /// \brief Recalculates demand and costs from the fresh reports, and removes
   ///   the others.
   void update(const TrafficPolicy &Policy, TimePoint Now);
@@ -57,7 +63,7 @@
     double SlotSeconds = 0;              ///< of all runs
     std::map<std::string, double> Calls; ///< by route, of all runs
   };
-  /// Calls \p Action with the usage of each node and each failure domain.
+  /// Calls \p Action with each of the reports that together cover the fleet.
   template <typename Callable> void forEachUsage(Callable Action) const;
   void compareArrivals();
   void findLeaves(const TrafficPolicy &Policy);
@@ -71,6 +77,7 @@
 
   std::map<NodeId, TimedUsage> NodeReports;
   std::map<std::pair<FailureDomain, ServiceName>, TimedUsage> DomainReports;
+  std::map<ServiceName, TimedUsage> FleetReports;
   std::map<std::pair<ServiceName, std::string>, RouteTotal> RouteTotals;
   std::map<std::string, ServiceCosts> Costs;
   std::map<std::string, double> Offered;
--- a/include/limpetdrum/request/KeyHome.h
+++ b/include/limpetdrum/request/KeyHome.h
@@ -31,12 +31,6 @@
 findKeyNodes(const IdempotencyKey &Key,
              const std::vector<KeyCandidate> &Candidates);
 
-/// \brief Returns the first \p Count of \p Names by rendezvous hashing, or all
-///   of them if there are fewer.
-[[nodiscard]] std::vector<NodeId> rankByHash(const std::string &Key,
-                                             std::vector<NodeId> Names,
-                                             std::size_t Count);
-
 } // namespace limpetdrum
 
 #endif
--- a/include/limpetdrum/request/LeavePlan.h
+++ b/include/limpetdrum/request/LeavePlan.h
@@ -19,6 +19,10 @@
   /// \param ExitLimit time from the signal to the forced end of the process.
   explicit LeavePlan(Milliseconds ExitLimit) noexcept : ExitLimit(ExitLimit) {}
 
+  /// \brief Sets the time from the signal to the forced end of the process,
+  /// which
+  ///   the settings may change while the node runs.
+  void setExitLimit(Milliseconds Value) noexcept { this->ExitLimit = Value; }
   /// \brief Starts the leave; \p Now is the time of the signal.
   void begin(TimePoint Now) noexcept { this->BeganAt = Now; }
   /// \brief Refuses all further requests, as the process ends now.
--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -13,6 +13,26 @@
 
 namespace {
 
+/// Periods and number of the kernel's probes of a silent connection: it ends
+/// about 3 s after the last byte that the server acknowledged.
+constexpr int ProbeIdleSeconds = 1;
+constexpr int ProbePeriodSeconds = 1;
+constexpr int ProbeCount = 2;
+
+void setSocketOptions(evutil_socket_t Socket,
+                      const HttpClientOptions &Options) {
+  auto Set = [Socket](int Level, int Name, int Value) {
+    setsockopt(Socket, Level, Name, &Value, sizeof(Value));
+  };
+  Set(IPPROTO_TCP, TCP_NODELAY, 1);
+  if (!Options.ProbesSilentConnections)
+    return;
+  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, ProbeIdleSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, ProbePeriodSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
+}
+
 bool hasHeader(const HttpHeaders &Headers, const char *Name) {
   return findHeader(Headers, Name) != nullptr;
 }
@@ -176,10 +196,8 @@
   ++this->Owner.OpenedConnections;
   bufferevent_socket_connect(
       this->Event, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
-  int Enable = 1;
   if (this->Event != nullptr)
-    setsockopt(bufferevent_getfd(this->Event), IPPROTO_TCP, TCP_NODELAY,
-               &Enable, sizeof(Enable));
+    setSocketOptions(bufferevent_getfd(this->Event), this->Owner.Options);
 }
 
 void ClientConnection::onReadable() {
--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -16,9 +16,6 @@
 /// Time for a client to close the connection after the last response before it
 /// is reset.
 constexpr Milliseconds LingerTimeout{1000};
-/// Time for a client to receive all buffered response bytes before it is
-/// disconnected.
-constexpr Milliseconds StallTimeout{15'000};
 constexpr int ListenBacklog = 1024;
 
 } // namespace
@@ -269,8 +266,11 @@
     return;
   }
   auto Unsent = evbuffer_get_length(bufferevent_get_output(this->Event));
+  bool HasProgress = Unsent < std::exchange(this->LastUnsent, Unsent);
   if (Unsent > 0) {
-    if (Now - this->LastActive > StallTimeout)
+    if (HasProgress)
+      this->LastActive = Now;
+    if (Now - this->LastActive > Options.StallTimeout)
       this->close();
     return;
   }
--- a/lib/connection/HttpServerConnection.h
+++ b/lib/connection/HttpServerConnection.h
@@ -80,7 +80,8 @@
   std::optional<TimePoint> RequestStarted;
   std::optional<TimePoint> LingerUntil;
   TimePoint LastActive;
-  bool Ending = false; ///< no further requests are read
+  std::size_t LastUnsent = 0; ///< response bytes unsent at the last check
+  bool Ending = false;        ///< no further requests are read
   bool ReadPosted = false;
 };
 
--- a/lib/daemon/Codec.cpp
+++ b/lib/daemon/Codec.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t MaxNameBytes = 256;
 constexpr std::size_t MaxKeyBytes = 1024;
+constexpr unsigned GossipKindCount = 5;
 
 std::string toText(capnp::Text::Reader In, std::size_t MaxBytes) {
   if (In.size() > MaxBytes)
@@ -239,7 +240,8 @@
     capnp::PackedMessageReader Message(Stream, Limits);
     auto In = Message.getRoot<rpc::Datagram>();
     GossipMessage Value;
-    Value.Kind = toEnum<GossipKind>(static_cast<unsigned>(In.getKind()), 4);
+    Value.Kind = toEnum<GossipKind>(static_cast<unsigned>(In.getKind()),
+                                    GossipKindCount);
     Value.Sender = NodeId(toText(In.getFrom(), MaxNameBytes));
     Value.Sequence = In.getSequence();
     Value.Subject = NodeId(toText(In.getSubject(), MaxNameBytes));
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -3,6 +3,7 @@
 #include "limpetdrum/request/Position.h"
 
 #include <algorithm>
+#include <charconv>
 #include <strings.h>
 
 namespace limpetdrum {
@@ -20,10 +21,13 @@
 /// Returns the time left in a header, at most \p Default; \p Default if the
 /// header is missing or is not a decimal number of milliseconds.
 Milliseconds readTimeLeft(const std::string &Text, Milliseconds Default) {
-  if (Text.empty() || Text.find_first_not_of("0123456789") != std::string::npos)
+  std::uint64_t Value = 0;
+  const auto *End = Text.data() + Text.size();
+  auto Parsed = std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End ||
+      Value > static_cast<std::uint64_t>(Default.count()))
     return Default;
-  return std::min(Default,
-                  Milliseconds(std::strtoul(Text.c_str(), nullptr, 10)));
+  return Milliseconds(Value);
 }
 
 /// Formats a time span in seconds with three decimal places.
@@ -63,7 +67,6 @@
   NodeId Node;                  ///< of the current attempt
   std::uint64_t Call = 0;       ///< of the current attempt; 0: none
   RetryPlan Plan{false, 1};
-  TimePoint AttemptStartedAt;
   /// Part of the repeat budget that the current attempt was taken out of; none
   /// if it is not a repeat.
   std::optional<RepeatBudget::RouteKind> RepeatKind;
@@ -172,12 +175,8 @@
   this->send(Request);
 }
 
-std::vector<PlacementCandidate>
-Forwarder::candidates(const ServiceName &Service) const {
-  std::vector<PlacementCandidate> Ready;
-  // Used only if no node is ready: nodes that do not respond, and targets that
-  // are leaving but still serve requests for a short time.
-  std::vector<PlacementCandidate> Suspect;
+Forwarder::Candidates Forwarder::candidates(const ServiceName &Service) const {
+  Candidates Result;
   std::vector<PlacementCandidate> Draining;
   auto AddCandidate = [&](const NodeStatus &Status, const Contact &Contact,
                           bool IsSuspect) {
@@ -186,7 +185,8 @@
     PlacementCandidate Candidate{Contact.Node, Contact.FailureDomain,
                                  Status.Running + Status.Queued, Status.Limit};
     if (Status.Target.State == TargetState::Ready && !Status.Leaving)
-      (IsSuspect ? Suspect : Ready).push_back(std::move(Candidate));
+      (IsSuspect ? Result.Fallback : Result.Ready)
+          .push_back(std::move(Candidate));
     else if (Status.Target.State != TargetState::Starting)
       Draining.push_back(std::move(Candidate));
   };
@@ -197,9 +197,30 @@
   for (const auto &[Node, Peer] : this->Peers.peers())
     if (Peer.IsReachable && Peer.Status)
       AddCandidate(*Peer.Status, Peer.Contact, Peer.IsSuspect);
-  if (!Ready.empty())
-    return Ready;
-  return Suspect.empty() ? Draining : Suspect;
+  if (Result.Fallback.empty())
+    Result.Fallback = std::move(Draining);
+  return Result;
+}
+
+std::optional<NodeId> Forwarder::selectNode(const RequestPtr &Request) {
+  auto Linked = this->candidates(Request->Service);
+  auto Time = this->Loop.now();
+  auto Node = this->NodePlacement.pick(Linked.Ready, Request->Excluded, Time);
+  if (Node)
+    return Node;
+  if (auto Unlinked =
+          this->Config.FindUnlinkedNode(Request->Service, Request->Excluded)) {
+    this->Counters.count("links_on_demand");
+    this->Log.request("link_on_demand", {{"id", Request->Id},
+                                         {"service", Request->Service.value()},
+                                         {"node", Unlinked->Node.value()}});
+    this->Peers.add(*Unlinked);
+    return this->NodePlacement.pick({{Unlinked->Node, Unlinked->FailureDomain}},
+                                    {}, Time);
+  }
+  if (!Linked.Ready.empty())
+    return std::nullopt;
+  return this->NodePlacement.pick(Linked.Fallback, Request->Excluded, Time);
 }
 
 const TargetRecord *Forwarder::targetAt(const NodeId &Node) const {
@@ -217,8 +238,7 @@
     this->onDeadline(Request);
     return;
   }
-  auto Node = this->NodePlacement.pick(this->candidates(Request->Service),
-                                       Request->Excluded, Time);
+  auto Node = this->selectNode(Request);
   if (!Node) {
     this->applyStep(Request, Request->Plan.terminalStep(),
                     notRun(Reason::NoTarget, NoTargetRetryAfter));
@@ -228,7 +248,7 @@
 }
 
 void Forwarder::resendToSameNode(const RequestPtr &Request) {
-  auto Candidates = this->candidates(Request->Service);
+  auto Candidates = this->candidates(Request->Service).best();
   Candidates.erase(std::remove_if(Candidates.begin(), Candidates.end(),
                                   [&](const auto &Candidate) {
                                     return Candidate.Node != Request->Node;
@@ -260,11 +280,13 @@
 
 void Forwarder::sendTo(const RequestPtr &Request, const NodeId &Node) {
   Request->Node = Node;
-  Request->AttemptStartedAt = this->Loop.now();
   Request->Plan.onSent();
   auto AttemptNumber = Request->Plan.attempts();
   Request->Excluded.push_back(Node);
-  auto Attempt = this->makeAttempt(*Request, *this->targetAt(Node));
+  const auto *Target = this->targetAt(Node);
+  // A node that is not linked yet tells its target when it is.
+  auto Attempt =
+      this->makeAttempt(*Request, Target == nullptr ? TargetRecord() : *Target);
   auto OnResult = [this, Request, AttemptNumber](const MeshResult &Result) {
     this->onResult(Request, AttemptNumber, Result);
   };
@@ -356,11 +378,15 @@
 }
 
 bool Forwarder::hasUntriedNode(const ForwardedRequest &Request) const {
-  auto Ready = this->candidates(Request.Service);
-  return std::any_of(Ready.begin(), Ready.end(), [&](const auto &Candidate) {
-    return std::find(Request.Excluded.begin(), Request.Excluded.end(),
-                     Candidate.Node) == Request.Excluded.end();
-  });
+  auto Linked = this->candidates(Request.Service).best();
+  return std::any_of(Linked.begin(), Linked.end(),
+                     [&](const auto &Candidate) {
+                       return std::find(Request.Excluded.begin(),
+                                        Request.Excluded.end(),
+                                        Candidate.Node) ==
+                              Request.Excluded.end();
+                     }) ||
+         this->Config.FindUnlinkedNode(Request.Service, Request.Excluded);
 }
 
 RetryPlan::Context Forwarder::retryContext(const RequestPtr &Request) const {
--- a/lib/daemon/IncomingLinks.cpp
+++ b/lib/daemon/IncomingLinks.cpp
@@ -2,13 +2,12 @@
 
 #include "limpetdrum/process/Error.h"
 
-#include <algorithm>
-
 namespace limpetdrum {
 
 struct IncomingLinks::IncomingLink {
   std::unique_ptr<PeerLink> Link;
   NodeId Node;
+  FailureDomain Domain;
   std::optional<Incarnation> Caller; ///< unset before the hello
 };
 
@@ -74,6 +73,7 @@
   case mesh::Frame::HELLO: {
     auto Hello = codec::decode(Frame.getHello());
     Source.Node = Hello.Status.Self.Node;
+    Source.Domain = Hello.Status.Self.FailureDomain;
     Source.Caller = callerKey(Source.Node, Hello.Status.Incarnation);
     this->ReplyLinks[*Source.Caller] = Key;
     this->Callbacks.OnHello(*Source.Link, Hello);
@@ -97,6 +97,12 @@
     for (auto Call : Frame.getAcknowledged())
       this->Callbacks.OnAcknowledged(*Source.Caller, Call);
     break;
+  case mesh::Frame::USAGE:
+    this->Callbacks.OnUsage(codec::decode(Frame.getUsage()));
+    break;
+  case mesh::Frame::ASK_POLICY:
+    Source.Link->send(codec::encodePolicy(this->Callbacks.PolicyText()));
+    break;
   case mesh::Frame::POLICY:
     this->Callbacks.OnPolicy(std::string(Frame.getPolicy().cStr()));
     break;
@@ -119,11 +125,10 @@
       Receiver->Link->send(Frame);
 }
 
-void IncomingLinks::sendToNodes(const std::vector<NodeId> &Nodes,
-                                const std::string &Frame) {
+void IncomingLinks::sendToDomain(const FailureDomain &Domain,
+                                 const std::string &Frame) {
   for (auto &[Key, Receiver] : this->Links)
-    if (Receiver->Caller &&
-        std::find(Nodes.begin(), Nodes.end(), Receiver->Node) != Nodes.end())
+    if (Receiver->Caller && Receiver->Domain == Domain)
       Receiver->Link->send(Frame);
 }
 
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -229,7 +229,6 @@
     this->applyDecisions(Decisions);
     return;
   }
-  Entry.DispatchedAt = Time;
   this->RunningByRequestId[Entry.Attempt.RequestId] = Id;
   this->Ledger.dispatch(Id);
   if (this->OnRun)
@@ -308,9 +307,11 @@
   auto Time = this->Now();
   if (Finished.CancelAt)
     --this->CancelledCount;
-  if (Finished.Ticket != 0 && this->OnRun)
+  if (Finished.Ticket != 0 && this->OnRun) {
+    bool IsServed = Value.Outcome == Outcome::Answered && Value.Status < 500;
     this->OnRun(Finished.Attempt.Route,
-                Value.Status < 500 ? RunEvent::Served : RunEvent::Failed);
+                IsServed ? RunEvent::Served : RunEvent::Failed);
+  }
   if (Value.Outcome != Outcome::Answered)
     this->Log.request("attempt_not_served",
                       {{"id", Finished.Attempt.RequestId},
@@ -344,6 +345,8 @@
     this->finish(Id, notRun(Reason::Cancelled, Milliseconds(0)));
     return;
   }
+  if (Found->second.CancelAt)
+    return;
   Found->second.CancelAt = this->Now() + CancelGrace;
   ++this->CancelledCount;
 }
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -30,6 +30,9 @@
 constexpr Milliseconds MaxRetryPause{2000};
 /// A node that has been unreachable for this time is removed.
 constexpr std::chrono::seconds RemovalTimeout{60};
+/// Time for which a call waits for a link. A call that was not sent can still
+/// be sent to another node.
+constexpr Milliseconds UnsentTimeout{300};
 /// Number of unacknowledged replies on one link at which an acknowledgement is
 /// sent without waiting for the next attempt to carry it.
 constexpr std::size_t MaxUnacknowledged = 32;
@@ -52,6 +55,7 @@
   std::unique_ptr<PeerLink> Link;
   std::unique_ptr<PeerLink> Spare; ///< connected while Link is silent
   bool IsUp = false;               ///< the hello has been received
+  bool IsWanted = true;            ///< otherwise closed when no call is pending
   std::optional<Incarnation>
       BoundIncarnation; ///< that the sent calls are bound to
   TimePoint ConnectStarted{};
@@ -67,8 +71,7 @@
 Mesh::Mesh(EventLoop &Loop, Contact Self, Incarnation Current, EventLog &Log,
            Metrics &Counters)
     : Loop(Loop), Self(std::move(Self)), Current(Current), Log(Log),
-      Counters(Counters), Incoming(Loop, Log, Counters),
-      Offers(this->Self.Node) {}
+      Counters(Counters), Incoming(Loop, Log, Counters) {}
 
 Mesh::~Mesh() = default;
 
@@ -78,8 +81,9 @@
                           this->onIncomingHello(Link, Hello);
                         },
                         this->Callbacks.OnAttempt, this->Callbacks.OnCancel,
-                        this->Callbacks.OnAcknowledged,
-                        this->Callbacks.OnPolicy, this->Callbacks.LocalStatus},
+                        this->Callbacks.OnAcknowledged, this->Callbacks.OnUsage,
+                        this->Callbacks.OnPolicy, this->Callbacks.LocalStatus,
+                        this->Callbacks.PolicyText},
                        Listen);
   this->Ticker = this->Loop.every(TickPeriod, [this]() { this->tick(); });
 }
@@ -89,8 +93,11 @@
     return;
   for (const auto &[Node, Existing] : this->OutgoingLinks)
     if (Existing->Contact.Link == NewContact.Link &&
-        (Existing->IsUp || Node == NewContact.Node))
-      return; // known, or an outdated contact of an address that is in use
+        (Existing->IsUp || Node == NewContact.Node)) {
+      // Known, or an outdated contact of an address that is in use.
+      Existing->IsWanted = Existing->IsWanted || Node == NewContact.Node;
+      return;
+    }
   auto &Outgoing = this->OutgoingLinks[NewContact.Node];
   if (Outgoing) {
     this->Log.state("peer_moved", {{"node", NewContact.Node.value()},
@@ -108,6 +115,23 @@
   this->connect(*Outgoing, false);
 }
 
+void Mesh::remove(const NodeId &Node) {
+  auto Found = this->OutgoingLinks.find(Node);
+  if (Found != this->OutgoingLinks.end())
+    Found->second->IsWanted = false;
+}
+
+void Mesh::close(const NodeId &Node) {
+  auto Outgoing = std::move(this->OutgoingLinks.at(Node));
+  this->OutgoingLinks.erase(Node);
+  this->Peers.erase(Node);
+  if (Outgoing->Link)
+    destroyLater(this->Loop, std::move(Outgoing->Link));
+  if (Outgoing->Spare)
+    destroyLater(this->Loop, std::move(Outgoing->Spare));
+  this->failCalls(*Outgoing, MeshResult::Kind::Lost);
+}
+
 void Mesh::connect(OutgoingLink &Outgoing, bool AsSpare) {
   auto Node = Outgoing.Contact.Node;
   PeerLink::Events Events;
@@ -141,9 +165,6 @@
 void Mesh::sendHello(PeerLink &Link, const NodeId &Receiver) {
   MeshHello Hello;
   Hello.Status = this->Callbacks.LocalStatus();
-  for (const auto &[Node, Peer] : this->Peers)
-    if (Peer.IsReachable)
-      Hello.KnownContacts.push_back(Peer.Contact);
   auto Found = this->Peers.find(Receiver);
   if (Found != this->Peers.end() && Found->second.Status)
     Hello.ReceiverTarget = Found->second.Status->Target;
@@ -220,7 +241,7 @@
       this->onStatus(Node, codec::decode(Frame.getStatus()));
       auto &Outgoing = *this->OutgoingLinks.at(Node);
       if (Outgoing.Link)
-        this->offerPolicy(*Outgoing.Link, *this->Peers[Node].Status);
+        this->requestPolicy(*Outgoing.Link, *this->Peers[Node].Status);
       break;
     }
     case mesh::Frame::LOAD: {
@@ -232,7 +253,7 @@
         break;
       codec::decode(Frame.getLoad(), *Peer.Status);
       this->Callbacks.OnStatus(Node);
-      this->offerPolicy(*Outgoing.Link, *Peer.Status);
+      this->requestPolicy(*Outgoing.Link, *Peer.Status);
       break;
     }
     case mesh::Frame::REPLY:
@@ -246,6 +267,12 @@
     case mesh::Frame::POLICY:
       this->Callbacks.OnPolicy(std::string(Frame.getPolicy().cStr()));
       break;
+    case mesh::Frame::ASK_POLICY: {
+      auto &Outgoing = *this->OutgoingLinks.at(Node);
+      if (Outgoing.Link)
+        Outgoing.Link->send(codec::encodePolicy(this->Callbacks.PolicyText()));
+      break;
+    }
     default:
       this->Counters.count("mesh_frames_unexpected");
     }
@@ -269,7 +296,7 @@
     return;
   }
   if (Hello.Status.Self.Node != Node) {
-    this->replacePeer(Node, Hello.Status.Self);
+    this->dropReplacedPeer(Node, Hello.Status.Self);
     return;
   }
   Outgoing.IsUp = true;
@@ -280,63 +307,75 @@
   this->Log.state("peer_up", {{"node", Node.value()},
                               {"incarnation", PeerIncarnation.value()},
                               {"calls", Outgoing.Calls.size()}});
-  if (Outgoing.BoundIncarnation &&
-      *Outgoing.BoundIncarnation != PeerIncarnation) {
-    // A call that an earlier process may have run is not sent to a later one.
-    std::vector<Done> LostCallbacks;
-    for (auto Call = Outgoing.Calls.begin(); Call != Outgoing.Calls.end();) {
-      if (!Call->second.Sent) {
-        ++Call;
-        continue;
-      }
-      LostCallbacks.push_back(std::move(Call->second.OnResult));
-      Call = Outgoing.Calls.erase(Call);
-    }
-    Outgoing.Unacknowledged.clear();
-    for (auto &OnResult : LostCallbacks)
-      OnResult({MeshResult::Kind::Lost, {}});
-  }
+  this->failMisdirectedCalls(Outgoing, Hello.Status);
   Outgoing.BoundIncarnation = PeerIncarnation;
   for (auto &[Number, Call] : Outgoing.Calls) {
+    if (Call.Attempt.TargetId.empty()) {
+      Call.Attempt.TargetId = Hello.Status.Target.Id;
+      Call.Attempt.TargetStarted = Hello.Status.Target.Started;
+    }
     Call.Sent = true;
     Call.ReportedSuspected = false;
     this->send(Outgoing, Call);
   }
   this->onStatus(Node, Hello.Status);
-  this->offerPolicy(*Outgoing.Link, Hello.Status);
+  this->requestPolicy(*Outgoing.Link, Hello.Status);
   this->Callbacks.OnRecordFromPeer(Hello.ReceiverTarget);
-  for (const auto &Known : Hello.KnownContacts)
-    if (this->OutgoingLinks.count(Known.Node) == 0)
-      this->add(Known);
 }
 
-void Mesh::replacePeer(const NodeId &Removed, const Contact &Replacement) {
+void Mesh::failMisdirectedCalls(OutgoingLink &Outgoing,
+                                const NodeStatus &Status) {
+  bool IsOtherProcess = Outgoing.BoundIncarnation &&
+                        *Outgoing.BoundIncarnation != Status.Incarnation;
+  bool TakesRequests = Status.Target.isReady() && !Status.Leaving;
+  std::vector<std::pair<Done, enum MeshResult::Kind>> Ended;
+  for (auto Call = Outgoing.Calls.begin(); Call != Outgoing.Calls.end();) {
+    auto &Pending = Call->second;
+    // A call that an earlier process may have run is not sent to a later one.
+    bool IsLost = Pending.Sent && IsOtherProcess;
+    bool IsUnwanted =
+        !Pending.Sent && Pending.Attempt.TargetId.empty() && !TakesRequests;
+    if (!IsLost && !IsUnwanted) {
+      ++Call;
+      continue;
+    }
+    Ended.emplace_back(std::move(Pending.OnResult),
+                       IsLost ? MeshResult::Kind::Lost
+                              : MeshResult::Kind::NeverSent);
+    Call = Outgoing.Calls.erase(Call);
+  }
+  if (IsOtherProcess)
+    Outgoing.Unacknowledged.clear();
+  for (auto &[OnResult, Kind] : Ended)
+    OnResult({Kind, {}});
+}
+
+void Mesh::failUnsentCalls(OutgoingLink &Outgoing, TimePoint Now) {
+  std::vector<Done> Ended;
+  for (auto Call = Outgoing.Calls.begin(); Call != Outgoing.Calls.end();) {
+    if (Call->second.Sent || Now - Call->second.SentAt < UnsentTimeout) {
+      ++Call;
+      continue;
+    }
+    Ended.push_back(std::move(Call->second.OnResult));
+    Call = Outgoing.Calls.erase(Call);
+  }
+  for (auto &OnResult : Ended)
+    OnResult({MeshResult::Kind::NeverSent, {}});
+}
+
+void Mesh::dropReplacedPeer(const NodeId &Removed, const Contact &Replacement) {
   this->Log.state("peer_address_reused",
                   {{"node", Removed.value()},
                    {"now", Replacement.Node.value()},
                    {"address", toString(Replacement.Link)}});
-  auto Found = this->OutgoingLinks.find(Removed);
-  auto Outgoing = std::move(Found->second);
-  this->OutgoingLinks.erase(Found);
-  this->Peers.erase(Removed);
-  this->Offers.remove(Removed);
-  destroyLater(this->Loop, std::move(Outgoing->Link));
-  if (Outgoing->Spare)
-    destroyLater(this->Loop, std::move(Outgoing->Spare));
-  this->failCalls(*Outgoing, MeshResult::Kind::Lost);
-  this->add(Replacement);
+  this->close(Removed);
 }
 
-void Mesh::offerPolicy(PeerLink &Link, const NodeStatus &PeerStatus) {
-  auto Policy = this->Callbacks.LocalStatus().Policy;
-  auto Now = this->Loop.now();
-  if (Policy != this->LocalPolicy) {
-    this->LocalPolicy = Policy;
-    this->LocalPolicySince = Now;
-  }
-  if (this->Offers.isDue(PeerStatus.Self.Node, PeerStatus.Policy, Policy,
-                         this->LocalPolicySince, this->Peers.size(), Now))
-    Link.send(codec::encodePolicy(this->Callbacks.PolicyText()));
+void Mesh::requestPolicy(PeerLink &Link, const NodeStatus &PeerStatus) {
+  auto Local = this->Callbacks.LocalStatus().Policy;
+  if (this->Requests.isDue(PeerStatus.Policy, Local, this->Loop.now()))
+    Link.send(codec::encodePolicyRequest());
 }
 
 void Mesh::onStatus(const NodeId &Node, const NodeStatus &Status) {
@@ -456,8 +495,15 @@
   this->Incoming.sendToAll(codec::encodeLoad(this->Callbacks.LocalStatus()));
 }
 
-void Mesh::sendUsage(const std::vector<NodeId> &Nodes, const MeshUsage &Value) {
-  this->Incoming.sendToNodes(Nodes, codec::encodeUsage(Value));
+void Mesh::sendUsage(const NodeId &Node, const MeshUsage &Value) {
+  auto Found = this->OutgoingLinks.find(Node);
+  if (Found != this->OutgoingLinks.end() && Found->second->IsUp &&
+      Found->second->Link)
+    Found->second->Link->send(codec::encodeUsage(Value));
+}
+
+void Mesh::sendUsage(const FailureDomain &Domain, const MeshUsage &Value) {
+  this->Incoming.sendToDomain(Domain, codec::encodeUsage(Value));
 }
 
 void Mesh::tick() {
@@ -469,8 +515,15 @@
       this->broadcast();
   }
   std::vector<NodeId> Expired;
+  std::vector<OutgoingLink *> Unconnected;
   for (auto &[Node, Entry] : this->OutgoingLinks) {
     auto &Outgoing = *Entry;
+    if (!Outgoing.IsWanted && Outgoing.Calls.empty()) {
+      Expired.push_back(Node);
+      continue;
+    }
+    if (!Outgoing.IsUp && !Outgoing.Calls.empty())
+      Unconnected.push_back(&Outgoing);
     if (Outgoing.IsUp)
       Outgoing.LastUpAt = Now;
     else if (Now - Outgoing.LastUpAt > RemovalTimeout && Outgoing.Calls.empty())
@@ -504,10 +557,11 @@
   }
   for (const auto &Node : Expired) {
     this->Log.state("peer_forgotten", {{"node", Node.value()}});
-    this->OutgoingLinks.erase(Node);
-    this->Peers.erase(Node);
-    this->Offers.remove(Node);
+    this->close(Node);
   }
+  // Last, because callbacks may make calls to further nodes.
+  for (auto *Outgoing : Unconnected)
+    this->failUnsentCalls(*Outgoing, Now);
 }
 
 void Mesh::checkLiveness(const NodeId &Node, OutgoingLink &Outgoing,
@@ -550,9 +604,8 @@
 void Mesh::onIncomingHello(PeerLink &Link, const MeshHello &Hello) {
   const auto &From = Hello.Status.Self;
   this->sendHello(Link, From.Node);
-  this->offerPolicy(Link, Hello.Status);
+  this->requestPolicy(Link, Hello.Status);
   this->Callbacks.OnRecordFromPeer(Hello.ReceiverTarget);
-  this->add(From);
   // The node is running, so connect to it without waiting for the retry pause.
   auto Found = this->OutgoingLinks.find(From.Node);
   if (Found != this->OutgoingLinks.end() && !Found->second->Link &&
--- a/lib/daemon/MeshCodec.cpp
+++ b/lib/daemon/MeshCodec.cpp
@@ -1,6 +1,7 @@
 #include "limpetdrum/daemon/MeshCodec.h"
 
 #include "limpetdrum/process/Error.h"
+#include "limpetdrum/request/Position.h"
 
 #include <capnp/message.h>
 
@@ -71,6 +72,7 @@
   Builder.setThreshold(Value.Threshold);
   Builder.setServiceMicros(
       static_cast<std::uint32_t>(Value.ServiceTime.count()));
+  Builder.setStoreLost(Value.StoreLost);
 }
 
 template <typename MessageBuilder>
@@ -102,10 +104,6 @@
   capnp::MallocMessageBuilder Message;
   auto Hello = Message.initRoot<mesh::Frame>().initHello();
   write(Hello.initStatus(), Value.Status);
-  auto Known =
-      Hello.initKnown(static_cast<unsigned>(Value.KnownContacts.size()));
-  for (unsigned I = 0; I < Known.size(); ++I)
-    write(Known[I], Value.KnownContacts[I]);
   write(Hello.initYourTarget(), Value.ReceiverTarget);
   return encodeFrame(Message);
 }
@@ -125,6 +123,7 @@
   Builder.setLimit(Value.Limit);
   Builder.setServiceMicros(
       static_cast<std::uint32_t>(Value.ServiceTime.count()));
+  Builder.setStoreLost(Value.StoreLost);
   return encodeFrame(Message);
 }
 
@@ -182,7 +181,7 @@
   Builder.setService(Value.Usage.Service.value());
   Builder.setFailureDomain(Value.FailureDomain.value());
   Builder.setNodes(Value.Usage.Nodes);
-  Builder.setRelayed(Value.Relayed);
+  Builder.setScope(static_cast<std::uint8_t>(Value.Scope));
   auto Routes =
       Builder.initRoutes(static_cast<unsigned>(Value.Usage.Routes.size()));
   for (unsigned I = 0; I < Routes.size(); ++I) {
@@ -212,6 +211,12 @@
   return encodeFrame(Message);
 }
 
+std::string encodePolicyRequest() {
+  capnp::MallocMessageBuilder Message;
+  Message.initRoot<mesh::Frame>().setAskPolicy();
+  return encodeFrame(Message);
+}
+
 std::string encodeAcknowledged(const std::vector<std::uint64_t> &Calls) {
   capnp::MallocMessageBuilder Message;
   writeCalls(Message.initRoot<mesh::Frame>().initAcknowledged(
@@ -223,8 +228,6 @@
 MeshHello decode(mesh::Hello::Reader Reader) {
   MeshHello Value;
   Value.Status = decode(Reader.getStatus());
-  for (auto Entry : Reader.getKnown())
-    Value.KnownContacts.push_back(read(Entry));
   Value.ReceiverTarget = read(Reader.getYourTarget());
   return Value;
 }
@@ -242,6 +245,7 @@
   Value.Limit = Reader.getLimit();
   Value.Threshold = Reader.getThreshold();
   Value.ServiceTime = Microseconds(Reader.getServiceMicros());
+  Value.StoreLost = Reader.getStoreLost();
   if (!(Value.Threshold >= 0))
     throw ValueError("invalid admission threshold " +
                          std::to_string(Value.Threshold) +
@@ -256,6 +260,7 @@
   Status.Queued = Reader.getQueued();
   Status.Limit = Reader.getLimit();
   Status.ServiceTime = Microseconds(Reader.getServiceMicros());
+  Status.StoreLost = Reader.getStoreLost();
 }
 
 MeshAttempt decode(mesh::Attempt::Reader Reader) {
@@ -271,6 +276,15 @@
   Value.TargetId = text(Reader.getTargetId());
   Value.TargetStarted = Reader.getTargetStarted();
   Value.CallerService = ServiceName(text(Reader.getCallerService()));
+  if (Reader.getRank() >= MaxRanks ||
+      !(Reader.getCohort() >= 0 && Reader.getCohort() < 1))
+    throw ValueError("rank " + std::to_string(Reader.getRank()) +
+                         " or cohort " + std::to_string(Reader.getCohort()) +
+                         " of an attempt is out of range, expected a rank "
+                         "below " +
+                         std::to_string(MaxRanks) +
+                         " and a cohort of at least 0 and below 1",
+                     "run the same release on all nodes");
   Value.Rank = ClassRank(Reader.getRank());
   Value.Cohort = Reader.getCohort();
   Value.Route = text(Reader.getRoute());
@@ -281,7 +295,11 @@
   MeshUsage Value;
   Value.Node = NodeId(text(Reader.getNode()));
   Value.FailureDomain = FailureDomain(text(Reader.getFailureDomain()));
-  Value.Relayed = Reader.getRelayed();
+  if (Reader.getScope() > static_cast<std::uint8_t>(MeshUsage::Scope::Fleet))
+    throw ValueError("unknown scope " + std::to_string(Reader.getScope()) +
+                         " of a usage report, expected 0 to 2",
+                     "run the same release on all nodes");
+  Value.Scope = static_cast<enum MeshUsage::Scope>(Reader.getScope());
   Value.Usage.Service = ServiceName(text(Reader.getService()));
   Value.Usage.Nodes = Reader.getNodes();
   if (Value.Usage.Nodes == 0)
--- a/lib/daemon/NodeAdmin.cpp
+++ b/lib/daemon/NodeAdmin.cpp
@@ -1,5 +1,6 @@
 #include "NodeState.h"
 
+#include "limpetdrum/process/Duties.h"
 #include "limpetdrum/request/Position.h"
 
 #include <fstream>
@@ -54,7 +55,7 @@
                        static_cast<double>(this->Peers.size()));
   this->Counters.gauge("platform_calls",
                        static_cast<double>(this->Platform.calls()));
-  this->Counters.gauge("release_watcher", this->Feed.isWatcher() ? 1 : 0);
+  this->Counters.gauge("release_watcher", holdsDuties(this->Members) ? 1 : 0);
   this->Counters.gauge("resident_bytes", static_cast<double>(residentBytes()));
 }
 
--- a/lib/daemon/NodeContacts.cpp
+++ b/lib/daemon/NodeContacts.cpp
@@ -2,8 +2,8 @@
 // maintains the contacts that the platform lists.
 #include "NodeState.h"
 
+#include "limpetdrum/process/Duties.h"
 #include "limpetdrum/process/Error.h"
-#include "limpetdrum/request/KeyHome.h"
 
 #include <algorithm>
 #include <map>
@@ -136,13 +136,7 @@
 }
 
 bool Node::State::maintainsContacts() const {
-  std::vector<NodeId> Candidates = {this->Config.Node};
-  for (const auto &[Node, M] : this->Members.others())
-    if (M.FailureDomain == this->Config.FailureDomain &&
-        M.Health == Health::Alive)
-      Candidates.push_back(Node);
-  return rankByHash("contacts", std::move(Candidates), 1).front() ==
-         this->Config.Node;
+  return holdsDuties(this->Members, 1);
 }
 
 } // namespace limpetdrum
--- a/lib/daemon/PolicyFeed.cpp
+++ b/lib/daemon/PolicyFeed.cpp
@@ -12,6 +12,10 @@
 constexpr std::chrono::seconds WatchLimit{25};
 constexpr Milliseconds MinRetryPause{150};
 constexpr Milliseconds MaxRetryPause{1200};
+/// Time after the start for other nodes to send their policy.
+constexpr Milliseconds FirstReadDelay{2500};
+constexpr Milliseconds FirstReadJitter{1000};
+constexpr std::chrono::seconds PollPeriod{60};
 
 } // namespace
 
@@ -21,9 +25,32 @@
     : Loop(Loop), Store(Store), Adapter(Adapter), Log(Log), Counters(Counters),
       Random(Seed) {}
 
-void PolicyFeed::start(std::function<void(const TrafficPolicy &)> Action) {
-  this->OnPolicyChange = std::move(Action);
-  this->read();
+void PolicyFeed::start(Handlers Callbacks) {
+  this->Callbacks = std::move(Callbacks);
+  auto Jitter = Milliseconds(this->Random() % FirstReadJitter.count());
+  this->NextCall = this->Loop.after(FirstReadDelay + Jitter, [this]() {
+    if (this->Current)
+      this->schedulePoll();
+    else
+      this->read(false);
+  });
+}
+
+void PolicyFeed::setWatching(bool Value) {
+  if (std::exchange(this->Watching, Value) == Value)
+    return;
+  this->Log.state("policy_watch", {{"watching", Value}});
+  this->Failures = 0;
+  if (Value && !this->CallPending)
+    this->read(false);
+}
+
+void PolicyFeed::schedulePoll() {
+  auto Jitter = Milliseconds(
+      this->Random() %
+      std::chrono::duration_cast<Milliseconds>(PollPeriod).count());
+  this->NextCall =
+      this->Loop.after(PollPeriod / 2 + Jitter, [this]() { this->read(true); });
 }
 
 void PolicyFeed::offer(const std::string &Text, const char *Source) {
@@ -46,43 +73,53 @@
        {"routes", Policy->routes().size()}});
   this->Counters.count("policies", "source", Source);
   this->Current = std::move(Policy);
-  this->OnPolicyChange(*this->Current);
+  this->Callbacks.OnPolicyChange(*this->Current);
 }
 
-void PolicyFeed::onStoreState(StoreOutcome Outcome) {
-  bool Reached = Outcome == StoreOutcome::Done;
-  if (Reached)
-    this->Failures = 0;
-  else
-    ++this->Failures;
-  if (Reached == this->StoreReached)
+void PolicyFeed::onStoreState(const StoreListing &Listing) {
+  this->CallPending = false;
+  bool WasReached = this->Failures == 0;
+  bool IsReached = Listing.Outcome == StoreOutcome::Done ||
+                   Listing.Outcome == StoreOutcome::RevisionExpired;
+  this->Failures = IsReached ? 0 : this->Failures + 1;
+  if (IsReached != WasReached)
+    this->Log.state(IsReached ? "store_reached" : "store_lost",
+                    {{"outcome", toString(Listing.Outcome)},
+                     {"revision", this->StoreRevision}});
+  if (!IsReached)
     return;
-  this->StoreReached = Reached;
-  this->Log.state(
-      Reached ? "store_reached" : "store_lost",
-      {{"outcome", toString(Outcome)}, {"revision", this->StoreRevision}});
+  auto Previous = std::exchange(this->Era, Listing.Era);
+  if (!Previous || *Previous == Listing.Era)
+    return;
+  this->Log.state("store_restored", {{"era", Listing.Era.value()},
+                                     {"previous", Previous->value()},
+                                     {"revision", this->StoreRevision}});
+  this->Callbacks.OnStoreRestored();
 }
 
-void PolicyFeed::retry() {
+void PolicyFeed::readAfterPause() {
   auto Doublings = std::min(this->Failures, 4U);
   auto Pause = std::min(MinRetryPause * (1U << Doublings), MaxRetryPause);
   // The jitter keeps nodes that lost the store at the same time from retrying
   // at the same time.
   auto Jitter =
       Milliseconds(this->Random() % static_cast<std::uint64_t>(Pause.count()));
-  this->RetryTimer =
-      this->Loop.after(Pause / 2 + Jitter, [this]() { this->read(); });
+  this->NextCall =
+      this->Loop.after(Pause / 2 + Jitter, [this]() { this->read(false); });
 }
 
-void PolicyFeed::read() {
-  this->Store.list(this->Adapter.policyKind(), false, "policy-read",
+void PolicyFeed::read(bool AllowStale) {
+  this->NextCall.cancel();
+  this->CallPending = true;
+  this->Store.list(this->Adapter.policyKind(), AllowStale, "policy-read",
                    [this](const StoreListing &Listing) {
-                     this->onStoreState(Listing.Outcome);
-                     if (Listing.Outcome != StoreOutcome::Done) {
-                       this->retry();
-                       return;
-                     }
-                     this->onListing(Listing);
+                     this->onStoreState(Listing);
+                     if (Listing.Outcome == StoreOutcome::Done)
+                       this->onListing(Listing);
+                     else if (this->Watching || !this->Current)
+                       this->readAfterPause();
+                     else
+                       this->schedulePoll();
                    });
 }
 
@@ -91,19 +128,28 @@
   for (const auto &Object : Listing.Objects)
     if (Object.Name == this->Adapter.policyName())
       this->offer(Object.Value, "store");
-  this->watch();
+  if (this->Watching)
+    this->watch();
+  else if (this->Current)
+    this->schedulePoll();
+  else
+    this->readAfterPause();
 }
 
 void PolicyFeed::watch() {
-  this->Store.watch(this->Adapter.policyKind(), this->StoreRevision, WatchLimit,
-                    "policy-watch", [this](const StoreListing &Listing) {
-                      this->onStoreState(Listing.Outcome);
+  this->CallPending = true;
+  this->Store.watch(this->Adapter.policyKind(), this->StoreRevision, *this->Era,
+                    WatchLimit, "policy-watch",
+                    [this](const StoreListing &Listing) {
+                      this->onStoreState(Listing);
                       if (Listing.Outcome == StoreOutcome::Done)
                         this->onListing(Listing);
                       else if (Listing.Outcome == StoreOutcome::RevisionExpired)
-                        this->read();
+                        this->read(false);
+                      else if (this->Watching)
+                        this->readAfterPause();
                       else
-                        this->retry();
+                        this->schedulePoll();
                     });
 }
 
--- a/lib/daemon/ReleaseFeed.cpp
+++ b/lib/daemon/ReleaseFeed.cpp
@@ -1,7 +1,7 @@
 #include "limpetdrum/daemon/ReleaseFeed.h"
 
+#include "limpetdrum/process/Duties.h"
 #include "limpetdrum/process/Error.h"
-#include "limpetdrum/request/KeyHome.h"
 
 #include <algorithm>
 #include <easylogging++.h>
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t WatchersPerDomain = 2;
 constexpr Milliseconds WatchTimeout{30000};
 constexpr Microseconds MinBackoff{200'000};
 constexpr Microseconds MaxBackoff{10'000'000};
@@ -32,18 +31,6 @@
 
 void ReleaseFeed::start() { this->requestRelease(); }
 
-bool ReleaseFeed::isWatcher() const {
-  const auto &Self = this->Members.self();
-  std::vector<NodeId> Candidates = {Self.Node};
-  for (const auto &[Node, M] : this->Members.others())
-    if (M.FailureDomain == Self.FailureDomain && M.Health == Health::Alive &&
-        M.Target != TargetState::Left)
-      Candidates.push_back(Node);
-  auto Watchers = rankByHash("watch", std::move(Candidates), WatchersPerDomain);
-  return std::find(Watchers.begin(), Watchers.end(), Self.Node) !=
-         Watchers.end();
-}
-
 Microseconds ReleaseFeed::pollInterval() const {
   auto FleetSize = this->Members.others().size() + 1;
   return std::max<Microseconds>(
@@ -58,7 +45,7 @@
 
 void ReleaseFeed::requestRelease() {
   auto Done = [this](const PlatformObject &Object) { this->onObject(Object); };
-  if (this->HasRead && this->PlatformReached && this->isWatcher())
+  if (this->HasRead && this->PlatformReached && holdsDuties(this->Members))
     this->Platform.watch(ReleaseObject, this->Version, WatchTimeout, Done);
   else
     this->Platform.read(ReleaseObject, Done);
@@ -79,7 +66,7 @@
       this->Version = Object.Version;
       this->offer(*Object.Value);
     }
-    if (this->HasRead && !this->isWatcher())
+    if (this->HasRead && !holdsDuties(this->Members))
       Pause = this->jittered(this->pollInterval());
     this->HasRead = true;
   }
--- a/lib/process/Membership.cpp
+++ b/lib/process/Membership.cpp
@@ -25,10 +25,12 @@
           M->Target == TargetState::Left);
 }
 
-std::uint64_t hashOf(const Member &M) {
-  auto DeadBit = M.Health == Health::Dead ? 1U : 0U;
-  return stableHash(M.Node.value(),
-                    M.Incarnation.value() * 31 + M.Version * 2ULL + DeadBit);
+/// Returns the contribution of a member to the digest. Members that are gone
+/// contribute nothing: nodes remove them at different times.
+std::uint64_t digestOf(const Member &M) {
+  return isGone(M) ? 0
+                   : stableHash(M.Node.value(),
+                                M.Incarnation.value() * 31 + M.Version);
 }
 
 } // namespace
@@ -44,6 +46,10 @@
   return Names[static_cast<std::size_t>(Value)];
 }
 
+bool isGone(const Member &Value) noexcept {
+  return Value.Health == Health::Dead || Value.Target == TargetState::Left;
+}
+
 bool supersedes(const Member &New, const Member &Old) noexcept {
   return std::tie(New.Incarnation, New.Version, New.Health) >
          std::tie(Old.Incarnation, Old.Version, Old.Health);
@@ -55,6 +61,9 @@
 
 void Membership::announce(const ServiceName &Service, Slots Slots,
                           TargetState Target) {
+  if (this->Self.Service == Service && this->Self.Slots == Slots &&
+      this->Self.Target == Target)
+    return;
   this->Self.Service = Service;
   this->Self.Slots = Slots;
   this->Self.Target = Target;
@@ -85,7 +94,7 @@
 }
 
 std::uint64_t Membership::digest() const noexcept {
-  return this->PeersDigest ^ hashOf(this->Self);
+  return this->PeersDigest ^ digestOf(this->Self);
 }
 
 Microseconds Membership::probeTimeout() const {
@@ -115,7 +124,12 @@
 
 void Membership::applyToSelf(const Member &Update) {
   if (Update.Incarnation > this->Self.Incarnation) {
-    this->Superseded = true;
+    this->Superseded = !this->Options.OwnsName;
+    if (this->Superseded)
+      return;
+    this->Self.Incarnation = Incarnation(Update.Incarnation.value() + 1);
+    ++this->Changes;
+    this->enqueueUpdate(this->Self.Node);
     return;
   }
   bool NeedsRefutation = Update.Incarnation == this->Self.Incarnation &&
@@ -137,17 +151,21 @@
   auto Found = this->Peers.find(Update.Node);
   if (Found != this->Peers.end() && !supersedes(Update, Found->second))
     return false;
+  // Nodes remove members that are gone at different times. Adding one again
+  // would spread it for ever.
+  if (Found == this->Peers.end() && isGone(Update))
+    return false;
   if (Found != this->Peers.end())
-    this->PeersDigest ^= hashOf(Found->second);
-  this->PeersDigest ^= hashOf(Update);
+    this->PeersDigest ^= digestOf(Found->second);
+  this->PeersDigest ^= digestOf(Update);
   this->Peers[Update.Node] = Update;
   ++this->Changes;
   this->Suspects.erase(Update.Node);
-  this->DeadSince.erase(Update.Node);
+  this->GoneSince.erase(Update.Node);
   if (Update.Health == Health::Suspect)
     this->Suspects[Update.Node] = Now + this->suspicionTimeout();
-  if (Update.Health == Health::Dead)
-    this->DeadSince[Update.Node] = Now;
+  if (isGone(Update))
+    this->GoneSince[Update.Node] = Now;
   this->enqueueUpdate(Update.Node);
   Out.Changed.push_back(Update);
   return true;
@@ -264,7 +282,10 @@
   NewProbe.IndirectProbeAt = Now + this->probeTimeout() / 3;
   NewProbe.SuspectAt = Now + this->probeTimeout();
   this->CurrentProbe = NewProbe;
-  this->send(*Subject, this->message(GossipKind::Ping, NewProbe.Sequence), Out);
+  // A node that was restarted may not know this one, and could not reply.
+  auto Ping = this->message(GossipKind::Ping, NewProbe.Sequence);
+  Ping.Updates.insert(Ping.Updates.begin(), this->Self);
+  this->send(*Subject, std::move(Ping), Out);
 }
 
 void Membership::advanceProbe(TimePoint Now, Output &Out) {
@@ -299,15 +320,15 @@
       Expired.push_back(Node);
   for (const auto &Node : Expired)
     this->setHealth(Node, Health::Dead, Now, Out);
-  for (auto It = this->DeadSince.begin(); It != this->DeadSince.end();) {
+  for (auto It = this->GoneSince.begin(); It != this->GoneSince.end();) {
     if (Now - It->second < this->Options.DeadRetention) {
       ++It;
       continue;
     }
-    this->PeersDigest ^= hashOf(this->Peers.at(It->first));
+    this->PeersDigest ^= digestOf(this->Peers.at(It->first));
     this->Peers.erase(It->first);
     ++this->Changes;
-    It = this->DeadSince.erase(It);
+    It = this->GoneSince.erase(It);
   }
   for (auto It = this->Relays.begin(); It != this->Relays.end();)
     It = Now >= It->second.Expiry ? this->Relays.erase(It) : std::next(It);
@@ -319,11 +340,11 @@
     return;
   }
   this->PeriodsUntilDeadPing = PeriodsBetweenDeadPings;
-  if (this->DeadSince.empty())
+  if (this->GoneSince.empty())
     return;
   auto Index =
-      static_cast<std::ptrdiff_t>(this->Random() % this->DeadSince.size());
-  auto Node = std::next(this->DeadSince.begin(), Index)->first;
+      static_cast<std::ptrdiff_t>(this->Random() % this->GoneSince.size());
+  auto Node = std::next(this->GoneSince.begin(), Index)->first;
   this->send(Node, this->message(GossipKind::Ping, ++this->LastSequence), Out);
 }
 
@@ -375,6 +396,10 @@
     break;
   case GossipKind::Rumor:
     break;
+  case GossipKind::ListRequest:
+    if (const Member *Requester = this->find(Message.Sender))
+      this->sendList(Requester->Gossip, Out);
+    break;
   }
   return Out;
 }
@@ -421,6 +446,44 @@
   Out.SyncWith = Message.Sender;
 }
 
+void Membership::sendList(Endpoint Receiver, Output &Out) {
+  auto Page = this->message(GossipKind::Rumor, 0);
+  Page.Updates.clear();
+  auto Flush = [&]() {
+    Out.Send.push_back({Receiver, Page});
+    Page.Updates.clear();
+  };
+  for (auto &M : this->list()) {
+    if (isGone(M))
+      continue;
+    Page.Updates.push_back(std::move(M));
+    if (Page.Updates.size() == this->Options.UpdatesPerMessage)
+      Flush();
+  }
+  if (!Page.Updates.empty())
+    Flush();
+}
+
+Membership::Output Membership::exchangeLists(Endpoint Gossip) {
+  Output Out;
+  this->sendList(Gossip, Out);
+  // The list starts with this node, so the receiver can address its own list.
+  auto Request = this->message(GossipKind::ListRequest, 0);
+  Request.Updates = {this->Self};
+  Out.Send.push_back({Gossip, std::move(Request)});
+  return Out;
+}
+
+Membership::Output Membership::learn(const std::vector<Member> &Members,
+                                     TimePoint Now) {
+  Output Out;
+  auto Pending = this->PendingUpdates;
+  for (const auto &Update : Members)
+    this->apply(Update, Now, Out);
+  this->PendingUpdates = std::move(Pending);
+  return Out;
+}
+
 Membership::Output Membership::pingAll() {
   Output Out;
   for (const auto &Entry : this->Peers)
--- a/lib/request/DemandModel.cpp
+++ b/lib/request/DemandModel.cpp
@@ -22,7 +22,7 @@
 
 /// Adds the usage of a route at a node: rates are summed, means over runs are
 /// weighted with the number of runs.
-void add(RouteUsage &Sum, const RouteUsage &Usage) {
+void addUsage(RouteUsage &Sum, const RouteUsage &Usage) {
   auto Runs = Sum.Runs + Usage.Runs;
   auto Mean = [&](double Previous, double Added) {
     return Runs > 0 ? (Previous * Sum.Runs + Added * Usage.Runs) / Runs : 0;
@@ -43,6 +43,32 @@
   Sum.Runs = Runs;
 }
 
+/// Sums usage by service.
+class UsageSums {
+public:
+  void add(const UsageSummary &Usage) {
+    this->NodeCounts[Usage.Service] += Usage.Nodes;
+    for (const auto &RouteUse : Usage.Routes)
+      addUsage(this->Routes[Usage.Service][RouteUse.Route], RouteUse);
+  }
+  [[nodiscard]] std::vector<UsageSummary> summaries() const {
+    std::vector<UsageSummary> Result;
+    for (const auto &[Service, Count] : this->NodeCounts) {
+      UsageSummary Sum{Service, Count, {}};
+      auto Found = this->Routes.find(Service);
+      if (Found != this->Routes.end())
+        for (const auto &[Route, RouteUse] : Found->second)
+          Sum.Routes.push_back(RouteUse);
+      Result.push_back(std::move(Sum));
+    }
+    return Result;
+  }
+
+private:
+  std::map<ServiceName, std::map<std::string, RouteUsage>> Routes;
+  std::map<ServiceName, std::uint32_t> NodeCounts;
+};
+
 template <typename Map> void removeExpired(Map &Entries, TimePoint Now) {
   for (auto It = Entries.begin(); It != Entries.end();)
     It = Now - It->second.ReceivedAt > FreshFor ? Entries.erase(It)
@@ -62,28 +88,37 @@
   Entry = {std::move(Usage), Now};
 }
 
+void DemandModel::recordFleet(UsageSummary Usage, TimePoint Now) {
+  auto &Entry = this->FleetReports[Usage.Service];
+  Entry = {std::move(Usage), Now};
+}
+
 std::vector<UsageSummary> DemandModel::summaries(TimePoint Now) const {
-  std::map<ServiceName, std::map<std::string, RouteUsage>> RouteSums;
-  std::map<ServiceName, std::uint32_t> NodeCounts;
-  for (const auto &[Node, Report] : this->NodeReports) {
-    if (Now - Report.ReceivedAt > FreshFor)
-      continue;
-    NodeCounts[Report.Usage.Service] += Report.Usage.Nodes;
-    for (const auto &RouteUse : Report.Usage.Routes)
-      add(RouteSums[Report.Usage.Service][RouteUse.Route], RouteUse);
-  }
-  std::vector<UsageSummary> Result;
-  for (const auto &[Service, Count] : NodeCounts) {
-    UsageSummary Sum{Service, Count, {}};
-    for (const auto &[Route, RouteUse] : RouteSums[Service])
-      Sum.Routes.push_back(RouteUse);
-    Result.push_back(std::move(Sum));
-  }
-  return Result;
+  UsageSums Sums;
+  for (const auto &[Node, Report] : this->NodeReports)
+    if (Now - Report.ReceivedAt <= FreshFor)
+      Sums.add(Report.Usage);
+  return Sums.summaries();
+}
+
+std::vector<UsageSummary> DemandModel::fleetSummaries(TimePoint Now) const {
+  UsageSums Sums;
+  for (const auto &[Node, Report] : this->NodeReports)
+    if (Now - Report.ReceivedAt <= FreshFor)
+      Sums.add(Report.Usage);
+  for (const auto &[Key, Report] : this->DomainReports)
+    if (Now - Report.ReceivedAt <= FreshFor)
+      Sums.add(Report.Usage);
+  return Sums.summaries();
 }
 
 template <typename Callable>
 void DemandModel::forEachUsage(Callable Action) const {
+  if (!this->FleetReports.empty()) {
+    for (const auto &[Service, Report] : this->FleetReports)
+      Action(Report.Usage);
+    return;
+  }
   for (const auto &[Node, Report] : this->NodeReports)
     Action(Report.Usage);
   for (const auto &[Key, Report] : this->DomainReports)
@@ -98,6 +133,7 @@
   this->Leaves.clear();
   removeExpired(this->NodeReports, Now);
   removeExpired(this->DomainReports, Now);
+  removeExpired(this->FleetReports, Now);
   this->forEachUsage([this](const UsageSummary &Usage) {
     for (const auto &RouteUse : Usage.Routes) {
       auto &Total = this->RouteTotals[{Usage.Service, RouteUse.Route}];
--- a/lib/rpc/Mesh.capnp
+++ b/lib/rpc/Mesh.capnp
@@ -32,6 +32,7 @@
   limit @8 :UInt32;        # concurrency limit of the target
   threshold @9 :Float32;   # admission threshold
   serviceMicros @10 :UInt32; # typical service time, microseconds
+  storeLost @11 :Bool;     # the last call to the store failed
 }
 
 struct Header { name @0 :Text; value @1 :Text; }
@@ -80,13 +81,13 @@
   calls @4 :List(RouteCalls);
 }
 
-struct Usage {             # usage of one node, or the sum of a failure domain
+struct Usage {             # usage of one node, or a sum
   node @0 :Text;           # empty for a sum
   service @1 :Text;        # service of the targets
   routes @2 :List(RouteUse);
-  failureDomain @3 :Text;  # set for a sum, else empty
+  failureDomain @3 :Text;  # set for the sum of a failure domain, else empty
   nodes @4 :UInt32;        # number of nodes in the sum
-  relayed @5 :Bool;        # relayed within the receiver's failure domain
+  scope @5 :UInt8;         # node, failure domain, fleet
 }
 
 struct Load {              # fields of Status that change frequently
@@ -95,12 +96,12 @@
   queued @2 :UInt32;
   limit @3 :UInt32;
   serviceMicros @4 :UInt32;
+  storeLost @5 :Bool;
 }
 
 struct Hello {
   status @0 :Status;
-  known @1 :List(Contact);
-  yourTarget @2 :Target;   # last known target of the receiving node
+  yourTarget @1 :Target;   # last known target of the receiving node
 }
 
 struct Frame {
@@ -115,5 +116,6 @@
     usage @7 :Usage;
     load @8 :Load;
     ask @9 :Void;          # requests an immediate Load message
+    askPolicy @10 :Void;   # requests the text of the policy in force
   }
 }
--- a/lib/rpc/Mesh.capnp.h
+++ b/lib/rpc/Mesh.capnp.h
@@ -178,7 +178,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9396cedb4177a953, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9396cedb4177a953, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -193,7 +193,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd2d1ae1e954a18c, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(bd2d1ae1e954a18c, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -217,6 +217,7 @@
     USAGE,
     LOAD,
     ASK,
+    ASK_POLICY,
   };
 
   struct _capnpPrivate {
@@ -482,6 +483,8 @@
 
   inline  ::uint32_t getServiceMicros() const;
 
+  inline bool getStoreLost() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -551,6 +554,9 @@
   inline  ::uint32_t getServiceMicros();
   inline void setServiceMicros( ::uint32_t value);
 
+  inline bool getStoreLost();
+  inline void setStoreLost(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1216,7 +1222,7 @@
 
   inline  ::uint32_t getNodes() const;
 
-  inline bool getRelayed() const;
+  inline  ::uint8_t getScope() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1277,8 +1283,8 @@
   inline  ::uint32_t getNodes();
   inline void setNodes( ::uint32_t value);
 
-  inline bool getRelayed();
-  inline void setRelayed(bool value);
+  inline  ::uint8_t getScope();
+  inline void setScope( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1333,6 +1339,8 @@
 
   inline  ::uint32_t getServiceMicros() const;
 
+  inline bool getStoreLost() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1376,6 +1384,9 @@
   inline  ::uint32_t getServiceMicros();
   inline void setServiceMicros( ::uint32_t value);
 
+  inline bool getStoreLost();
+  inline void setStoreLost(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1422,9 +1433,6 @@
   inline bool hasStatus() const;
   inline  ::limpetdrum::mesh::Status::Reader getStatus() const;
 
-  inline bool hasKnown() const;
-  inline  ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
-
   inline bool hasYourTarget() const;
   inline  ::limpetdrum::mesh::Target::Reader getYourTarget() const;
 
@@ -1463,13 +1471,6 @@
   inline void adoptStatus(::capnp::Orphan< ::limpetdrum::mesh::Status>&& value);
   inline ::capnp::Orphan< ::limpetdrum::mesh::Status> disownStatus();
 
-  inline bool hasKnown();
-  inline  ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>::Builder getKnown();
-  inline void setKnown( ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>::Builder initKnown(unsigned int size);
-  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>> disownKnown();
-
   inline bool hasYourTarget();
   inline  ::limpetdrum::mesh::Target::Builder getYourTarget();
   inline void setYourTarget( ::limpetdrum::mesh::Target::Reader value);
@@ -1561,6 +1562,9 @@
   inline bool isAsk() const;
   inline  ::capnp::Void getAsk() const;
 
+  inline bool isAskPolicy() const;
+  inline  ::capnp::Void getAskPolicy() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1663,6 +1667,10 @@
   inline  ::capnp::Void getAsk();
   inline void setAsk( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isAskPolicy();
+  inline  ::capnp::Void getAskPolicy();
+  inline void setAskPolicy( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2115,6 +2123,20 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Status::Reader::getStoreLost() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Status::Builder::getStoreLost() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setStoreLost(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3065,18 +3087,18 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Usage::Reader::getRelayed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Usage::Reader::getScope() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool Usage::Builder::getRelayed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Usage::Builder::getScope() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Usage::Builder::setRelayed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline void Usage::Builder::setScope( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Load::Reader::getPolicy() const {
@@ -3149,6 +3171,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::getStoreLost() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getStoreLost() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setStoreLost(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasStatus() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3188,77 +3224,43 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Hello::Reader::hasKnown() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasKnown() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getKnown() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Hello::Builder::setKnown( ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initKnown(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Hello::Builder::adoptKnown(
-    ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>> Hello::Builder::disownKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Contact,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 inline bool Hello::Reader::hasYourTarget() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Hello::Builder::hasYourTarget() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::limpetdrum::mesh::Target::Reader Hello::Reader::getYourTarget() const {
   return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Target>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::limpetdrum::mesh::Target::Builder Hello::Builder::getYourTarget() {
   return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Target>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::limpetdrum::mesh::Target::Pipeline Hello::Pipeline::getYourTarget() {
-  return  ::limpetdrum::mesh::Target::Pipeline(_typeless.getPointerField(2));
+  return  ::limpetdrum::mesh::Target::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
 inline void Hello::Builder::setYourTarget( ::limpetdrum::mesh::Target::Reader value) {
   ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Target>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::limpetdrum::mesh::Target::Builder Hello::Builder::initYourTarget() {
   return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Target>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Hello::Builder::adoptYourTarget(
     ::capnp::Orphan< ::limpetdrum::mesh::Target>&& value) {
   ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Target>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::limpetdrum::mesh::Target> Hello::Builder::disownYourTarget() {
   return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Target>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::limpetdrum::mesh::Frame::Which Frame::Reader::which() const {
@@ -3760,6 +3762,32 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Frame::Reader::isAskPolicy() const {
+  return which() == Frame::ASK_POLICY;
+}
+inline bool Frame::Builder::isAskPolicy() {
+  return which() == Frame::ASK_POLICY;
+}
+inline  ::capnp::Void Frame::Reader::getAskPolicy() const {
+  KJ_IREQUIRE((which() == Frame::ASK_POLICY),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Frame::Builder::getAskPolicy() {
+  KJ_IREQUIRE((which() == Frame::ASK_POLICY),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setAskPolicy( ::capnp::Void value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ASK_POLICY);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/lib/rpc/Node.capnp
+++ b/lib/rpc/Node.capnp
@@ -73,7 +73,7 @@
 
 struct Datagram {
   kind @0 :Kind;
-  enum Kind { ping @0; ack @1; pingRequest @2; rumor @3; }
+  enum Kind { ping @0; ack @1; pingRequest @2; rumor @3; listRequest @4; }
   from @1 :Text;
   sequence @2 :UInt32;
   subject @3 :Text;        # pingRequest: node to ping; ack: node that answered
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -90,6 +90,7 @@
     {"storm policy", &Soak::publishPolicyBurst, 1},
     {"store mood", &Soak::failStore, 3},
     {"forget history", &Soak::discardHistory, 1},
+    {"restore store", &Soak::restoreStore, 2},
     {"silence links", &Soak::silenceLinks, 2},
     {"block links", &Soak::blockLinks, 3},
     {"reset links", &Soak::resetLinks, 2},
@@ -297,6 +298,7 @@
   for (const auto &Service : Services)
     Policy["services"][Service] = {{"health-check-path", "/health"},
                                    {"max-connections", 500}};
+  this->LastPolicy = Policy;
   this->ObjectStore->write("config", "main", Policy);
   this->Observations.PolicyVersions.emplace_back(
       Services[this->ReassignedService], this->Loop.now());
@@ -487,6 +489,22 @@
 
 void Soak::discardHistory(Node & /*N*/) { this->ObjectStore->discardHistory(); }
 
+void Soak::restoreStore(Node & /*N*/) {
+  auto Outage = this->randomSpan(50, 1500);
+  auto Rewrite = Outage + this->randomSpan(50, 1500);
+  this->ObjectStore->setFailureMode(Store::FailureMode::Refusing);
+  this->recordDisturbance(std::nullopt, Disturbance::Kind::Store, Rewrite);
+  auto Age = this->randomSpan(200, 5000);
+  this->runAfter(Outage, [this, Age]() {
+    this->ObjectStore->setFailureMode(Store::FailureMode::Healthy);
+    this->ObjectStore->restore(Age);
+  });
+  // The operator notices the loss and writes the policy again.
+  this->runAfter(Rewrite, [this]() {
+    this->ObjectStore->write("config", "main", this->LastPolicy);
+  });
+}
+
 bench::Relay &Soak::selectRelay(Node &N, Milliseconds Span) {
   switch (this->randomBelow(4)) {
   case 0:
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -91,6 +91,7 @@
   void publishPolicyBurst(Node &N);
   void failStore(Node &N);
   void discardHistory(Node &N);
+  void restoreStore(Node &N);
   void silenceLinks(Node &N);
   void blockLinks(Node &N);
   void resetLinks(Node &N);
@@ -112,6 +113,7 @@
   std::vector<Witness::Finding> HarnessFindings; ///< not from the witness
   std::uint64_t LastRequest = 0;
   std::uint64_t PolicyVersion = 0;
+  nlohmann::json LastPolicy;         ///< as the operator wrote it
   std::size_t ReassignedService = 0; ///< index in the list of services
 };
 
--- a/soak/Store.cpp
+++ b/soak/Store.cpp
@@ -1,5 +1,6 @@
 #include "Store.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace limpetdrum::soak {
@@ -9,6 +10,7 @@
 using nlohmann::json;
 
 const std::string ObjectsPath = "/-/objects/";
+const std::string EraHeader = "Store-Era";
 constexpr Milliseconds SlowReplyDelay{900};
 
 std::map<std::string, std::string> parseQuery(const std::string &Text) {
@@ -25,9 +27,9 @@
 } // namespace
 
 Store::Store(EventLoop &Loop, Endpoint Listen)
-    : Loop(Loop), Server(Loop, Listen, [this](const Exchange &Request) {
-        this->onRequest(Request);
-      }) {}
+    : Loop(Loop), Copies({{Loop.now(), this->Revision, {}}}),
+      Server(Loop, Listen,
+             [this](const Exchange &Request) { this->onRequest(Request); }) {}
 
 void Store::onRequest(const Exchange &Request) {
   ++this->Calls;
@@ -36,7 +38,7 @@
     this->serve(Request);
     return;
   case FailureMode::Refusing:
-    Request->reply(503, {}, "");
+    this->reply(Request, 503, {});
     return;
   case FailureMode::Unresponsive:
     this->Unanswered.push_back(Request);
@@ -57,7 +59,7 @@
 
 void Store::serve(const Exchange &Request) {
   if (Request->path().compare(0, ObjectsPath.size(), ObjectsPath) != 0) {
-    Request->reply(404, {}, "");
+    this->reply(Request, 404, {});
     return;
   }
   auto Rest = Request->path().substr(ObjectsPath.size());
@@ -76,7 +78,10 @@
 }
 
 void Store::reply(const Exchange &Request, int Status, const json &Body) {
-  Request->reply(Status, {{"Content-Type", "application/json"}}, Body.dump());
+  Request->reply(Status,
+                 {{"Content-Type", "application/json"},
+                  {EraHeader, std::to_string(this->Era)}},
+                 Body.is_null() ? "" : Body.dump());
 }
 
 void Store::read(const Exchange &Request, const std::string &Kind,
@@ -85,7 +90,7 @@
   if (!Name.empty()) {
     auto Found = Objects.find(Name);
     if (Found == Objects.end())
-      Request->reply(404, {}, "");
+      this->reply(Request, 404, {});
     else
       this->reply(Request, 200, this->object(Name, Found->second));
     return;
@@ -100,8 +105,8 @@
     return;
   }
   auto LastRevision = std::stoull(Query["watch"]);
-  if (LastRevision < this->HistoryStart) {
-    Request->reply(410, {}, "");
+  if (LastRevision < this->HistoryStart || LastRevision > this->Revision) {
+    this->reply(Request, 410, {});
     return;
   }
   if (this->sendEvents(Request, Kind, LastRevision))
@@ -150,7 +155,12 @@
 void Store::write(const std::string &Kind, const std::string &Name,
                   const json &Specification) {
   this->Kinds[Kind][Name] = {++this->Revision, Specification};
-  this->History.push_back({this->Revision, Kind, Name, false});
+  this->onChanged({this->Revision, Kind, Name, false});
+}
+
+void Store::onChanged(const Change &Value) {
+  this->History.push_back(Value);
+  this->Copies.push_back({this->Loop.now(), this->Revision, this->Kinds});
   this->notifyWatches();
 }
 
@@ -159,21 +169,20 @@
   auto &Objects = this->Kinds[Kind];
   if (Request->method() == "DELETE") {
     if (Objects.erase(Name) != 0) {
-      this->History.push_back({++this->Revision, Kind, Name, true});
-      this->notifyWatches();
+      this->onChanged({++this->Revision, Kind, Name, true});
     }
     this->reply(Request, 200, json::object());
     return;
   }
   auto Body = json::parse(Request->body(), nullptr, false);
   if (Body.is_discarded() || !Body.contains("specification")) {
-    Request->reply(400, {}, "");
+    this->reply(Request, 400, {});
     return;
   }
   if (Request->method() == "POST") {
     Name = Body.at("metadata").at("name").get<std::string>();
     if (Objects.count(Name) != 0) {
-      Request->reply(409, {}, "");
+      this->reply(Request, 409, {});
       return;
     }
   }
@@ -181,12 +190,31 @@
   this->reply(Request, 200, this->object(Name, Objects[Name]));
 }
 
+void Store::expireWatches() {
+  auto Expired = std::exchange(this->Watches, {});
+  for (const auto &W : Expired)
+    this->reply(W.Request, 410, {});
+}
+
 void Store::discardHistory() {
   this->HistoryStart = this->Revision;
   this->History.clear();
-  auto Expired = std::exchange(this->Watches, {});
-  for (const auto &W : Expired)
-    W.Request->reply(410, {}, "");
+  this->expireWatches();
+}
+
+void Store::restore(Milliseconds Age) {
+  auto Oldest = this->Loop.now() - Age;
+  while (this->Copies.size() > 1 && this->Copies.back().Time > Oldest)
+    this->Copies.pop_back();
+  this->Kinds = this->Copies.back().Kinds;
+  this->Revision = this->Copies.back().Revision;
+  ++this->Era;
+  auto IsLost = [this](const Change &C) { return C.Revision > this->Revision; };
+  this->History.erase(
+      std::remove_if(this->History.begin(), this->History.end(), IsLost),
+      this->History.end());
+  this->HistoryStart = std::min(this->HistoryStart, this->Revision);
+  this->expireWatches();
 }
 
 } // namespace limpetdrum::soak
--- a/soak/Store.h
+++ b/soak/Store.h
@@ -26,6 +26,9 @@
   /// \brief Discards all past changes: a watch from an earlier revision gets
   ///   410.
   void discardHistory();
+  /// \brief Restores the contents of some time ago, as after a loss of the
+  ///   store: newer revisions are gone and are assigned again.
+  void restore(Milliseconds Age);
   /// \brief Writes an object directly, as the operator would.
   void write(const std::string &Kind, const std::string &Name,
              const nlohmann::json &Specification);
@@ -50,6 +53,13 @@
     bool Deleted;
   };
 
+  /// The contents after a change.
+  struct Copy {
+    TimePoint Time;
+    std::uint64_t Revision;
+    std::map<std::string, std::map<std::string, Entry>> Kinds;
+  };
+
   void onRequest(const Exchange &Request);
   void serve(const Exchange &Request);
   void read(const Exchange &Request, const std::string &Kind,
@@ -61,7 +71,10 @@
   /// \returns false if there are none; the request is then still unanswered.
   bool sendEvents(const Exchange &Request, const std::string &Kind,
                   std::uint64_t LastRevision);
+  void onChanged(const Change &Value);
   void notifyWatches();
+  /// Ends all watches because their revisions are gone.
+  void expireWatches();
   [[nodiscard]] nlohmann::json object(const std::string &Name,
                                       const Entry &Object) const;
 
@@ -72,6 +85,8 @@
   std::uint64_t Calls = 0;
   std::map<std::string, std::map<std::string, Entry>> Kinds;
   std::vector<Change> History;
+  std::vector<Copy> Copies;
+  std::uint64_t Era = 0; ///< number of restorations
   std::list<Watch> Watches;
   std::vector<Exchange> Unanswered;
   std::list<Timer> Delayed;
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -2,10 +2,13 @@
 #include "RawClient.h"
 #include "limpetdrum/Config.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <random>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace limpetdrum;
 using namespace limpetdrum::test;
@@ -210,3 +213,71 @@
   CHECK(Disconnected);
   CHECK_FALSE(Open->isOpen());
 }
+
+namespace {
+
+/// Client that asks for a large body and reads it in pieces.
+class SlowReader {
+public:
+  explicit SlowReader(EventLoop &Loop)
+      : Socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    int Size = 4096;
+    setsockopt(this->Socket, SOL_SOCKET, SO_RCVBUF, &Size, sizeof(Size));
+    auto Address = toSocketAddress(ServerAddress);
+    REQUIRE(::connect(this->Socket, reinterpret_cast<sockaddr *>(&Address),
+                      sizeof(Address)) == 0);
+    const std::string Request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    REQUIRE(::send(this->Socket, Request.data(), Request.size(), 0) ==
+            static_cast<ssize_t>(Request.size()));
+    this->Ticker = Loop.every(Milliseconds(20), [this]() { this->read(); });
+  }
+  ~SlowReader() { ::close(this->Socket); }
+  SlowReader(const SlowReader &) = delete;
+  SlowReader &operator=(const SlowReader &) = delete;
+
+  unsigned PiecesPerTick = 1;
+  bool Closed = false;
+
+private:
+  void read() {
+    std::array<char, 16384> Buffer;
+    for (unsigned I = 0; I < this->PiecesPerTick && !this->Closed; ++I) {
+      auto Size =
+          ::recv(this->Socket, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+      if (Size < 0 && errno == EAGAIN)
+        return;
+      this->Closed = Size <= 0;
+    }
+  }
+
+  int Socket;
+  Timer Ticker;
+};
+
+} // namespace
+
+TEST_CASE("HttpServer keeps a client that reads slowly, not one that stalls",
+          "[http]") {
+  EventLoop Loop;
+  HttpServerOptions Options;
+  Options.StallTimeout = Milliseconds(600);
+  HttpServer Server(
+      Loop, ServerAddress,
+      [](const std::shared_ptr<HttpExchange> &Exchange) {
+        Exchange->reply(200, {}, std::string(32U * 1024U * 1024U, '.'));
+      },
+      Options);
+  SlowReader Reader(Loop);
+  auto Run = [&](Milliseconds Span) {
+    auto Timeout = Loop.after(Span, [&]() { Loop.stop(); });
+    Loop.run();
+  };
+  Run(Milliseconds(2500));
+  CHECK_FALSE(Reader.Closed);
+  Reader.PiecesPerTick = 0;
+  Run(Milliseconds(2500));
+  // What the kernel holds is read first.
+  Reader.PiecesPerTick = 1000;
+  Run(Milliseconds(500));
+  CHECK(Reader.Closed);
+}
--- a/unittests/LeavePlanTest.cpp
+++ b/unittests/LeavePlanTest.cpp
@@ -65,3 +65,14 @@
   CHECK(Plan.refusesRuns(Clock.now()));
   CHECK_FALSE(Plan.mayExit(false, Clock.now()));
 }
+
+TEST_CASE("LeavePlan applies an exit limit that is reloaded") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  Plan.setExitLimit(Milliseconds(10'000));
+  Plan.begin(Clock.now());
+  Clock.advance(Milliseconds(5700));
+  CHECK_FALSE(Plan.mayExit(false, Clock.now()));
+  Clock.advance(Milliseconds(4000));
+  CHECK(Plan.mayExit(false, Clock.now()));
+}
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -393,3 +393,37 @@
   REQUIRE(Fixture.Replies.size() == 2);
   CHECK(Fixture.Replies[1].Outcome == Outcome::Answered);
 }
+
+// Runs that may have been broken off make fewer calls than complete ones, which
+// would bias the estimate of the calls per run.
+TEST_CASE("LocalTarget reports a run with an unknown outcome as failed") {
+  LocalTargetFixture Fixture;
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 1)));
+  std::vector<RunEvent> Events;
+  Fixture.Target.setOnRun(
+      [&](const std::string &, RunEvent Event) { Events.push_back(Event); });
+  Fixture.execute(1);
+  HttpResponse Broken;
+  Broken.Outcome = HttpOutcome::Broken;
+  Fixture.SentCallbacks[0](Broken);
+  CHECK(Events == std::vector<RunEvent>{RunEvent::Started, RunEvent::Failed});
+  Fixture.execute(2);
+  Fixture.SentCallbacks[1](LocalTargetFixture::answer(200));
+  CHECK(Events.back() == RunEvent::Served);
+}
+
+TEST_CASE("LocalTarget ends a run that is cancelled twice once, and in time") {
+  LocalTargetFixture Fixture;
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 1)));
+  Fixture.execute(1);
+  std::size_t Cancelled = 0;
+  ALLOW_CALL(Fixture.Port, cancel(_)).LR_SIDE_EFFECT(++Cancelled);
+  Fixture.Target.cancel(Incarnation(7), 1);
+  Fixture.Clock.advance(Milliseconds(90));
+  // The second cancellation must not prolong the run.
+  Fixture.Target.cancel(Incarnation(7), 1);
+  Fixture.Clock.advance(Milliseconds(20));
+  Fixture.Target.tick();
+  CHECK(Cancelled == 1);
+  CHECK(Fixture.Target.outstanding() == 0);
+}
--- a/unittests/MembershipTest.cpp
+++ b/unittests/MembershipTest.cpp
@@ -271,3 +271,78 @@
   static_cast<void>(N[1].merge({LaterProcess}, N.Clock.now()));
   CHECK(N[1].isSuperseded());
 }
+
+// The clock of a node may have been set back when its process starts again.
+TEST_CASE("Membership continues above the incarnation of an earlier process",
+          "[membership]") {
+  Member Self;
+  Self.Node = NodeId("n");
+  Self.Incarnation = Incarnation(5);
+  MembershipOptions Options;
+  Options.OwnsName = true;
+  Membership Members(Self, Options, 1);
+  auto Earlier = Self;
+  Earlier.Incarnation = Incarnation(9);
+  Earlier.Health = Health::Dead;
+  static_cast<void>(Members.merge({Earlier}, TimePoint()));
+  CHECK_FALSE(Members.isSuperseded());
+  CHECK(supersedes(Members.self(), Earlier));
+}
+
+// Nodes remove dead members at different times. A member that one of them gets
+// back from another would circulate for ever.
+TEST_CASE("Membership does not add members that are gone", "[membership]") {
+  Member Self;
+  Self.Node = NodeId("n");
+  Membership Members(Self, {}, 1);
+  Membership Other(Self, {}, 1);
+  Member Gone;
+  Gone.Node = NodeId("gone");
+  auto Modify = GENERATE(
+      as<void (*)(Member &)>{}, [](Member &M) { M.Health = Health::Dead; },
+      [](Member &M) { M.Target = TargetState::Left; });
+  static_cast<void>(Other.merge({Gone}, TimePoint()));
+  REQUIRE(Members.digest() != Other.digest());
+  Modify(Gone);
+  ++Gone.Version;
+  static_cast<void>(Members.merge({Gone}, TimePoint()));
+  static_cast<void>(Other.merge({Gone}, TimePoint()));
+  CHECK(Members.others().empty());
+  CHECK(Other.others().size() == 1);
+  CHECK(Members.digest() == Other.digest());
+}
+
+TEST_CASE("Membership exchanges full lists by datagrams", "[membership]") {
+  std::vector<Member> All;
+  for (std::uint16_t I = 0; I < 50; ++I) {
+    Member M;
+    M.Node = NodeId("n" + std::to_string(I));
+    M.Incarnation = Incarnation(1);
+    M.Gossip = {1, static_cast<std::uint16_t>(I + 1)};
+    All.push_back(M);
+  }
+  // The first node was restarted and knows no other, the second knows all.
+  Membership First(All[0], {}, 1);
+  Membership Second(All[1], {}, 1);
+  static_cast<void>(Second.learn({All.begin() + 2, All.end()}, TimePoint()));
+  auto Deliver = [&](const Membership::Output &Out, Membership &Receiver) {
+    Membership::Output Replies;
+    for (const auto &Sent : Out.Send)
+      for (auto &Reply : Receiver.receive(Sent.Message, TimePoint()).Send)
+        Replies.Send.push_back(std::move(Reply));
+    return Replies;
+  };
+  auto Replies = Deliver(Second.exchangeLists(All[0].Gossip), First);
+  CHECK(First.others().size() == 49);
+  // The receiver's own list is addressed to the node that asked for it.
+  REQUIRE_FALSE(Replies.Send.empty());
+  CHECK(Replies.Send.back().Destination == All[1].Gossip);
+  static_cast<void>(Deliver(Replies, Second));
+  CHECK(Second.others().size() == 49);
+  CHECK(First.digest() == Second.digest());
+  // What all nodes read from the same source is not disseminated.
+  Membership Third(All[2], {}, 1);
+  static_cast<void>(Third.learn(All, TimePoint()));
+  CHECK(Third.others().size() == 49);
+  CHECK(Third.tick(TimePoint(std::chrono::hours(1))).Send.size() == 1);
+}
--- a/unittests/PlatformAdapterTest.cpp
+++ b/unittests/PlatformAdapterTest.cpp
@@ -74,6 +74,21 @@
       as<Modification>{}, [](nlohmann::json &B) { B.erase("version"); },
       [](nlohmann::json &B) { B["version"] = "zz"; },
       [](nlohmann::json &B) { B["version"] = 7; },
+      [](nlohmann::json &B) { B["version"] = ""; },
+      [](nlohmann::json &B) { B["version"] = " 1a"; },
+      [](nlohmann::json &B) { B["version"] = "0x1a"; },
+      [](nlohmann::json &B) { B["version"] = "-1"; },
+      [](nlohmann::json &B) { B["version"] = "1a "; },
+      [](nlohmann::json &B) { B["version"] = "11111111111111111"; },
+      [](nlohmann::json &B) {
+        B["routes"]["r-1"]["traffic-split"][0]["weight"] = 1ULL << 32U;
+      },
+      [](nlohmann::json &B) {
+        B["routes"]["r-1"]["max-attempts"] = (1ULL << 32U) + 1;
+      },
+      [](nlohmann::json &B) {
+        B["services"]["s1"]["max-connections"] = 1ULL << 32U;
+      },
       [](nlohmann::json &B) { B["routes"]["r-1"]["timeout"] = "5000"; },
       [](nlohmann::json &B) { B["routes"]["r-1"]["timeout"] = "-5ms"; },
       [](nlohmann::json &B) { B["routes"]["r-1"]["priority"] = -1; },
@@ -115,6 +130,7 @@
       [](nlohmann::json &B) { B["server-info"]["slots"] = 70000; },
       [](nlohmann::json &B) { B["server-info"]["service"] = nullptr; },
       [](nlohmann::json &B) { B["born"] = 1.5; },
+      [](nlohmann::json &B) { B["born"] = 1ULL << 63U; },
       [](nlohmann::json &B) { B["address"] = "nowhere"; });
   auto Body = reportBody();
   Modify(Body);
@@ -126,7 +142,8 @@
   CHECK(platform::parseDuration("1500ms") == Milliseconds(1500));
   CHECK(platform::parseDuration("2.5s") == Milliseconds(2500));
   CHECK(platform::parseDuration("0ms") == Milliseconds(0));
-  auto Malformed = GENERATE("", "ms", "15", "5m", "-1s", "1 s", "nans");
+  auto Malformed = GENERATE("", "ms", "15", "5m", "-1s", "1 s", "nans", " 1s",
+                            "+1s", "0x10s", "1e3ms", "infs", "1ss");
   CHECK_THROWS_AS(platform::parseDuration(Malformed), ValueError);
 }
 
--- /dev/null
+++ b/unittests/PolicyRequestsTest.cpp
@@ -0,0 +1,44 @@
+#include "limpetdrum/version/PolicyRequests.h"
+#include "FakeClock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+constexpr Revision Old{3};
+constexpr Revision New{4};
+
+} // namespace
+
+TEST_CASE("PolicyRequests asks one of many nodes that have a newer policy") {
+  FakeClock Clock;
+  PolicyRequests Requests;
+  int Asked = 0;
+  for (int I = 0; I < 75; ++I)
+    Asked += Requests.isDue(New, Old, Clock.now()) ? 1 : 0;
+  CHECK(Asked == 1);
+  CHECK_FALSE(Requests.isDue(New, New, Clock.now()));
+  CHECK_FALSE(Requests.isDue(Old, New, Clock.now()));
+}
+
+TEST_CASE("PolicyRequests asks another node if the first does not answer") {
+  FakeClock Clock;
+  PolicyRequests Requests;
+  CHECK(Requests.isDue(New, Old, Clock.now()));
+  Clock.advance(Milliseconds(100));
+  CHECK_FALSE(Requests.isDue(New, Old, Clock.now()));
+  Clock.advance(Milliseconds(400));
+  CHECK(Requests.isDue(New, Old, Clock.now()));
+}
+
+TEST_CASE("PolicyRequests asks at once for a policy newer than the requested") {
+  FakeClock Clock;
+  PolicyRequests Requests;
+  CHECK(Requests.isDue(New, Old, Clock.now()));
+  CHECK(Requests.isDue(Revision(5), Old, Clock.now()));
+  // The answer brought a version in between.
+  CHECK_FALSE(Requests.isDue(New, Old, Clock.now()));
+}
