--- a/include/limpetdrum/daemon/LinkKeeper.h
+++ b/include/limpetdrum/daemon/LinkKeeper.h
@@ -36,6 +36,8 @@
 
 private:
   [[nodiscard]] std::set<NodeId> select() const;
+  /// Links to the selected nodes.
+  void applyPlan();
   /// Reports how full the linked targets of each service are.
   void observeUtilization();
   /// Returns false if it is known that the node cannot do its duties.
@@ -48,7 +50,8 @@
   std::uint64_t MembersSeen = 0;
   std::uint64_t PlanSeen = 0;
   bool HeldDuties = false;
-  std::set<NodeId> Wanted;
+  /// Nodes to link to, with the incarnations known when they were linked.
+  std::map<NodeId, Incarnation> Wanted;
   /// Links that are no longer wanted, with the time from which they are closed.
   std::map<NodeId, TimePoint> Unwanted;
 };
--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -81,6 +81,9 @@
   /// Ignores this node, a known contact, and an address that a connected node
   /// already uses.
   void add(const Contact &NewContact);
+  /// \brief Connects to an added node at once if there is no connection to it,
+  ///   without waiting for the retry pause.
+  void retry(const NodeId &Node);
   /// \brief Closes the link to a node once its pending calls have ended.
   void remove(const NodeId &Node);
   [[nodiscard]] const std::map<NodeId, Peer> &peers() const noexcept {
--- a/lib/daemon/LinkKeeper.cpp
+++ b/lib/daemon/LinkKeeper.cpp
@@ -71,6 +71,19 @@
   return Result;
 }
 
+void LinkKeeper::applyPlan() {
+  auto Previous = std::exchange(this->Wanted, {});
+  for (const auto &Node : this->select()) {
+    const auto &M = *this->Members.find(Node);
+    this->Wanted.emplace(Node, M.Incarnation);
+    this->Links.add(contactOf(M));
+    // A node that was restarted can be reached again.
+    auto Known = Previous.find(Node);
+    if (Known != Previous.end() && Known->second != M.Incarnation)
+      this->Links.retry(Node);
+  }
+}
+
 void LinkKeeper::update() {
   this->observeUtilization();
   bool HoldsDuties = this->holdsDuties();
@@ -80,11 +93,8 @@
   this->MembersSeen = this->Members.changes();
   this->PlanSeen = this->Plan.changes();
   this->HeldDuties = HoldsDuties;
-  if (Changed) {
-    this->Wanted = this->select();
-    for (const auto &Node : this->Wanted)
-      this->Links.add(contactOf(*this->Members.find(Node)));
-  }
+  if (Changed)
+    this->applyPlan();
   auto Now = this->Loop.now();
   for (const auto &[Node, Peer] : this->Links.peers()) {
     if (this->Wanted.count(Node) != 0) {
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -115,6 +115,13 @@
   this->connect(*Outgoing, false);
 }
 
+void Mesh::retry(const NodeId &Node) {
+  auto Found = this->OutgoingLinks.find(Node);
+  if (Found != this->OutgoingLinks.end() && !Found->second->Link &&
+      !Found->second->Spare)
+    this->connect(*Found->second, false);
+}
+
 void Mesh::remove(const NodeId &Node) {
   auto Found = this->OutgoingLinks.find(Node);
   if (Found != this->OutgoingLinks.end())
@@ -606,11 +613,8 @@
   this->sendHello(Link, From.Node);
   this->requestPolicy(Link, Hello.Status);
   this->Callbacks.OnRecordFromPeer(Hello.ReceiverTarget);
-  // The node is running, so connect to it without waiting for the retry pause.
-  auto Found = this->OutgoingLinks.find(From.Node);
-  if (Found != this->OutgoingLinks.end() && !Found->second->Link &&
-      !Found->second->Spare)
-    this->connect(*Found->second, false);
+  // The node is running, so a link to it can be made.
+  this->retry(From.Node);
 }
 
 } // namespace limpetdrum
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -166,6 +166,7 @@
   void shareUsage();
   void onUsage(MeshUsage Report);
   void updateGate();
+  void refreshGauges();
   void logGate();
 };
 
@@ -196,6 +197,7 @@
       [this](const Exchange &E) { this->onReport(E); });
   this->MetricsPage = std::make_unique<HttpServer>(
       this->Loop, this->Settings.Metrics, [this](const Exchange &E) {
+        this->refreshGauges();
         E->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                  this->Counters.text());
       });
@@ -362,6 +364,16 @@
   }
 }
 
+void Sidecar::State::refreshGauges() {
+  const auto &Others = this->Fleet.members().others();
+  auto Present = std::count_if(Others.begin(), Others.end(),
+                               [](const auto &E) { return !isGone(E.second); });
+  this->Counters.gauge("members", static_cast<double>(Present + 1));
+  this->Counters.gauge("links",
+                       static_cast<double>(this->Peers.peers().size()));
+  this->Counters.gauge("holds_duties", this->Links.holdsDuties() ? 1 : 0);
+}
+
 void Sidecar::State::logGate() {
   for (const auto &[Service, Balance] : this->Overload.gate().balances())
     if (Balance.DemandedSlots > Balance.GrantedSlots)
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -364,6 +364,21 @@
   CHECK(B.Attempts.empty());
 }
 
+// The pause between two tries grows while a node is down. Gossip tells when it
+// is back.
+TEST_CASE("Mesh reconnects at once to a node that is known to be back",
+          "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  A.Links.add(contact("b", PortB));
+  wait(Loop, 2500);
+  MeshNode B(Loop, "b", PortB, 2);
+  A.Links.retry(NodeId("b"));
+  auto Start = Loop.now();
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  CHECK(Loop.now() - Start < Milliseconds(100));
+}
+
 // A node that is cut off neither accepts nor refuses a connection.
 TEST_CASE("Mesh gives up soon on a call that waits for a link", "[rpc]") {
   EventLoop Loop;
