--- a/include/limpetdrum/daemon/Forwarder.h
+++ b/include/limpetdrum/daemon/Forwarder.h
@@ -46,6 +46,8 @@
   void onRequest(std::shared_ptr<HttpExchange> Exchange);
   /// \brief Handles a new status of another node.
   void onPeerStatus(const NodeId &Node);
+  /// \brief Discards what was observed of a node that is no longer linked.
+  void onPeerRemoved(const NodeId &Node);
 
 private:
   struct ForwardedRequest;
--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -54,6 +54,8 @@
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnCancel;
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnAcknowledged;
     std::function<void(const NodeId &From)> OnStatus;
+    /// Called when the link to a node has been closed for good.
+    std::function<void(const NodeId &Node)> OnRemoved;
     std::function<void(MeshUsage)> OnUsage;
     std::function<void(const std::string &Text)> OnPolicy;
     /// Called with the record of the local target that another node holds.
@@ -143,7 +145,7 @@
   /// to an earlier one, and those for any target if its target is not ready.
   void failMisdirectedCalls(OutgoingLink &Outgoing, const NodeStatus &Status);
   /// Closes a link, and forgets its node.
-  void close(const NodeId &Node);
+  void close(const NodeId &Removed);
   /// Ends the pending calls: sent ones with \p SentAs, others as NeverSent.
   void failCalls(OutgoingLink &Outgoing, enum MeshResult::Kind SentAs);
   void send(OutgoingLink &Outgoing, PendingCall &Call);
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -88,6 +88,10 @@
   this->NodePlacement.onReport(Node);
 }
 
+void Forwarder::onPeerRemoved(const NodeId &Node) {
+  this->NodePlacement.remove(Node);
+}
+
 void Forwarder::onRequest(std::shared_ptr<HttpExchange> Exchange) {
   auto Request = std::make_shared<ForwardedRequest>();
   Request->Exchange = std::move(Exchange);
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -128,7 +128,9 @@
     Found->second->IsWanted = false;
 }
 
-void Mesh::close(const NodeId &Node) {
+void Mesh::close(const NodeId &Removed) {
+  // A copy, because the parameter may be part of what is removed.
+  auto Node = Removed;
   auto Outgoing = std::move(this->OutgoingLinks.at(Node));
   this->OutgoingLinks.erase(Node);
   this->Peers.erase(Node);
@@ -137,6 +139,7 @@
   if (Outgoing->Spare)
     destroyLater(this->Loop, std::move(Outgoing->Spare));
   this->failCalls(*Outgoing, MeshResult::Kind::Lost);
+  this->Callbacks.OnRemoved(Node);
 }
 
 void Mesh::connect(OutgoingLink &Outgoing, bool AsSpare) {
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -225,6 +225,9 @@
   Handlers.OnStatus = [this](const NodeId &From) {
     this->Forwarder.onPeerStatus(From);
   };
+  Handlers.OnRemoved = [this](const NodeId &Node) {
+    this->Forwarder.onPeerRemoved(Node);
+  };
   Handlers.OnPolicy = [this](const std::string &Text) {
     this->Policies.offer(Text, "peer");
   };
--- a/lib/process/Settings.cpp
+++ b/lib/process/Settings.cpp
@@ -56,12 +56,12 @@
   Mechanisms.rejectUnknownKeys();
   Map.rejectUnknownKeys();
   if (Result.DrainLimit < Result.LeaveGrace)
-    throw SourceError(Map.location("drain-limit"),
-                      "'drain-limit' of " +
-                          std::to_string(Result.DrainLimit.count()) +
-                          "ms is shorter than 'leave-grace' of " +
-                          std::to_string(Result.LeaveGrace.count()) + "ms",
-                      "make 'drain-limit' at least as long as 'leave-grace'");
+    throw SourceError(
+        Map.location(Map.has("drain-limit") ? "drain-limit" : "leave-grace"),
+        "'drain-limit' of " + std::to_string(Result.DrainLimit.count()) +
+            "ms is shorter than 'leave-grace' of " +
+            std::to_string(Result.LeaveGrace.count()) + "ms",
+        "make 'drain-limit' at least as long as 'leave-grace'");
   if (Result.GossipPeriod < Milliseconds(50))
     throw SourceError(Map.location("gossip-period"),
                       "'gossip-period' of " +
--- a/lib/process/YamlMap.cpp
+++ b/lib/process/YamlMap.cpp
@@ -133,12 +133,22 @@
     return Text.size() > Unit.size() &&
            Text.compare(Text.size() - Unit.size(), Unit.size(), Unit) == 0;
   };
+  auto Parse = [&](const std::string &Unit, std::uint64_t Max) {
+    try {
+      return parseNumber(Text.substr(0, Text.size() - Unit.size()), Location, 0,
+                         Max);
+    } catch (const SourceError &) {
+      throw SourceError(Location,
+                        "'" + Text + "' is not a valid '" + Key +
+                            "': expected a whole number from 0 to " +
+                            std::to_string(Max) + " with the unit " + Unit,
+                        "write a duration such as 250ms or 2s");
+    }
+  };
   if (EndsWith("ms"))
-    return Milliseconds(parseNumber(Text.substr(0, Text.size() - 2), Location,
-                                    0, MaxDurationMs));
+    return Milliseconds(Parse("ms", MaxDurationMs));
   if (EndsWith("s"))
-    return std::chrono::seconds(parseNumber(Text.substr(0, Text.size() - 1),
-                                            Location, 0, MaxDurationMs / 1000));
+    return std::chrono::seconds(Parse("s", MaxDurationMs / 1000));
   throw SourceError(Location,
                     "'" + Text + "' is not a valid '" + Key +
                         "': expected a whole number with the unit ms or s",
--- a/tools/limpetctl/main.cpp
+++ b/tools/limpetctl/main.cpp
@@ -42,6 +42,11 @@
     "exit status: 0 success, 1 refused, 2 wrong usage or a malformed note,\n"
     "3 platform or node not reached, 4 outcome of the publication unknown";
 
+const bool OutputIsChecked = gflags::RegisterFlagValidator(
+    &FLAGS_output, [](const char * /*Name*/, const std::string &Value) {
+      return Value == "text" || Value == "json";
+    });
+
 bool asJson() { return FLAGS_output == "json"; }
 
 void print(const nlohmann::json &Value) { std::cout << Value.dump(2) << "\n"; }
@@ -256,6 +261,11 @@
   } catch (const NetworkError &E) {
     std::cerr << E.what() << "\n";
     return Unreachable;
+  } catch (const nlohmann::json::exception &E) {
+    std::cerr << "the answer is not that of a node or of the platform ("
+              << E.what() << "); pass their addresses in --node and --platform"
+              << "\n";
+    return Unreachable;
   } catch (const Error &E) {
     std::cerr << E.what() << "\n";
     return Usage;
--- a/unittests/HttpPipelineTest.cpp
+++ b/unittests/HttpPipelineTest.cpp
@@ -1,11 +1,15 @@
 #include "limpetdrum/connection/Http.h"
 #include "limpetdrum/connection/SocketAddress.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace limpetdrum;
 
@@ -321,3 +325,98 @@
   HttpClient Client(Loop, ServerAddress, strictOptions());
   CHECK(sendRequest(Loop, Client, "1").Outcome == HttpOutcome::Broken);
 }
+
+namespace {
+
+/// Sends a text over the first connection of a server in two pieces.
+void sendInPieces(ScriptedServer &Server, const std::string &Text,
+                  std::size_t FirstPiece) {
+  auto *Connection = Server.Connections.front();
+  bufferevent_write(Connection, Text.data(), FirstPiece);
+  auto StopTimer =
+      Server.Loop.after(Milliseconds(10), [&]() { Server.Loop.stop(); });
+  Server.Loop.run();
+  bufferevent_write(Connection, Text.data() + FirstPiece,
+                    Text.size() - FirstPiece);
+}
+
+} // namespace
+
+// The target sends a second copy of an answer while the next request is waiting
+// on the same connection.
+TEST_CASE("HttpClient drops a late second copy of an earlier answer",
+          "[http]") {
+  EventLoop Loop;
+  auto LateCopy =
+      GENERATE(ok("1", "mine"),
+               std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine"));
+  auto FirstPiece = GENERATE(std::size_t(1), std::size_t(20), std::size_t(0));
+  ScriptedServer Server(Loop, {ok("1", "mine"), ""});
+  HttpClient Client(Loop, ServerAddress, strictOptions());
+  REQUIRE(sendRequest(Loop, Client, "1").Body == "mine");
+  HttpCall Call;
+  Call.Path = "/x";
+  Call.ExpectedEcho = "2";
+  Call.Timeout = Milliseconds(1000);
+  std::optional<HttpResponse> Received;
+  Client.send(Call, [&](HttpResponse Response) {
+    Received = std::move(Response);
+    Loop.stop();
+  });
+  auto Late = Loop.after(Milliseconds(10), [&]() { Loop.stop(); });
+  Loop.run();
+  REQUIRE(Server.Accepted == 1);
+  sendInPieces(Server, LateCopy, FirstPiece);
+  sendInPieces(Server, ok("2", "next"), FirstPiece);
+  Loop.run();
+  REQUIRE(Received);
+  CHECK(Received->Body == "next");
+  // The connection is not trusted any more.
+  Server.Texts.push_back(ok("3", "third"));
+  CHECK(sendRequest(Loop, Client, "3").Body == "third");
+  CHECK(Server.Accepted == 2);
+}
+
+TEST_CASE("HttpClient does not reuse a connection on which a byte came late",
+          "[http]") {
+  EventLoop Loop;
+  ScriptedServer Server(Loop, {ok("1", "mine"), ok("2", "next")});
+  HttpClient Client(Loop, ServerAddress, strictOptions());
+  REQUIRE(sendRequest(Loop, Client, "1").Body == "mine");
+  bufferevent_write(Server.Connections.front(), "H", 1);
+  auto Late = Loop.after(Milliseconds(10), [&]() { Loop.stop(); });
+  Loop.run();
+  CHECK(sendRequest(Loop, Client, "2").Body == "next");
+  CHECK(Server.Accepted == 2);
+}
+
+// A client whose connection the kernel has accepted, but not yet the server,
+// when the server starts to drain.
+TEST_CASE("HttpServer answers a connection that waits in its listen queue",
+          "[http]") {
+  HoldingServer Fixture;
+  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  auto Address = toSocketAddress(ServerAddress);
+  REQUIRE(::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                    sizeof(Address)) == 0);
+  auto Request = get("/1");
+  REQUIRE(::send(Socket, Request.data(), Request.size(), 0) ==
+          static_cast<ssize_t>(Request.size()));
+  Fixture.Server.drain();
+  auto Wait = [&]() {
+    auto StopTimer =
+        Fixture.Loop.after(Milliseconds(30), [&]() { Fixture.Loop.stop(); });
+    Fixture.Loop.run();
+  };
+  Wait();
+  REQUIRE(Fixture.Open.size() == 1);
+  Fixture.Open[0]->reply(200, {}, "one");
+  Wait();
+  std::array<char, 512> Buffer{};
+  auto Size = ::recv(Socket, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+  REQUIRE(Size > 0);
+  std::string Received(Buffer.data(), static_cast<std::size_t>(Size));
+  CHECK(count(Received, "HTTP/1.1 200") == 1);
+  CHECK(count(Received, "Connection: close") == 1);
+  ::close(Socket);
+}
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -1,10 +1,13 @@
 #include "limpetdrum/daemon/Mesh.h"
+#include "RawClient.h"
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
+#include <limits>
 #include <unistd.h>
 
 using namespace limpetdrum;
+using namespace limpetdrum::test;
 
 namespace {
 
@@ -32,6 +35,7 @@
   std::vector<MeshUsage> Usages;
   Revision Policy;
   std::vector<std::string> PoliciesReceived;
+  std::vector<NodeId> Removed;
 
   MeshNode(EventLoop &Loop, const std::string &Name, std::uint16_t Port,
            std::uint64_t IncarnationValue)
@@ -49,6 +53,9 @@
     Handlers.OnCancel = [](Incarnation, std::uint64_t) {};
     Handlers.OnAcknowledged = [](Incarnation, std::uint64_t) {};
     Handlers.OnStatus = [](const NodeId &) {};
+    Handlers.OnRemoved = [this](const NodeId &Node) {
+      this->Removed.push_back(Node);
+    };
     Handlers.OnUsage = [this](MeshUsage Usage) {
       this->Usages.push_back(std::move(Usage));
     };
@@ -328,6 +335,7 @@
   REQUIRE(Results.All.size() == 1);
   CHECK(Results.All[0].Kind == MeshResult::Kind::Replied);
   CHECK(A.Links.peers().empty());
+  CHECK(A.Removed == std::vector<NodeId>{NodeId("b")});
 }
 
 TEST_CASE("Mesh makes a link for a call, and fills in the target", "[rpc]") {
@@ -462,3 +470,89 @@
   waitUntil(Loop, [&]() { return !Results.All.empty(); });
   CHECK(Results.All.size() == 1);
 }
+
+TEST_CASE("Mesh drops a second copy of a reply", "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  MeshNode B(Loop, "b", PortB, 2);
+  B.HoldsReplies = true;
+  A.Links.add(contact("b", PortB));
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  CallResults First;
+  CallResults Second;
+  A.Links.call(NodeId("b"), attempt(), First.recorder());
+  waitUntil(Loop, [&]() { return B.Attempts.size() == 1; });
+  B.answer(0);
+  waitUntil(Loop, [&]() { return !First.All.empty(); });
+  A.Links.call(NodeId("b"), attempt(), Second.recorder());
+  waitUntil(Loop, [&]() { return B.Attempts.size() == 2; });
+  B.answer(0);
+  wait(Loop, 50);
+  CHECK(First.All.size() == 1);
+  CHECK(Second.All.empty());
+  B.answer(1);
+  waitUntil(Loop, [&]() { return !Second.All.empty(); });
+  CHECK(Second.All.size() == 1);
+}
+
+// Longer than the time after which a call that was not sent is given up.
+TEST_CASE("Mesh does not give up a sent call while its node is silent",
+          "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  auto B = std::make_unique<MeshNode>(Loop, "b", PortB, 2);
+  B->HoldsReplies = true;
+  A.Links.add(contact("b", PortB));
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  CallResults Results;
+  A.Links.call(NodeId("b"), attempt(), Results.recorder());
+  waitUntil(Loop, [&]() { return !B->Attempts.empty(); });
+  // A link that no plan wants any more is kept for the call too.
+  A.Links.remove(NodeId("b"));
+  wait(Loop, 2000);
+  CHECK(Results.All.empty());
+  B->answer(0);
+  waitUntil(Loop, [&]() { return !Results.All.empty(); });
+  REQUIRE(Results.All.size() == 1);
+  CHECK(Results.All[0].Kind == MeshResult::Kind::Replied);
+}
+
+TEST_CASE("Mesh ends a connection that sends malformed bytes, and goes on",
+          "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  MeshNode B(Loop, "b", PortB, 2);
+  A.Links.add(contact("b", PortB));
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  auto Hello = []() {
+    MeshHello Value;
+    Value.Status.Self = contact("x", PortC);
+    Value.Status.Incarnation = Incarnation(3);
+    return codec::encodeHello(Value);
+  }();
+  MeshAttempt HighRank = attempt();
+  HighRank.Rank = ClassRank(255);
+  MeshAttempt BadCohort = attempt();
+  BadCohort.Cohort = std::numeric_limits<float>::quiet_NaN();
+  // Connections start with their format; 0 is that of plain frames.
+  std::string Plain(1, '\0');
+  std::vector<std::string> Inputs = {
+      std::string("\x7f"),
+      Plain + std::string("\xff\xff\xff\xff", 4),
+      Plain + std::string("\x04\0\0\0\xff\xff\xff\xff", 8),
+      Plain + Hello + std::string("\x08\0\0\0", 4) + std::string(8, '\x55'),
+      Plain + codec::encodeAttempt(attempt(), {}), // before any hello
+      Plain + Hello + codec::encodeAttempt(HighRank, {}),
+      Plain + Hello + codec::encodeAttempt(BadCohort, {}),
+      std::string(1, '\x01') + std::string(64, '\xee')};
+  for (const auto &Input : Inputs)
+    sendRaw(Loop, local(PortB), Input);
+  wait(Loop, 100);
+  CHECK(B.Attempts.empty());
+  CHECK(B.Counters.text().find("mesh_frames_malformed") != std::string::npos);
+  CallResults Results;
+  A.Links.call(NodeId("b"), attempt(), Results.recorder());
+  waitUntil(Loop, [&]() { return !Results.All.empty(); });
+  REQUIRE(Results.All.size() == 1);
+  CHECK(Results.All[0].Kind == MeshResult::Kind::Replied);
+}
--- a/unittests/SettingsTest.cpp
+++ b/unittests/SettingsTest.cpp
@@ -48,6 +48,12 @@
   CHECK(errorOf(Valid + "leave-grace: 40s\n")
             .find("'drain-limit' of 30000ms is shorter than 'leave-grace' of "
                   "40000ms") != std::string::npos);
+  // The key that is written, not the one whose default is too short.
+  CHECK(errorOf(Valid + "leave-grace: 40s\n").find("node.yaml:12:") == 0);
+  CHECK(errorOf(Valid + "leave-grace: 99999999999s\n")
+            .find("'99999999999s' is not a valid 'leave-grace': expected a "
+                  "whole number from 0 to 86400 with the unit s") !=
+        std::string::npos);
   CHECK(errorOf("node: a\n").find("the required key 'region' is missing") !=
         std::string::npos);
   CHECK(errorOf(Valid + "mechanisms: {shed-at-entry: maybe}\n")
