Split the calls of a link from Mesh

PendingCalls now holds the calls to one node: which may be sent again to which process, which end as never sent or as lost.

--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -3,6 +3,7 @@
 
 #include "limpetdrum/connection/Liveness.h"
 #include "limpetdrum/daemon/IncomingLinks.h"
+#include "limpetdrum/daemon/PendingCalls.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
 #include "limpetdrum/version/PolicyRequests.h"
@@ -14,18 +15,6 @@
 
 namespace limpetdrum {
 
-/// \brief Result of a call to another node.
-struct MeshResult {
-  enum class Kind : std::uint8_t {
-    Replied,
-    NeverSent, ///< the node was unreachable; the call did not run
-    Lost,      ///< the node's process has ended; the call may have run
-    Suspected, ///< the node is suspected to be dead; the call is still pending
-  };
-  MeshResult::Kind Kind = Kind::Lost;
-  limpetdrum::Reply Reply;
-};
-
 /// \brief Links to the nodes that this one calls, their last known states, and
 ///   calls to them.
 ///
@@ -37,7 +26,7 @@
 /// node. A call is bound to the incarnation that it was first sent to.
 class Mesh {
 public:
-  using Done = std::function<void(const MeshResult &)>;
+  using Done = PendingCalls::Done;
 
   struct Peer {
     limpetdrum::Contact Contact;
@@ -119,15 +108,12 @@
 
 private:
   struct OutgoingLink;
-  struct PendingCall;
 
   void tick();
   /// Probes a node that has pending calls and sends nothing.
   void checkLiveness(const NodeId &Node, OutgoingLink &Outgoing, TimePoint Now);
   /// Clears the suspicion of a node that a frame was received from.
   void clearSuspicion(const NodeId &Node);
-  /// Reports the pending calls as suspected, each at most once per link.
-  void reportSuspected(OutgoingLink &Outgoing);
   void connect(OutgoingLink &Outgoing, bool AsSpare);
   void onConnected(const NodeId &Node, bool AsSpare);
   void onClosed(const NodeId &Node, bool AsSpare, bool WasConnected);
@@ -139,16 +125,10 @@
   void onLoad(const NodeId &Node, mesh::Reply::Reader Reply);
   void onReply(OutgoingLink &Outgoing, std::uint64_t Number,
                const Reply &Value);
-  /// Ends calls that have waited too long for a link, as NeverSent.
-  void failUnsentCalls(OutgoingLink &Outgoing, TimePoint Now);
-  /// Ends the calls that the process at the other end must not run: those sent
-  /// to an earlier one, and those for any target if its target is not ready.
-  void failMisdirectedCalls(OutgoingLink &Outgoing, const NodeStatus &Status);
   /// Closes a link, and forgets its node.
   void close(const NodeId &Removed);
-  /// Ends the pending calls: sent ones with \p SentAs, others as NeverSent.
-  void failCalls(OutgoingLink &Outgoing, enum MeshResult::Kind SentAs);
-  void send(OutgoingLink &Outgoing, PendingCall &Call);
+  /// Sends a pending call over the link that is up.
+  void send(OutgoingLink &Outgoing, std::uint64_t Number);
   void sendHello(PeerLink &Link, const NodeId &Receiver);
   /// Asks for the policy of a node if it is newer than the local one.
   void requestPolicy(PeerLink &Link, const NodeStatus &PeerStatus);
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -30,25 +30,12 @@
 constexpr Milliseconds MaxRetryPause{2000};
 /// A node that has been unreachable for this time is removed.
 constexpr std::chrono::seconds RemovalTimeout{60};
-/// Time for which a call waits for a link. A call that was not sent can still
-/// be sent to another node.
-constexpr Milliseconds UnsentTimeout{300};
 /// Number of unacknowledged replies on one link at which an acknowledgement is
 /// sent without waiting for the next attempt to carry it.
 constexpr std::size_t MaxUnacknowledged = 32;
 
 } // namespace
 
-/// Call without a final result.
-struct Mesh::PendingCall {
-  MeshAttempt Attempt; ///< kept to be sent again over another link
-  TimePoint Deadline;
-  TimePoint SentAt; ///< time of the call if there was no link yet
-  Done OnResult;
-  bool Sent = false;
-  bool ReportedSuspected = false;
-};
-
 /// Link that this node made to another one, and the pending calls over it.
 struct Mesh::OutgoingLink {
   limpetdrum::Contact Contact;
@@ -56,14 +43,12 @@
   std::unique_ptr<PeerLink> Spare; ///< connected while Link is silent
   bool IsUp = false;               ///< the hello has been received
   bool IsWanted = true;            ///< otherwise closed when no call is pending
-  std::optional<Incarnation>
-      BoundIncarnation; ///< that the sent calls are bound to
   TimePoint ConnectStarted{};
   TimePoint SpareStarted{};
   TimePoint RetryAt{};
   TimePoint LastUpAt{};
   Milliseconds RetryPause = MinRetryPause;
-  std::map<std::uint64_t, PendingCall> Calls;
+  PendingCalls Calls;
   std::vector<std::uint64_t> Unacknowledged;
   Liveness LinkLiveness{LinkLimits};
 };
@@ -102,7 +87,7 @@
   if (Outgoing) {
     this->Log.state("peer_moved", {{"node", NewContact.Node.value()},
                                    {"address", toString(NewContact.Link)}});
-    this->failCalls(*Outgoing, MeshResult::Kind::Lost);
+    Outgoing->Calls.endAll();
     if (Outgoing->Link)
       destroyLater(this->Loop, std::move(Outgoing->Link));
     if (Outgoing->Spare)
@@ -138,7 +123,7 @@
     destroyLater(this->Loop, std::move(Outgoing->Link));
   if (Outgoing->Spare)
     destroyLater(this->Loop, std::move(Outgoing->Spare));
-  this->failCalls(*Outgoing, MeshResult::Kind::Lost);
+  Outgoing->Calls.endAll();
   this->Callbacks.OnRemoved(Node);
 }
 
@@ -219,20 +204,11 @@
       Outgoing.RetryAt = Now + MinRetryPause;
     return;
   }
-  this->failCalls(Outgoing, MeshResult::Kind::Lost);
+  Outgoing.Calls.endAll();
   Outgoing.RetryAt = Now + Outgoing.RetryPause;
   Outgoing.RetryPause = std::min(Outgoing.RetryPause * 2, MaxRetryPause);
 }
 
-void Mesh::failCalls(OutgoingLink &Outgoing, enum MeshResult::Kind SentAs) {
-  auto Calls = std::exchange(Outgoing.Calls, {});
-  for (auto &[Number, Call] : Calls) {
-    MeshResult Result;
-    Result.Kind = Call.Sent ? SentAs : MeshResult::Kind::NeverSent;
-    Call.OnResult(Result);
-  }
-}
-
 void Mesh::clearSuspicion(const NodeId &Node) {
   if (std::exchange(this->Peers[Node].IsSuspect, false))
     this->Log.state("peer_answers", {{"node", Node.value()}});
@@ -317,63 +293,15 @@
   this->Log.state("peer_up", {{"node", Node.value()},
                               {"incarnation", PeerIncarnation.value()},
                               {"calls", Outgoing.Calls.size()}});
-  this->failMisdirectedCalls(Outgoing, Hello.Status);
-  Outgoing.BoundIncarnation = PeerIncarnation;
-  for (auto &[Number, Call] : Outgoing.Calls) {
-    if (Call.Attempt.TargetId.empty()) {
-      Call.Attempt.TargetId = Hello.Status.Target.Id;
-      Call.Attempt.TargetStarted = Hello.Status.Target.Started;
-    }
-    Call.Sent = true;
-    Call.ReportedSuspected = false;
-    this->send(Outgoing, Call);
-  }
+  if (Outgoing.Calls.isOtherProcess(PeerIncarnation))
+    Outgoing.Unacknowledged.clear();
+  for (auto Number : Outgoing.Calls.onLinked(Hello.Status))
+    this->send(Outgoing, Number);
   this->onStatus(Node, Hello.Status);
   this->requestPolicy(*Outgoing.Link, Hello.Status);
   this->Callbacks.OnRecordFromPeer(Hello.ReceiverTarget);
 }
 
-void Mesh::failMisdirectedCalls(OutgoingLink &Outgoing,
-                                const NodeStatus &Status) {
-  bool IsOtherProcess = Outgoing.BoundIncarnation &&
-                        *Outgoing.BoundIncarnation != Status.Incarnation;
-  bool TakesRequests = Status.Target.isReady() && !Status.Leaving;
-  std::vector<std::pair<Done, enum MeshResult::Kind>> Ended;
-  for (auto Call = Outgoing.Calls.begin(); Call != Outgoing.Calls.end();) {
-    auto &Pending = Call->second;
-    // A call that an earlier process may have run is not sent to a later one.
-    bool IsLost = Pending.Sent && IsOtherProcess;
-    bool IsUnwanted =
-        !Pending.Sent && Pending.Attempt.TargetId.empty() && !TakesRequests;
-    if (!IsLost && !IsUnwanted) {
-      ++Call;
-      continue;
-    }
-    Ended.emplace_back(std::move(Pending.OnResult),
-                       IsLost ? MeshResult::Kind::Lost
-                              : MeshResult::Kind::NeverSent);
-    Call = Outgoing.Calls.erase(Call);
-  }
-  if (IsOtherProcess)
-    Outgoing.Unacknowledged.clear();
-  for (auto &[OnResult, Kind] : Ended)
-    OnResult({Kind, {}});
-}
-
-void Mesh::failUnsentCalls(OutgoingLink &Outgoing, TimePoint Now) {
-  std::vector<Done> Ended;
-  for (auto Call = Outgoing.Calls.begin(); Call != Outgoing.Calls.end();) {
-    if (Call->second.Sent || Now - Call->second.SentAt < UnsentTimeout) {
-      ++Call;
-      continue;
-    }
-    Ended.push_back(std::move(Call->second.OnResult));
-    Call = Outgoing.Calls.erase(Call);
-  }
-  for (auto &OnResult : Ended)
-    OnResult({MeshResult::Kind::NeverSent, {}});
-}
-
 void Mesh::dropReplacedPeer(const NodeId &Removed, const Contact &Replacement) {
   this->Log.state("peer_address_reused",
                   {{"node", Removed.value()},
@@ -427,12 +355,7 @@
   if (Outgoing.Unacknowledged.size() >= MaxUnacknowledged && Outgoing.Link)
     Outgoing.Link->send(
         codec::encodeAcknowledged(std::exchange(Outgoing.Unacknowledged, {})));
-  auto Found = Outgoing.Calls.find(Number);
-  if (Found == Outgoing.Calls.end())
-    return;
-  auto OnResult = std::move(Found->second.OnResult);
-  Outgoing.Calls.erase(Found);
-  OnResult({MeshResult::Kind::Replied, Value});
+  Outgoing.Calls.onReply(Number, Value);
 }
 
 std::uint64_t Mesh::call(const NodeId &Node, MeshAttempt Attempt,
@@ -448,24 +371,19 @@
     return Number;
   }
   auto &Outgoing = *Found->second;
-  bool SendNow = Outgoing.IsUp && Outgoing.Link;
-  auto Deadline = this->Loop.now() + Attempt.TimeLeft;
-  auto &Call = Outgoing.Calls[Number];
-  Call = {std::move(Attempt),  Deadline, this->Loop.now(),
-          std::move(OnResult), SendNow,  false};
-  if (SendNow)
-    this->send(Outgoing, Call);
+  Outgoing.Calls.add(std::move(Attempt), std::move(OnResult), this->Loop.now());
+  if (Outgoing.IsUp && Outgoing.Link)
+    this->send(Outgoing, Number);
   return Number;
 }
 
-void Mesh::send(OutgoingLink &Outgoing, PendingCall &Call) {
-  auto TimeLeft = std::chrono::duration_cast<Milliseconds>(Call.Deadline -
-                                                           this->Loop.now());
-  if (TimeLeft <= Milliseconds(0))
-    return; // the caller ends the call at its deadline
-  Call.Attempt.TimeLeft = TimeLeft;
-  Outgoing.Link->send(codec::encodeAttempt(
-      Call.Attempt, std::exchange(Outgoing.Unacknowledged, {})));
+void Mesh::send(OutgoingLink &Outgoing, std::uint64_t Number) {
+  auto Frame =
+      Outgoing.Calls.send(Number, Outgoing.Unacknowledged, this->Loop.now());
+  if (!Frame)
+    return;
+  Outgoing.Unacknowledged.clear();
+  Outgoing.Link->send(*Frame);
 }
 
 void Mesh::cancel(const NodeId &Node, std::uint64_t Number) {
@@ -473,12 +391,8 @@
   if (Found == this->OutgoingLinks.end())
     return;
   auto &Outgoing = *Found->second;
-  auto Call = Outgoing.Calls.find(Number);
-  if (Call == Outgoing.Calls.end())
-    return;
-  if (Call->second.Sent && Outgoing.IsUp && Outgoing.Link)
+  if (Outgoing.Calls.cancel(Number) && Outgoing.IsUp && Outgoing.Link)
     Outgoing.Link->send(codec::encodeCancel(Number));
-  Outgoing.Calls.erase(Call);
 }
 
 bool Mesh::reply(Incarnation Caller, std::uint64_t Call, const Reply &Value) {
@@ -563,7 +477,7 @@
       destroyLater(this->Loop, std::move(Outgoing.Spare));
       this->connect(Outgoing, true);
     }
-    this->reportSuspected(Outgoing);
+    Outgoing.Calls.reportSuspected();
   }
   for (const auto &Node : Expired) {
     this->Log.state("peer_forgotten", {{"node", Node.value()}});
@@ -571,7 +485,7 @@
   }
   // Last, because callbacks may make calls to further nodes.
   for (auto *Outgoing : Unconnected)
-    this->failUnsentCalls(*Outgoing, Now);
+    Outgoing->Calls.endUnsent(Now);
 }
 
 void Mesh::checkLiveness(const NodeId &Node, OutgoingLink &Outgoing,
@@ -580,7 +494,7 @@
     return;
   auto Since = Outgoing.Link->lastRead();
   if (!Outgoing.Calls.empty())
-    Since = std::max(Since, Outgoing.Calls.begin()->second.SentAt);
+    Since = std::max(Since, Outgoing.Calls.oldest());
   switch (Outgoing.LinkLiveness.tick(!Outgoing.Calls.empty(), Since, Now)) {
   case Liveness::Action::ProbeCurrent:
     Outgoing.Link->send(codec::encodeLoadRequest());
@@ -593,7 +507,7 @@
     this->Peers[Node].IsSuspect = true;
     if (!Outgoing.Spare)
       this->connect(Outgoing, true);
-    this->reportSuspected(Outgoing);
+    Outgoing.Calls.reportSuspected();
     return;
   case Liveness::Action::None:
   case Liveness::Action::Replace: // done on the hello of the spare link
@@ -602,15 +516,6 @@
   }
 }
 
-void Mesh::reportSuspected(OutgoingLink &Outgoing) {
-  std::vector<Done> Callbacks;
-  for (auto &[Number, Call] : Outgoing.Calls)
-    if (!std::exchange(Call.ReportedSuspected, true))
-      Callbacks.push_back(Call.OnResult);
-  for (auto &OnResult : Callbacks)
-    OnResult({MeshResult::Kind::Suspected, {}});
-}
-
 void Mesh::onIncomingHello(PeerLink &Link, const MeshHello &Hello) {
   const auto &From = Hello.Status.Self;
   this->sendHello(Link, From.Node);
