--- a/lib/daemon/LinkKeeper.cpp
+++ b/lib/daemon/LinkKeeper.cpp
@@ -1,6 +1,7 @@
 #include "limpetdrum/daemon/LinkKeeper.h"
 
 #include "limpetdrum/process/Duties.h"
+#include "limpetdrum/process/Rendezvous.h"
 
 #include <algorithm>
 
@@ -149,6 +150,16 @@
 std::optional<Contact>
 LinkKeeper::findUnlinked(const ServiceName &Service,
                          const std::vector<NodeId> &Excluded) const {
+  const auto &Self = this->Members.self();
+  auto Seed = stableHash(Self.Node.value());
+  // The order differs between nodes, so that they do not all select the same.
+  auto IsBetter = [&](const Member &A, const Member &B) {
+    bool IsLocalA = A.FailureDomain == Self.FailureDomain;
+    bool IsLocalB = B.FailureDomain == Self.FailureDomain;
+    if (IsLocalA != IsLocalB)
+      return IsLocalA;
+    return rendezvousWeight(Seed, A.Node) > rendezvousWeight(Seed, B.Node);
+  };
   const Member *Best = nullptr;
   for (const auto &[Node, M] : this->Members.others()) {
     if (M.Service != Service || M.Health != Health::Alive ||
@@ -156,9 +167,7 @@
         this->Links.peers().count(Node) != 0 ||
         std::find(Excluded.begin(), Excluded.end(), Node) != Excluded.end())
       continue;
-    bool IsLocal = M.FailureDomain == this->Members.self().FailureDomain;
-    if (Best == nullptr ||
-        (IsLocal && Best->FailureDomain != this->Members.self().FailureDomain))
+    if (Best == nullptr || IsBetter(M, *Best))
       Best = &M;
   }
   return Best == nullptr ? std::nullopt : std::optional(contactOf(*Best));
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -482,7 +482,10 @@
 }
 
 bool Sidecar::State::isReady() {
-  bool IsWarm = this->Loop.now() - this->Started > WarmUpLimit;
+  // Without any other node, requests would find no target.
+  auto Limit =
+      this->Fleet.members().others().empty() ? ContactTimeout : WarmUpLimit;
+  bool IsWarm = this->Loop.now() - this->Started > Limit;
   if (!IsWarm && this->Fleet.isComplete()) {
     const auto &Peers = this->Peers.peers();
     IsWarm = std::all_of(Peers.begin(), Peers.end(), [](const auto &Entry) {
