Satisfy the linter in Mesh and LinkPlan

clang-tidy asked for the copy in Mesh::close to be the parameter itself, and for the capacity of a vector in LinkPlan. No behaviour changed.

--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -126,7 +126,8 @@
   void onReply(OutgoingLink &Outgoing, std::uint64_t Number,
                const Reply &Value);
   /// Closes a link, and forgets its node.
-  void close(const NodeId &Removed);
+  /// \param Node by value, because the caller's may be part of what is removed.
+  void close(NodeId Node);
   /// Sends a pending call over the link that is up.
   void send(OutgoingLink &Outgoing, std::uint64_t Number);
   void sendHello(PeerLink &Link, const NodeId &Receiver);
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -113,9 +113,7 @@
     Found->second->IsWanted = false;
 }
 
-void Mesh::close(const NodeId &Removed) {
-  // A copy, because the parameter may be part of what is removed.
-  auto Node = Removed;
+void Mesh::close(NodeId Node) {
   auto Outgoing = std::move(this->OutgoingLinks.at(Node));
   this->OutgoingLinks.erase(Node);
   this->Peers.erase(Node);
--- a/lib/request/LinkPlan.cpp
+++ b/lib/request/LinkPlan.cpp
@@ -89,6 +89,7 @@
   // One node of each other failure domain in turn. The order of the domains
   // differs between nodes, for the case that there are more of them than links.
   std::vector<std::vector<const Member *>> Domains;
+  Domains.reserve(Remote.size());
   for (auto &Entry : Remote)
     Domains.push_back(std::move(Entry.second));
   std::sort(Domains.begin(), Domains.end(), [&](const auto &A, const auto &B) {
