Add a failing test: a silent node starves policy requests in a storm

In the report a node served policies over 2 s old while a version came every 150 ms.

The test has a node that announces first and never answers, and another one 10 ms behind it; versions change every 150 ms. Within 600 ms the other node has to be asked.

--- a/unittests/PolicyRequestsTest.cpp
+++ b/unittests/PolicyRequestsTest.cpp
@@ -42,3 +42,23 @@
   // The answer brought a version in between.
   CHECK_FALSE(Requests.isDue(New, Old, Clock.now()));
 }
+
+TEST_CASE(
+    "PolicyRequests is not starved by a silent node while versions change "
+    "quickly") {
+  FakeClock Clock;
+  PolicyRequests Requests;
+  constexpr Milliseconds ChangePeriod(150);
+  constexpr Milliseconds MaxDelay(600);
+  auto Started = Clock.now();
+  bool AskedOther = false;
+  for (std::uint64_t Version = 4;
+       !AskedOther && Clock.now() - Started < MaxDelay; ++Version) {
+    // The silent node always announces first.
+    (void)Requests.isDue(Revision(Version), Old, Clock.now());
+    Clock.advance(Milliseconds(10));
+    AskedOther = Requests.isDue(Revision(Version), Old, Clock.now());
+    Clock.advance(ChangePeriod - Milliseconds(10));
+  }
+  CHECK(AskedOther);
+}
