Do not let newer versions restart the wait for a requested policy

Callers saw a node answer 404 for routes that a policy acknowledged more than 2 s earlier had added, while versions came every 150 ms. If the node that announces first does not answer (its answer is lost, or it is stopped after the announcement), the others were skipped as long as versions came faster than that.

The wait now starts with the first unanswered request and restarts only if the local policy changes or another node is asked.

--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -310,7 +310,8 @@
 
 void Mesh::requestPolicy(PeerLink &Link, const NodeStatus &PeerStatus) {
   auto Local = this->Callbacks.LocalStatus().Policy;
-  if (this->Requests.isDue(PeerStatus.Policy, Local, this->Loop.now()))
+  if (this->Requests.isDue(PeerStatus.Self.Node, PeerStatus.Policy, Local,
+                           this->Loop.now()))
     Link.send(codec::encodePolicyRequest());
 }
 
