Log the request rate that a target names, and count what it is sent

The node beside a target now reads the rate in its answers and logs each change with the previous value and the load at that moment (target_rate), and counts requests sent to the target and changes of the rate. An answer that is misdirected, cut or has a malformed rate changes nothing; the last is counted and logged. Nothing is limited yet.

--- a/include/limpetdrum/daemon/HeaderNames.h
+++ b/include/limpetdrum/daemon/HeaderNames.h
@@ -21,6 +21,9 @@
   /// Running requests, waiting requests and slots of a target, separated by
   /// commas.
   std::string TargetLoad = "limpetdrum-target-load";
+  /// Requests per second that the answering target accepts from all nodes
+  /// together, for as long as its answers say so.
+  std::string RequestRate = "limpetdrum-request-rate";
 };
 
 } // namespace limpetdrum
--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -123,6 +123,8 @@
   [[nodiscard]] HttpCall makeCall(const Entry &Run,
                                   Milliseconds TimeLeft) const;
   void onAnswer(AttemptId Id, HttpResponse Answer);
+  /// Updates the request rate that the target names in its answers.
+  void readRequestRate(const HttpResponse &Answer);
   [[nodiscard]] Reply toReply(HttpResponse &Answer);
   void finish(AttemptId Id, Reply Value);
   void endCancelledRuns();
@@ -147,6 +149,9 @@
   std::unordered_map<AttemptId, Entry> Active;
   std::unordered_map<std::string, AttemptId> RunningByRequestId;
   std::size_t CancelledCount = 0; ///< entries of Active with CancelAt
+  /// Requests per second named in the target's last answer; none if it names
+  /// no limit.
+  std::optional<double> RequestRate;
   std::function<void(const std::string &Route, RunEvent)> OnRun;
   std::function<void()> OnChange;
 };
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -1,6 +1,10 @@
 #include "limpetdrum/daemon/LocalTarget.h"
 
+#include "limpetdrum/process/Error.h"
+
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 
 namespace limpetdrum {
 
@@ -23,6 +27,20 @@
 /// is a fifth of the time within which work for a disconnected client must end.
 constexpr Milliseconds CancelGrace{100};
 
+/// Returns a number of requests per second.
+/// \throws ValueError unless \p Text is a decimal number from 0.
+double parseRequestRate(const std::string &Text) {
+  double Value = -1;
+  const auto *End = Text.data() + Text.size();
+  auto Parsed =
+      std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || !(Value >= 0) ||
+      !std::isfinite(Value))
+    throw ValueError("'" + Text + "' is not a valid request rate",
+                     "name requests per second as a decimal number from 0");
+  return Value;
+}
+
 Slots usableSlots(Slots AnnouncedSlots) {
   auto Count = static_cast<double>(AnnouncedSlots.value()) * UsableSlotShare;
   return Slots(static_cast<std::uint16_t>(std::max(1.0, Count)));
@@ -231,6 +249,7 @@
   }
   this->RunningByRequestId[Entry.Attempt.RequestId] = Id;
   this->Ledger.dispatch(Id);
+  this->Counters.count("target_requests");
   if (this->OnRun)
     this->OnRun(Entry.Attempt.Route, RunEvent::Started);
   Entry.Ticket = this->Port.send(this->makeCall(Entry, TimeLeft),
@@ -267,11 +286,42 @@
   return Value;
 }
 
+void LocalTarget::readRequestRate(const HttpResponse &Answer) {
+  // Another target may have sent a misdirected answer, and an answer that was
+  // cut may lack headers.
+  if (Answer.Outcome != HttpOutcome::Answered ||
+      Answer.Status == MisdirectedRequest)
+    return;
+  std::optional<double> NewRate;
+  try {
+    if (const auto *Text = findHeader(Answer.Headers, this->Names.RequestRate))
+      NewRate = parseRequestRate(*Text);
+  } catch (const ValueError &E) {
+    this->Counters.count("target_rates_malformed");
+    this->Log.request("target_rate_malformed",
+                      {{"target", this->Record.Id}, {"error", E.what()}});
+    return;
+  }
+  if (NewRate == this->RequestRate)
+    return;
+  auto Previous = std::exchange(this->RequestRate, NewRate);
+  auto ToField = [](const std::optional<double> &Rate) {
+    return Rate ? EventLog::Fields(*Rate) : EventLog::Fields("none");
+  };
+  this->Counters.count("target_rate_changes");
+  this->Log.request("target_rate", {{"target", this->Record.Id},
+                                    {"requests_per_second", ToField(NewRate)},
+                                    {"previous", ToField(Previous)},
+                                    {"running", this->Queue.running()},
+                                    {"queued", this->Queue.queued()}});
+}
+
 void LocalTarget::onAnswer(AttemptId Id, HttpResponse Answer) {
   auto Found = this->Active.find(Id);
   if (Found == this->Active.end())
     return;
   auto Time = this->Now();
+  this->readRequestRate(Answer);
   auto Value = this->toReply(Answer);
   if (Found->second.CallFailed && Value.Status >= 500)
     Value.Reason = Reason::CallFailed;
