Add a failing test: a target's named request rate is exceeded

The test offers 100 requests a second to a target whose answers name 0 to 60 a second, and counts what is sent in any 4 s from one second after the first such answer. It also demands nine tenths of the rate, so that a fix does not starve the target.

--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -2,7 +2,9 @@
 #include "FakeClock.h"
 #include "MockPorts.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <fcntl.h>
 
 using namespace limpetdrum;
@@ -427,3 +429,75 @@
   CHECK(Cancelled == 1);
   CHECK(Fixture.Target.outstanding() == 0);
 }
+
+namespace {
+
+constexpr Milliseconds RateStep(10);
+
+/// Sends one attempt every 10 ms and answers each after 100 ms, with the
+/// headers given at the time of the answer.
+struct RateFixture : LocalTargetFixture {
+  std::vector<TimePoint> Sent;
+  std::deque<std::pair<TimePoint, std::size_t>> Running;
+  std::uint64_t LastCall = 0;
+
+  RateFixture() {
+    REQUIRE(
+        this->Target.onReport(report("t1", 100, 1, TargetState::Ready, 100)));
+  }
+  void play(Milliseconds Span, const HttpHeaders &Headers) {
+    constexpr Milliseconds ServiceTime(100);
+    auto End = this->Clock.now() + Span;
+    while (this->Clock.now() < End) {
+      this->execute(++this->LastCall);
+      this->Target.tick();
+      for (; this->Sent.size() < this->SentCallbacks.size();
+           this->Sent.push_back(this->Clock.now()))
+        this->Running.emplace_back(this->Clock.now() + ServiceTime,
+                                   this->Sent.size());
+      while (!this->Running.empty() &&
+             this->Running.front().first <= this->Clock.now()) {
+        auto Answered = this->Running.front().second;
+        this->Running.pop_front();
+        this->SentCallbacks[Answered](answer(200, Headers));
+      }
+      this->Clock.advance(RateStep);
+    }
+  }
+  /// Returns the largest number of requests sent in any span of 4 s that begins
+  /// at \p From or later.
+  [[nodiscard]] std::size_t mostIn4s(TimePoint From) const {
+    std::size_t Most = 0;
+    for (auto Begin =
+             std::lower_bound(this->Sent.begin(), this->Sent.end(), From);
+         Begin != this->Sent.end(); ++Begin)
+      Most = std::max(Most,
+                      static_cast<std::size_t>(
+                          std::upper_bound(Begin, this->Sent.end(),
+                                           *Begin + std::chrono::seconds(4)) -
+                          Begin));
+    return Most;
+  }
+};
+
+} // namespace
+
+TEST_CASE("LocalTarget sends no more requests than its target's named rate") {
+  RateFixture Fixture;
+  double Rate = GENERATE(0.0, 0.4, 6.6, 16.5, 60.0);
+  CAPTURE(Rate);
+  Fixture.play(Milliseconds(1000), {});
+  CHECK(Fixture.Sent.size() > 90);
+  auto Named = Fixture.Clock.now();
+  Fixture.play(Milliseconds(20000),
+               {{"limpetdrum-request-rate", std::to_string(Rate)}});
+  auto Most =
+      static_cast<double>(Fixture.mostIn4s(Named + std::chrono::seconds(1)));
+  // The platform allows half as much again, and five requests.
+  CHECK(Most <= Rate * 4 * 1.5 + 5);
+  // The target is not starved of what it takes.
+  auto Total = static_cast<double>(
+      Fixture.Sent.end() -
+      std::lower_bound(Fixture.Sent.begin(), Fixture.Sent.end(), Named));
+  CHECK(Total >= Rate * 20 * 0.9);
+}
