Keep the requests to a target to the rate that it names

All requests to a target go through the node beside it, so that node alone keeps the rate, and no share of it has to be agreed on. Admission dispatches from its queue as a token bucket allows; rank order, deadlines, and the final refusal with Retry-After are those of the queue. What is refused for the rate has a reason of its own, after which the caller tries other targets, since it says nothing about them. The limit that the node tells others is what the rate takes up, so placement and the entry gate see the missing capacity. A node that restarts beside a limited target gets the rate back with its peers' records, until the target answers.

Further tests: end of the limit, reports and restarts of the target, malformed rates, immediate refusals, rank order, a peer's record, and the status over a link.

--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -52,6 +52,9 @@
   /// \brief Handles a record of the target that another node received from an
   ///   earlier process of this node.
   void onRecordFromPeer(const TargetRecord &PeerRecord);
+  /// \brief Adopts the request rate in another node's record of the target,
+  ///   unless the target itself has answered since this process started.
+  void onRequestRateFromPeer(const TargetRecord &PeerRecord);
   /// \brief Handles the notice that the target with this id is leaving or has
   ///   left.
   /// \returns true: a leave can always be acknowledged.
@@ -125,6 +128,7 @@
   void onAnswer(AttemptId Id, HttpResponse Answer);
   /// Updates the request rate that the target names in its answers.
   void readRequestRate(const HttpResponse &Answer);
+  void setRequestRate(std::optional<double> PerSecond, const char *Source);
   [[nodiscard]] Reply toReply(HttpResponse &Answer);
   void finish(AttemptId Id, Reply Value);
   void endCancelledRuns();
@@ -149,9 +153,7 @@
   std::unordered_map<AttemptId, Entry> Active;
   std::unordered_map<std::string, AttemptId> RunningByRequestId;
   std::size_t CancelledCount = 0; ///< entries of Active with CancelAt
-  /// Requests per second named in the target's last answer; none if it names
-  /// no limit.
-  std::optional<double> RequestRate;
+  bool HasAnswered = false;       ///< the target, since it was recorded here
   std::function<void(const std::string &Route, RunEvent)> OnRun;
   std::function<void()> OnChange;
 };
--- a/include/limpetdrum/process/NodeStatus.h
+++ b/include/limpetdrum/process/NodeStatus.h
@@ -3,6 +3,8 @@
 
 #include "limpetdrum/process/Membership.h"
 
+#include <optional>
+
 namespace limpetdrum {
 
 /// \brief Address and failure domain of a node of the mesh.
@@ -25,6 +27,9 @@
   ServiceName Service;
   limpetdrum::Slots Slots;
   TargetState State = TargetState::Starting;
+  /// Requests per second that the target takes from all nodes together, as
+  /// named in its last answer; none if it names no limit.
+  std::optional<double> RequestRate;
 
   [[nodiscard]] bool isReady() const noexcept {
     return !this->Id.empty() && this->State == TargetState::Ready;
--- a/include/limpetdrum/request/Admission.h
+++ b/include/limpetdrum/request/Admission.h
@@ -3,6 +3,7 @@
 
 #include "limpetdrum/request/AdmissionLevel.h"
 #include "limpetdrum/request/ConcurrencyLimit.h"
+#include "limpetdrum/request/RateLimit.h"
 #include "limpetdrum/request/Reply.h"
 
 #include <set>
@@ -50,8 +51,9 @@
   std::vector<AttemptId> Cancel;   ///< running requests to cancel
 };
 
-/// \brief Admission control of one target: a concurrency limit and a short
-///   queue ordered by class and cohort.
+/// \brief Admission control of one target: a concurrency limit, the request
+/// rate
+///   that the target asked for, and a short queue ordered by class and cohort.
 ///
 /// When the queue is full, a request of a higher class displaces the lowest
 /// queued one. A running request of a lower class is cancelled before a request
@@ -67,6 +69,12 @@
   /// \param WarmUp time that a cold target takes to reach the full limit.
   void announce(Slots Announced, Milliseconds WarmUp, TimePoint Now);
 
+  /// \brief Sets the rate that the target asked for, in requests per second;
+  ///   none removes the limit.
+  void setRequestRate(std::optional<double> PerSecond, TimePoint Now) noexcept {
+    this->Rate.set(PerSecond, Now);
+  }
+
   /// \brief Queues a request, then dispatches and refuses as capacity requires.
   [[nodiscard]] AdmissionDecisions submit(const Arrival &Request,
                                           TimePoint Now);
@@ -94,9 +102,9 @@
   [[nodiscard]] std::size_t queued() const noexcept {
     return this->Queue.size();
   }
-  [[nodiscard]] std::size_t limit(TimePoint Now) const noexcept {
-    return this->Limit.limit(Now);
-  }
+  /// \brief Returns the number of concurrent requests that the target takes: by
+  ///   its slots, or by its request rate if that allows fewer.
+  [[nodiscard]] std::size_t limit(TimePoint Now) const noexcept;
   /// \brief Returns the smoothed latency of requests at the target.
   [[nodiscard]] Microseconds typicalLatency() const noexcept {
     return this->Limit.typicalLatency();
@@ -149,6 +157,8 @@
               AdmissionDecisions &Decisions);
   void erase(std::set<QueuedRequest>::iterator Entry);
   bool cancelLowerClass(const OrderKey &Key, AdmissionDecisions &Decisions);
+  /// Returns true if the request rate, not the slots, holds requests back.
+  [[nodiscard]] bool isRateReached(TimePoint Now) const noexcept;
   [[nodiscard]] bool wouldMissDeadline(const QueuedRequest &Entry,
                                        TimePoint Now) const;
   void enforceCapacity(AttemptId NewestId, TimePoint Now,
@@ -157,6 +167,7 @@
 
   AdmissionOptions Options;
   ConcurrencyLimit Limit;
+  RateLimit Rate;
   AdmissionLevel Level;
   std::set<QueuedRequest> Queue;
   std::unordered_map<AttemptId, OrderKey> QueuedKeys;
--- a/include/limpetdrum/request/Reply.h
+++ b/include/limpetdrum/request/Reply.h
@@ -33,10 +33,11 @@
   WrongTarget,      ///< a different target has the address now
   RefusedByTarget,  ///< the target reported that it did not run it
   CallFailed,       ///< the target reported that one of its own calls failed
+  RequestRate,      ///< the target takes no more requests per second
 };
 
 /// \brief Number of values of Reason.
-inline constexpr std::size_t ReasonCount = 15;
+inline constexpr std::size_t ReasonCount = 16;
 
 /// \brief Returns the name of a reason in headers, logs and metrics.
 [[nodiscard]] const char *toString(Reason Value) noexcept;
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -67,8 +67,13 @@
   if (IsNewTarget) {
     this->Gate.reset();
     this->GateCloseHandled = false;
+    this->HasAnswered = false;
+    this->Queue.setRequestRate(std::nullopt, this->Now());
   }
+  auto KnownRate = IsNewTarget ? std::nullopt : this->Record.RequestRate;
   this->Record = NewRecord;
+  // Reports do not have the rate.
+  this->Record.RequestRate = KnownRate;
   if (NewRecord.State != TargetState::Ready &&
       NewRecord.State != TargetState::Starting)
     this->Gate.beginDraining(this->Now());
@@ -287,8 +292,8 @@
 }
 
 void LocalTarget::readRequestRate(const HttpResponse &Answer) {
-  // Another target may have sent a misdirected answer, and an answer that was
-  // cut may lack headers.
+  // Another target may have sent a misdirected answer, and one that was cut may
+  // lack headers.
   if (Answer.Outcome != HttpOutcome::Answered ||
       Answer.Status == MisdirectedRequest)
     return;
@@ -302,18 +307,37 @@
                       {{"target", this->Record.Id}, {"error", E.what()}});
     return;
   }
-  if (NewRate == this->RequestRate)
+  this->HasAnswered = true;
+  this->setRequestRate(NewRate, "answer");
+}
+
+void LocalTarget::onRequestRateFromPeer(const TargetRecord &PeerRecord) {
+  bool IsSameTarget = PeerRecord.Id == this->Record.Id &&
+                      PeerRecord.Started == this->Record.Started;
+  if (IsSameTarget && !this->HasAnswered && PeerRecord.RequestRate)
+    this->setRequestRate(PeerRecord.RequestRate, "peer");
+}
+
+void LocalTarget::setRequestRate(std::optional<double> PerSecond,
+                                 const char *Source) {
+  if (PerSecond == this->Record.RequestRate)
     return;
-  auto Previous = std::exchange(this->RequestRate, NewRate);
+  auto Previous = std::exchange(this->Record.RequestRate, PerSecond);
+  this->Queue.setRequestRate(PerSecond, this->Now());
   auto ToField = [](const std::optional<double> &Rate) {
     return Rate ? EventLog::Fields(*Rate) : EventLog::Fields("none");
   };
   this->Counters.count("target_rate_changes");
   this->Log.request("target_rate", {{"target", this->Record.Id},
-                                    {"requests_per_second", ToField(NewRate)},
+                                    {"requests_per_second", ToField(PerSecond)},
                                     {"previous", ToField(Previous)},
+                                    {"source", Source},
                                     {"running", this->Queue.running()},
                                     {"queued", this->Queue.queued()}});
+  // Peers keep the record for a restart of this node; the periodic status
+  // brings them changes of the figure.
+  if (PerSecond.has_value() != Previous.has_value() && this->OnChange)
+    this->OnChange();
 }
 
 void LocalTarget::onAnswer(AttemptId Id, HttpResponse Answer) {
@@ -321,7 +345,8 @@
   if (Found == this->Active.end())
     return;
   auto Time = this->Now();
-  this->readRequestRate(Answer);
+  if (Found->second.Attempt.TargetId == this->Record.Id)
+    this->readRequestRate(Answer);
   auto Value = this->toReply(Answer);
   if (Found->second.CallFailed && Value.Status >= 500)
     Value.Reason = Reason::CallFailed;
--- a/lib/daemon/MeshCodec.cpp
+++ b/lib/daemon/MeshCodec.cpp
@@ -41,6 +41,8 @@
   Builder.setService(Value.Service.value());
   Builder.setSlots(Value.Slots.value());
   Builder.setState(static_cast<std::uint8_t>(Value.State));
+  if (Value.RequestRate)
+    Builder.setRequestRate(*Value.RequestRate);
 }
 
 TargetRecord read(mesh::Target::Reader Reader) {
@@ -56,6 +58,9 @@
   Value.Service = ServiceName(text(Reader.getService()));
   Value.Slots = Slots(static_cast<std::uint16_t>(Reader.getSlots()));
   Value.State = static_cast<TargetState>(Reader.getState());
+  // Excludes NaN as well.
+  if (Reader.getRequestRate() >= 0)
+    Value.RequestRate = Reader.getRequestRate();
   return Value;
 }
 
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -234,6 +234,7 @@
   Handlers.OnRecordFromPeer = [this](const TargetRecord &PeerRecord) {
     if (!this->HasReport)
       this->LocalTarget.onRecordFromPeer(PeerRecord);
+    this->LocalTarget.onRequestRateFromPeer(PeerRecord);
   };
   Handlers.LocalStatus = [this]() { return this->status(); };
   Handlers.PolicyText = [this]() {
--- a/lib/request/Admission.cpp
+++ b/lib/request/Admission.cpp
@@ -24,6 +24,13 @@
   this->Limit.announce(Announced, WarmUp, Now);
 }
 
+std::size_t Admission::limit(TimePoint Now) const noexcept {
+  auto BySlots = this->Limit.limit(Now);
+  return std::min(
+      BySlots,
+      this->Rate.concurrency(this->typicalLatency()).value_or(BySlots));
+}
+
 Admission::OrderKey Admission::orderKeyFor(const Arrival &Request) {
   OrderKey Key;
   Key.Sequence = ++this->LastSequence;
@@ -41,7 +48,7 @@
 }
 
 std::size_t Admission::queueCapacity(TimePoint Now) const noexcept {
-  auto SlotLimit = static_cast<double>(this->Limit.limit(Now));
+  auto SlotLimit = static_cast<double>(this->limit(Now));
   auto MaxQueued = SlotLimit * QueueShare;
   auto Latency = std::chrono::duration<double>(this->Limit.typicalLatency());
   if (Latency.count() > 0)
@@ -52,11 +59,12 @@
 
 Microseconds Admission::expectedWaitBehind(std::size_t Ahead,
                                            TimePoint Now) const noexcept {
+  auto ByRate = this->Rate.wait(Ahead, Now);
   if (this->Running.size() < this->Limit.limit(Now))
-    return Microseconds(0);
+    return ByRate;
   auto PerSlot = this->Limit.typicalLatency() /
                  static_cast<std::int64_t>(this->Limit.limit(Now));
-  return PerSlot * static_cast<std::int64_t>(Ahead + 1);
+  return std::max(ByRate, PerSlot * static_cast<std::int64_t>(Ahead + 1));
 }
 
 Microseconds Admission::expectedWait(TimePoint Now) const noexcept {
@@ -90,21 +98,30 @@
   return EndsBy(Ahead) > Entry.Request.Deadline;
 }
 
+bool Admission::isRateReached(TimePoint Now) const noexcept {
+  return this->Running.size() < this->Limit.limit(Now) &&
+         !this->Rate.allows(Now);
+}
+
 void Admission::enforceCapacity(AttemptId NewestId, TimePoint Now,
                                 AdmissionDecisions &Decisions) {
+  // Other targets may have room while this one is at its rate.
+  auto CauseOr = [&](limpetdrum::Reason Usual) {
+    return this->isRateReached(Now) ? Reason::RequestRate : Usual;
+  };
   auto Found = this->QueuedKeys.find(NewestId);
   if (Found != this->QueuedKeys.end()) {
     const auto &Entry = *this->Queue.find(QueuedRequest{Found->second, {}});
     if (this->wouldMissDeadline(Entry, Now) &&
         !this->cancelLowerClass(Entry.Key, Decisions))
-      this->refuse(Entry, Reason::DeadlineTooNear, Decisions);
+      this->refuse(Entry, CauseOr(Reason::DeadlineTooNear), Decisions);
   }
   while (this->Queue.size() > this->queueCapacity(Now) + this->Cancelling) {
     const auto &Last = *this->Queue.rbegin();
     if (this->cancelLowerClass(Last.Key, Decisions))
       continue;
     bool IsNewest = Last.Request.Id == NewestId;
-    this->refuse(Last, IsNewest ? Reason::Overload : Reason::Displaced,
+    this->refuse(Last, CauseOr(IsNewest ? Reason::Overload : Reason::Displaced),
                  Decisions);
   }
 }
@@ -131,11 +148,14 @@
   if (Request.Cancellable)
     this->CancellableRunning.insert({Entry.Key, Request.Id});
   Decisions.Dispatch.push_back(Request.Id);
+  this->Rate.onSent(Now);
 }
 
 void Admission::dispatchQueued(TimePoint Now, AdmissionDecisions &Decisions) {
   while (!this->Queue.empty() &&
          this->Running.size() < this->Limit.limit(Now)) {
+    if (!this->Rate.allows(Now))
+      return;
     auto First = this->Queue.begin();
     if (First->Request.Deadline <= Now) {
       this->refuse(*First, Reason::DeadlineTooNear, Decisions);
@@ -212,9 +232,12 @@
                            this->cancelLowerClass(Entry.Key, Decisions)))
       ++Kept;
     else
-      this->refuse(Entry, Reason::DeadlineTooNear, Decisions);
+      this->refuse(Entry,
+                   this->isRateReached(Now) ? Reason::RequestRate
+                                            : Reason::DeadlineTooNear,
+                   Decisions);
   }
-  auto SlotLimit = static_cast<double>(this->Limit.limit(Now));
+  auto SlotLimit = static_cast<double>(this->limit(Now));
   auto UsedSlots = static_cast<double>(this->Running.size());
   Occupancy Sample;
   Sample.IdleShare = std::max(0.0, 1 - UsedSlots / SlotLimit);
--- a/lib/request/RetryPlan.cpp
+++ b/lib/request/RetryPlan.cpp
@@ -17,7 +17,7 @@
 ///   targets.
 bool isNodeSpecific(Reason Cause) {
   return Cause == Reason::Draining || Cause == Reason::NodeGone ||
-         Cause == Reason::TargetFailed;
+         Cause == Reason::TargetFailed || Cause == Reason::RequestRate;
 }
 
 } // namespace
--- a/lib/rpc/Mesh.capnp
+++ b/lib/rpc/Mesh.capnp
@@ -11,6 +11,7 @@
   service @3 :Text;
   slots @4 :UInt32;
   state @5 :UInt8;         # starting, ready, draining, left
+  requestRate @6 :Float64 = -1; # requests per second; negative: no limit
 }
 
 struct Contact {
--- a/lib/rpc/Mesh.capnp.h
+++ b/lib/rpc/Mesh.capnp.h
@@ -43,7 +43,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da5a3e07da15debf, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(da5a3e07da15debf, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -261,6 +261,8 @@
 
   inline  ::uint8_t getState() const;
 
+  inline double getRequestRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -315,6 +317,9 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
+  inline double getRequestRate();
+  inline void setRequestRate(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1823,6 +1828,20 @@
       ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
 }
 
+inline double Target::Reader::getRequestRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+
+inline double Target::Builder::getRequestRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+inline void Target::Builder::setRequestRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
+}
+
 inline bool Contact::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/unittests/AdmissionTest.cpp
+++ b/unittests/AdmissionTest.cpp
@@ -198,3 +198,25 @@
   CHECK(B.Present.count(attempt(Number)) == 1);
   CHECK(B.RefusedBrowses == 1);
 }
+
+TEST_CASE("Admission gives the requests that a named rate allows to the higher "
+          "rank") {
+  Bench B(50);
+  B.Gate.setRequestRate(5, B.Clock.now());
+  std::uint64_t Number = 0;
+  std::size_t Orders = 0;
+  for (int Step = 0; Step < 1000; ++Step) {
+    B.Clock.advance(Milliseconds(20));
+    if (Step % 12 == 0) { // 4.2 orders a second
+      ++Orders;
+      B.arrive(request(++Number, Order, B.Clock));
+    }
+    B.arrive(request(++Number, Browse, B.Clock));
+    B.tick();
+    for (const auto &Id : std::exchange(B.Running, {}))
+      B.complete(Id);
+  }
+  CHECK(B.RefusedOrders == 0);
+  CHECK(B.RefusedBrowses > 900);
+  CHECK(Orders > 80);
+}
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -501,3 +501,83 @@
       std::lower_bound(Fixture.Sent.begin(), Fixture.Sent.end(), Named));
   CHECK(Total >= Rate * 20 * 0.9);
 }
+
+TEST_CASE("LocalTarget sends at the usual rate again once its target names no "
+          "limit") {
+  RateFixture Fixture;
+  Fixture.play(Milliseconds(3000), {{"limpetdrum-request-rate", "2.5"}});
+  REQUIRE(Fixture.Target.record().RequestRate == 2.5);
+  Fixture.play(Milliseconds(1000), {});
+  CHECK_FALSE(Fixture.Target.record().RequestRate);
+  auto Before = Fixture.Sent.size();
+  Fixture.play(Milliseconds(1000), {});
+  CHECK(Fixture.Sent.size() - Before > 90);
+}
+
+TEST_CASE("LocalTarget keeps a named rate over reports of the same target") {
+  RateFixture Fixture;
+  auto Report = [&](const char *Id, std::int64_t Started, unsigned Sequence) {
+    REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report(
+        Id, Started, Sequence, TargetState::Ready, 100)));
+  };
+  Fixture.play(Milliseconds(500), {{"limpetdrum-request-rate", "2"}});
+  Report("t1", 100, 2);
+  CHECK(Fixture.Target.record().RequestRate == 2);
+  SECTION("malformed rates change nothing") {
+    for (const char *Malformed : {"", "-1", "x", "3x", "inf", "nan", "1e3"}) {
+      CAPTURE(Malformed);
+      Fixture.play(Milliseconds(500), {{"limpetdrum-request-rate", Malformed}});
+      CHECK(Fixture.Target.record().RequestRate == 2);
+    }
+  }
+  SECTION("a later process starts without a limit") {
+    Report("t1", 200, 1);
+    CHECK_FALSE(Fixture.Target.record().RequestRate);
+    auto Sent = Fixture.SentCallbacks.size();
+    for (int I = 0; I < 20; ++I)
+      Fixture.execute(++Fixture.LastCall);
+    CHECK(Fixture.SentCallbacks.size() >= Sent + 20);
+  }
+}
+
+TEST_CASE("LocalTarget refuses at once what exceeds the named rate, and says "
+          "when to return") {
+  RateFixture Fixture;
+  Fixture.play(Milliseconds(500), {{"limpetdrum-request-rate", "2"}});
+  Fixture.Replies.clear();
+  for (int I = 0; I < 20; ++I)
+    Fixture.execute(++Fixture.LastCall);
+  auto Refused = std::count_if(Fixture.Replies.begin(), Fixture.Replies.end(),
+                               [](const Reply &Value) {
+                                 return Value.Outcome == Outcome::NotRun &&
+                                        Value.Reason == Reason::RequestRate &&
+                                        Value.RetryAfter >= Milliseconds(500);
+                               });
+  CHECK(Refused >= 18);
+  CHECK(static_cast<std::size_t>(Refused) == Fixture.Replies.size());
+}
+
+// Guards against a burst at a limited target whose node has just restarted.
+TEST_CASE("LocalTarget adopts the named rate from a peer until its target has "
+          "answered") {
+  LocalTargetFixture Fixture;
+  auto FromPeer = LocalTargetFixture::report("t1", 100, 1).Target;
+  FromPeer.RequestRate = 2;
+  Fixture.Target.onRequestRateFromPeer(FromPeer);
+  CHECK_FALSE(Fixture.Target.record().RequestRate);
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 2)));
+  Fixture.Target.onRequestRateFromPeer(FromPeer);
+  CHECK(Fixture.Target.record().RequestRate == 2);
+  FromPeer.Started = 90;
+  FromPeer.RequestRate = 7;
+  Fixture.Target.onRequestRateFromPeer(FromPeer);
+  CHECK(Fixture.Target.record().RequestRate == 2);
+  Fixture.Clock.advance(Milliseconds(1000));
+  Fixture.execute(1);
+  REQUIRE(Fixture.SentCallbacks.size() == 1);
+  Fixture.SentCallbacks[0](LocalTargetFixture::answer(200));
+  CHECK_FALSE(Fixture.Target.record().RequestRate);
+  FromPeer.Started = 100;
+  Fixture.Target.onRequestRateFromPeer(FromPeer);
+  CHECK_FALSE(Fixture.Target.record().RequestRate);
+}
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -257,6 +257,29 @@
   CHECK(Results.All.back().Kind == MeshResult::Kind::Replied);
 }
 
+TEST_CASE("Mesh brings a restarted node the rate that its target named",
+          "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  MeshNode B(Loop, "b", PortB, 2);
+  B.Target.Id = "t1";
+  A.Links.add(contact("b", PortB));
+  auto RateAtA = [&]() {
+    auto Found = A.Links.peers().find(NodeId("b"));
+    return Found == A.Links.peers().end() || !Found->second.Status
+               ? std::nullopt
+               : Found->second.Status->Target.RequestRate;
+  };
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  CHECK_FALSE(RateAtA());
+  for (double Rate : {16.5, 0.0}) {
+    B.Target.RequestRate = Rate;
+    B.Links.broadcast();
+    waitUntil(Loop, [&]() { return RateAtA() == Rate; });
+    CHECK(RateAtA() == Rate);
+  }
+}
+
 TEST_CASE("Mesh sends the load without the whole status", "[rpc]") {
   EventLoop Loop;
   MeshNode A(Loop, "a", PortA, 1);
--- a/unittests/RetryPlanTest.cpp
+++ b/unittests/RetryPlanTest.cpp
@@ -49,8 +49,9 @@
 
 TEST_CASE("RetryPlan tries another node without a repeat if no target was "
           "reached") {
-  for (auto Cause : {Reason::Draining, Reason::NodeGone, Reason::TargetFailed,
-                     Reason::Overload, Reason::DeadlineTooNear}) {
+  for (auto Cause :
+       {Reason::Draining, Reason::NodeGone, Reason::TargetFailed,
+        Reason::Overload, Reason::DeadlineTooNear, Reason::RequestRate}) {
     INFO(toString(Cause));
     CHECK(sent(false).onNotRun(Cause, context()) == Step::TryOtherNode);
     CHECK(sent(false).onNotRun(Cause, context(false)) == Step::Refuse);
@@ -61,6 +62,8 @@
   SentTwice.onSent();
   CHECK(SentTwice.onNotRun(Reason::Overload, context()) == Step::Refuse);
   CHECK(SentTwice.onNotRun(Reason::Draining, context()) == Step::TryOtherNode);
+  CHECK(SentTwice.onNotRun(Reason::RequestRate, context()) ==
+        Step::TryOtherNode);
 }
 
 TEST_CASE(
