Take a target's notice of leaving from its answers

A target whose report of that is late or lost got requests until its DELETE arrived, past the drain timeout counted from the answer.

The node beside a target now starts the drain gate on the first answer that says so, as it does on a report: the gate closes after half the drain timeout, and peers are told at once. A later answer without the notice, or an older report, does not reopen it; a later process of the target does. Answers of another target (421) and cut ones are not read.

Seen failing before the change: "LocalTarget closes the drain gate for a target whose answers say that it leaves" (ready instead of draining, and requests sent after the gate's time).

--- a/include/limpetdrum/daemon/HeaderNames.h
+++ b/include/limpetdrum/daemon/HeaderNames.h
@@ -24,6 +24,8 @@
   /// Requests per second that the answering target accepts from all nodes
   /// together, for as long as its answers say so.
   std::string RequestRate = "limpetdrum-request-rate";
+  /// 1 in all answers of a target that is leaving.
+  std::string TargetLeaving = "limpetdrum-target-leaving";
 };
 
 } // namespace limpetdrum
--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -126,6 +126,8 @@
   [[nodiscard]] HttpCall makeCall(const Entry &Run,
                                   Milliseconds TimeLeft) const;
   void onAnswer(AttemptId Id, HttpResponse Answer);
+  /// Handles what the target says about itself in its answers.
+  void readNotices(const HttpResponse &Answer);
   /// Updates the request rate that the target names in its answers.
   void readRequestRate(const HttpResponse &Answer);
   void setRequestRate(std::optional<double> PerSecond, const char *Source);
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -291,12 +291,23 @@
   return Value;
 }
 
-void LocalTarget::readRequestRate(const HttpResponse &Answer) {
+void LocalTarget::readNotices(const HttpResponse &Answer) {
   // Another target may have sent a misdirected answer, and one that was cut may
   // lack headers.
   if (Answer.Outcome != HttpOutcome::Answered ||
       Answer.Status == MisdirectedRequest)
     return;
+  this->readRequestRate(Answer);
+  const auto *Leaving = findHeader(Answer.Headers, this->Names.TargetLeaving);
+  if (Leaving == nullptr || *Leaving != "1" ||
+      this->Record.State >= TargetState::Draining)
+    return;
+  auto LeavingRecord = this->Record;
+  LeavingRecord.State = TargetState::Draining;
+  this->setRecord(LeavingRecord, Milliseconds(0));
+}
+
+void LocalTarget::readRequestRate(const HttpResponse &Answer) {
   std::optional<double> NewRate;
   try {
     if (const auto *Text = findHeader(Answer.Headers, this->Names.RequestRate))
@@ -346,7 +357,7 @@
     return;
   auto Time = this->Now();
   if (Found->second.Attempt.TargetId == this->Record.Id)
-    this->readRequestRate(Answer);
+    this->readNotices(Answer);
   auto Value = this->toReply(Answer);
   if (Found->second.CallFailed && Value.Status >= 500)
     Value.Reason = Reason::CallFailed;
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -581,3 +581,41 @@
   Fixture.Target.onRequestRateFromPeer(FromPeer);
   CHECK_FALSE(Fixture.Target.record().RequestRate);
 }
+
+// Guards against requests to a target that leaves while its report is lost or
+// late: its answers are then the only notice.
+TEST_CASE("LocalTarget closes the drain gate for a target whose answers say "
+          "that it leaves") {
+  LocalTargetFixture Fixture;
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 1)));
+  Fixture.execute(1);
+  Fixture.execute(2);
+  REQUIRE(Fixture.SentCallbacks.size() == 2);
+  Fixture.SentCallbacks[0](
+      LocalTargetFixture::answer(200, {{"limpetdrum-target-leaving", "1"}}));
+  CHECK(Fixture.Target.record().State == TargetState::Draining);
+  Fixture.Clock.advance(Milliseconds(500));
+  // An answer that was on its way, and a report made before, change nothing.
+  Fixture.SentCallbacks[1](LocalTargetFixture::answer(200));
+  CHECK(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 2)));
+  CHECK(Fixture.Target.record().State == TargetState::Draining);
+  Fixture.execute(3);
+  CHECK(Fixture.SentCallbacks.size() == 3);
+  Fixture.Clock.advance(Milliseconds(501));
+  Fixture.execute(4);
+  CHECK(Fixture.SentCallbacks.size() == 3);
+  CHECK(Fixture.Replies.back().Reason == Reason::Draining);
+  // A later process with the same id does not leave.
+  CHECK(Fixture.Target.onReport(LocalTargetFixture::report("t1", 6000, 1)));
+  Fixture.execute(5);
+  CHECK(Fixture.SentCallbacks.size() == 4);
+}
+
+TEST_CASE("LocalTarget ignores a notice of leaving with another value") {
+  LocalTargetFixture Fixture;
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 1)));
+  Fixture.execute(1);
+  Fixture.SentCallbacks.at(0)(
+      LocalTargetFixture::answer(200, {{"limpetdrum-target-leaving", "0"}}));
+  CHECK(Fixture.Target.record().isReady());
+}
