Let the soak's targets name request rates and announce that they leave

The soak had no target that says anything about itself in its answers, so it could not notice that LIMIT and the notice of leaving were ignored. Two new faults: a target names 0 to 5.9 requests a second for 4 to 15 s, and a target says in its answers that it leaves 0.5 to 5 s before it reports so. The witness counts arrivals from entries that were told, in any 4 s, against 1.5 times the rate and five requests, and requests sent later than the drain timeout after the notice; entries that were disturbed since then are excused. Unit tests break each of the two promises.

--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -84,6 +84,8 @@
     {"crash target", &Soak::crashTarget, 2},
     {"drain target", &Soak::drainTarget, 4},
     {"withdraw target", &Soak::withdrawTarget, 2},
+    {"drain after notice", &Soak::drainAfterNotice, 2},
+    {"name rate", &Soak::nameRate, 3},
     {"drain service", &Soak::drainService, 2},
     {"stall target", &Soak::stallTarget, 2},
     {"move policy", &Soak::reassignRoute, 3},
@@ -456,6 +458,17 @@
     N.Target->leave(true);
 }
 
+void Soak::drainAfterNotice(Node &N) {
+  if (N.Target)
+    N.Target->leaveAfterNotice(this->randomSpan(500, 5000));
+}
+
+void Soak::nameRate(Node &N) {
+  if (N.Target)
+    N.Target->nameRate(static_cast<double>(this->randomBelow(60)) / 10,
+                       this->randomSpan(4000, 15000));
+}
+
 void Soak::drainService(Node &N) {
   for (auto &Each : this->Nodes)
     if (Each->Service == N.Service && Each->Target)
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -85,6 +85,8 @@
   void crashTarget(Node &N);
   void drainTarget(Node &N);
   void withdrawTarget(Node &N);
+  void drainAfterNotice(Node &N);
+  void nameRate(Node &N);
   void drainService(Node &N);
   void stallTarget(Node &N);
   void reassignRoute(Node &N);
--- a/soak/Target.cpp
+++ b/soak/Target.cpp
@@ -50,6 +50,45 @@
   this->StalledUntil = this->Loop.now() + Span;
 }
 
+void Target::nameRate(double PerSecond, Milliseconds Span) {
+  if (this->RateNotice)
+    return;
+  auto &Notices = this->Observations.Notices;
+  this->RateNotice = Notices.size();
+  Notices.push_back({this->Id, PerSecond, this->Loop.now(), {}, {}});
+  this->Timers.push_back(this->Loop.after(Span, [this]() {
+    this->Observations.Notices[*this->RateNotice].Ended = this->Loop.now();
+    this->RateNotice.reset();
+  }));
+}
+
+void Target::leaveAfterNotice(Milliseconds Delay) {
+  if (this->Leaving || this->LeavingNotice)
+    return;
+  auto &Notices = this->Observations.Notices;
+  this->LeavingNotice = Notices.size();
+  Notices.push_back({this->Id, {}, this->Loop.now(), {}, {}});
+  this->Timers.push_back(
+      this->Loop.after(Delay, [this]() { this->leave(false); }));
+}
+
+HttpHeaders Target::notices(const std::string &RequestId) {
+  HttpHeaders Headers;
+  auto Add = [&](std::optional<std::size_t> Index, const std::string &Name) {
+    if (!Index)
+      return;
+    auto &Value = this->Observations.Notices[*Index];
+    Headers.emplace_back(
+        Name, Value.RequestRate ? std::to_string(*Value.RequestRate) : "1");
+    auto Found = this->Observations.Requests.find(RequestId);
+    if (Found != this->Observations.Requests.end())
+      Value.Told.emplace(Found->second.Entry, this->Loop.now());
+  };
+  Add(this->RateNotice, wire::RequestRate);
+  Add(this->LeavingNotice, wire::TargetLeaving);
+  return Headers;
+}
+
 void Target::report() {
   if (this->Withdrawn)
     return;
@@ -126,6 +165,8 @@
   Run.Intact = Request->path() == Route + Run.Id &&
                Request->body() == (Request->method() == "POST" ? Run.Id : "");
   HttpHeaders Headers = {{wire::RequestId, Run.Id}};
+  for (auto &Entry : this->notices(Run.Id))
+    Headers.push_back(std::move(Entry));
   if (Request->path() == "/health") {
     Headers.emplace_back(wire::Instance, this->Id);
     Request->reply(this->Leaving ? 503 : 200, Headers, "");
@@ -211,10 +252,10 @@
     return;
   auto Body =
       Run.Id + " at " + this->Id + std::string(this->Random() % 900, '.');
-  Job->Request->reply(
-      Status,
-      {{wire::RequestId, Run.Id}, {wire::Receipt, wire::receipt(Run.Id, Body)}},
-      Body);
+  auto Headers = this->notices(Run.Id);
+  Headers.emplace_back(wire::RequestId, Run.Id);
+  Headers.emplace_back(wire::Receipt, wire::receipt(Run.Id, Body));
+  Job->Request->reply(Status, Headers, Body);
 }
 
 } // namespace limpetdrum::soak
--- a/soak/Target.h
+++ b/soak/Target.h
@@ -19,6 +19,8 @@
 inline const std::string Caller = "X-Limpetdrum-Caller-Service";
 inline const std::string NotExecuted = "X-Limpetdrum-Not-Executed";
 inline const std::string Receipt = "X-Limpetdrum-Response-Signature";
+inline const std::string RequestRate = "Server-Limit";
+inline const std::string TargetLeaving = "Server-Leaving";
 inline const std::string Instance = "X-Limpetdrum-Instance-Id";
 inline const std::string Host = "soak.example";
 /// \brief Returns a hash of request ID and body that stands in for the
@@ -50,6 +52,11 @@
   /// \brief Starts to leave: reports that it drains or, if \p Silently is set,
   ///   only withdraws its registration.
   void leave(bool Silently);
+  /// \brief Says in all answers that it leaves, and reports it only \p Delay
+  ///   later.
+  void leaveAfterNotice(Milliseconds Delay);
+  /// \brief Names a request rate in all answers for \p Span.
+  void nameRate(double PerSecond, Milliseconds Span);
   /// \brief Makes each request that starts within \p Span from now take 4 s.
   void stall(Milliseconds Span);
   [[nodiscard]] bool hasExited() const noexcept { return this->HasExited; }
@@ -70,6 +77,9 @@
   void report();
   void withdraw();
   void onLeaveAcknowledged();
+  /// Returns the headers in which the target says something about itself, and
+  /// records that the entry node of the request is told.
+  [[nodiscard]] HttpHeaders notices(const std::string &RequestId);
 
   EventLoop &Loop;
   TargetSettings Settings;
@@ -82,6 +92,9 @@
   bool Leaving = false;
   bool Withdrawn = false; ///< sends no more reports
   bool HasExited = false;
+  /// Indices in the witness of the notices in force.
+  std::optional<std::size_t> RateNotice;
+  std::optional<std::size_t> LeavingNotice;
   TimePoint StalledUntil{};
   std::list<std::shared_ptr<Work>> Running;
   std::vector<Timer> Timers;
--- a/soak/Witness.cpp
+++ b/soak/Witness.cpp
@@ -47,6 +47,8 @@
   this->checkRuns(Broken);
   this->checkAnswers(Broken, Now);
   this->checkDrains(Broken);
+  this->checkRates(Broken);
+  this->checkLeavingNotices(Broken);
   this->checkLostConnections(Broken);
   this->checkPolicyDelay(Broken);
   this->checkPolicyRegressions(Broken);
@@ -130,6 +132,68 @@
   }
 }
 
+void Witness::checkRates(Findings &Broken) const {
+  // Half as much again as the rate allows, and five requests, in any 4 s.
+  constexpr Milliseconds Window{4000};
+  constexpr double Tolerance = 1.5;
+  constexpr double ToleratedRequests = 5;
+  constexpr Milliseconds NoticeDelay{500};
+  for (const auto &Notice : this->Notices) {
+    if (!Notice.RequestRate)
+      continue;
+    std::vector<TimePoint> Arrivals;
+    for (const auto &Run : this->Runs) {
+      auto Found = this->Requests.find(Run.Id);
+      if (Run.Target != Notice.Target || Found == this->Requests.end() ||
+          Run.Started < Notice.Started + this->Bounds.ContactWindow ||
+          (Notice.Ended && Run.Started > *Notice.Ended))
+        continue;
+      auto Told = Notice.Told.find(Found->second.Entry);
+      if (Told != Notice.Told.end() &&
+          Run.Started >= Told->second + NoticeDelay &&
+          this->isUndisturbed(Told->first, Told->second, Run.Started))
+        Arrivals.push_back(Run.Started);
+    }
+    std::sort(Arrivals.begin(), Arrivals.end());
+    auto Allowed = *Notice.RequestRate * Tolerance *
+                       std::chrono::duration<double>(Window).count() +
+                   ToleratedRequests;
+    for (auto First = Arrivals.begin(); First != Arrivals.end(); ++First) {
+      auto Count =
+          std::upper_bound(First, Arrivals.end(), *First + Window) - First;
+      if (static_cast<double>(Count) <= Allowed)
+        continue;
+      Broken.push_back({"a target gets no more than the rate that it names",
+                        Notice.Target + " got " + std::to_string(Count) +
+                            " requests in 4 s, allowed " +
+                            std::to_string(Allowed)});
+      break;
+    }
+  }
+}
+
+void Witness::checkLeavingNotices(Findings &Broken) const {
+  for (const auto &Notice : this->Notices) {
+    if (Notice.RequestRate)
+      continue;
+    for (const auto &Run : this->Runs) {
+      auto Found = this->Requests.find(Run.Id);
+      if (Run.Target != Notice.Target || !Run.Executed ||
+          Found == this->Requests.end())
+        continue;
+      auto Told = Notice.Told.find(Found->second.Entry);
+      if (Told == Notice.Told.end() ||
+          Found->second.Sent <= Told->second + this->Bounds.DrainTimeout ||
+          !this->isUndisturbed(Told->first, Told->second, Run.Started))
+        continue;
+      Broken.push_back({"no new work for a target that says it leaves",
+                        Run.Id + " at " + Run.Target + ", sent " +
+                            millis(Found->second.Sent - Told->second) +
+                            " after the notice"});
+    }
+  }
+}
+
 void Witness::checkLostConnections(Findings &Broken) const {
   std::set<std::string> RunIds;
   for (const auto &Run : this->Runs)
--- a/soak/Witness.h
+++ b/soak/Witness.h
@@ -42,6 +42,17 @@
   std::optional<TimePoint> Ended;
 };
 
+/// \brief What a target said about itself in all its answers for a while.
+struct Notice {
+  std::string Target;
+  /// Requests per second that it takes; none if it said that it leaves.
+  std::optional<double> RequestRate;
+  TimePoint Started{};
+  std::optional<TimePoint> Ended;
+  /// When the first answer that said so was made, by entry node of the request.
+  std::map<std::size_t, TimePoint> Told;
+};
+
 /// \brief A span of time in which a fault or a planned stop affected nodes.
 struct Disturbance {
   enum class Kind : std::uint8_t { Unplanned, Store, Target, Planned };
@@ -75,6 +86,7 @@
   std::map<std::string, RequestRecord> Requests; ///< by ID
   std::vector<RunRecord> Runs;
   std::vector<Disturbance> Disturbances;
+  std::vector<Notice> Notices;
   /// When a node acknowledged that a target leaves, by target ID.
   std::map<std::string, TimePoint> LeaveAcks;
   /// Service of the reassigned route in each policy version, and when the
@@ -108,6 +120,8 @@
   void checkRuns(Findings &Broken) const;
   void checkAnswers(Findings &Broken, TimePoint Now) const;
   void checkDrains(Findings &Broken) const;
+  void checkRates(Findings &Broken) const;
+  void checkLeavingNotices(Findings &Broken) const;
   void checkLostConnections(Findings &Broken) const;
   void checkPolicyDelay(Findings &Broken) const;
   void checkPolicyRegressions(Findings &Broken) const;
--- a/unittests/SoakWitnessTest.cpp
+++ b/unittests/SoakWitnessTest.cpp
@@ -265,3 +265,42 @@
           Names{"nothing is passed on for a client that has left"});
   }
 }
+
+TEST_CASE("Witness finds more requests than a target's named rate allows") {
+  History H;
+  auto LastArrival = GENERATE(6000, 13000);
+  H.Observations.Notices.push_back({"t1", 1.0, at(0), {}, {{0, at(100)}}});
+  // Eleven are allowed in 4 s; twelve come.
+  constexpr int Count = 12;
+  for (int I = 0; I < Count; ++I) {
+    auto Id = "r" + std::to_string(I);
+    auto Arrival = 4000 + (LastArrival - 4000) * I / (Count - 1);
+    H.addRequest(Id, "/order/", Arrival);
+    H.addRun(Id, Arrival);
+  }
+  bool IsBroken = LastArrival == 6000;
+  SECTION("undisturbed") {
+    CHECK(H.Observations.check(at(20000)).size() == (IsBroken ? 1 : 0));
+  }
+  SECTION("the entry was restarted after it was told") {
+    H.addDisturbance(0, Disturbance::Kind::Unplanned, 4500, 4600);
+    CHECK(H.Observations.check(at(20000)).empty());
+  }
+  SECTION("the entry was never told") {
+    H.Observations.Notices[0].Told.clear();
+    CHECK(H.Observations.check(at(20000)).empty());
+  }
+  SECTION("the target no longer names a rate") {
+    H.Observations.Notices[0].Ended = at(3900);
+    CHECK(H.Observations.check(at(20000)).empty());
+  }
+}
+
+TEST_CASE("Witness finds a request to a target that says it leaves") {
+  History H;
+  H.Observations.Notices.push_back({"t1", {}, at(0), {}, {{0, at(100)}}});
+  auto Sent = GENERATE(2000, 2200);
+  H.addRequest("r", "/order/", Sent);
+  H.addRun("r", 2400);
+  CHECK(H.Observations.check(at(20000)).size() == (Sent > 2100 ? 1 : 0));
+}
