End a connection on which skipped responses do not end

The users' pages say that a server in trouble may send bytes without end, in a head or a body, until the caller closes. A test plays ten such servers. Eight were held already by the parser's limits (status line, headers, chunks, chunk extension, trailer, body without length, no HTTP at all). Two were not: interim responses, and complete responses to other requests, were skipped one by one until the call's timeout. A server on loopback sent 238 MB in the 2 s of the test, all parsed, while the call held its slot.

A connection now ends after 16 skipped responses to one request, and the outcome is that of a broken one. One or two late responses, which the pages describe, are skipped as before (their tests pass). The test fails without the change for the two kinds: timed out instead of broken, and more than 8 MB sent.

--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -18,6 +18,9 @@
 constexpr int ProbeIdleSeconds = 1;
 constexpr int ProbePeriodSeconds = 1;
 constexpr int ProbeCount = 2;
+/// Interim responses, and responses to other requests, that are skipped before
+/// the response to a request. A server that sends more is not answering.
+constexpr unsigned MaxSkippedResponses = 16;
 
 void setSocketOptions(evutil_socket_t Socket,
                       const HttpClientOptions &Options) {
@@ -79,7 +82,8 @@
   bool Connected = false;
   /// True once a response to another request was received on it.
   bool ReceivedForeignResponse = false;
-  std::uint64_t CallId = 0; ///< 0 while idle
+  std::uint64_t CallId = 0;      ///< 0 while idle
+  unsigned SkippedResponses = 0; ///< since the request was sent
   std::optional<impl::ResponseParser> Parser;
   TimePoint IdleUntil{};
 
@@ -226,6 +230,10 @@
         !Call.Echo.empty())
       Ignored = Response.header(this->Owner.Options.EchoHeader) != Call.Echo;
     if (Ignored) {
+      if (++this->SkippedResponses > MaxSkippedResponses) {
+        this->Owner.finish(this->CallId, {}, false);
+        return;
+      }
       this->Parser.emplace(Call.IsHead, this->Owner.Options.MaxBodyBytes);
       if (Response.Status >= 200)
         this->ReceivedForeignResponse = true;
@@ -279,6 +287,7 @@
   if (!Connection)
     Connection = std::make_shared<ClientConnection>(Self);
   Connection->CallId = CallId;
+  Connection->SkippedResponses = 0;
   Connection->Parser.emplace(Call.Method == "HEAD", Self.Options.MaxBodyBytes);
   auto &Pending = Self.Calls[CallId];
   Pending.Connection = Connection;
