Find new policies soon when all watchers have lost the store

Non-watchers read the store every 60 s; if all watchers are cut, they notice after 3 s (keep-alive probes), wait 150 to 450 ms, and tell others with their next load, up to 0.5 s later. Until then no node has newer versions, and 2 s is the bound.

Now all nodes together read the store once a second, each after as many seconds as there are nodes: flat in the fleet's size (12 nodes read more often than before, 196 and 2,000 less). The reads are no longer stale ones, which may be older than the bound. A node that finds a version nobody announced reads again every half second until it finds none. A silent watch ends after 2 s, its node reads again at once, and tells the others at once, so the next takes over.

Tests: with versions every 150 ms and silent peers, a node of four is at most 2 s behind after its first read (before: still at the first version); a lost watch is followed by a read and by two notices (before: a pause). The test of a reported loss leaves that read unanswered and checks the notice besides. What is left: the first read is drawn, so that with k of N nodes cut off from the store some version can be over 2 s late if all watchers are among them.

--- a/include/limpetdrum/daemon/PolicyFeed.h
+++ b/include/limpetdrum/daemon/PolicyFeed.h
@@ -17,7 +17,8 @@
 ///
 /// A few nodes of the fleet watch the store; the others receive new policies
 /// from them. A node without any policy reads the store if no other node has
-/// sent one.
+/// sent one. All nodes together read it about once a second besides: the
+/// watchers may all have lost it without noticing yet.
 class PolicyFeed {
 public:
   struct Handlers {
@@ -25,6 +26,8 @@
     std::function<void(const TrafficPolicy &)> OnPolicyChange;
     /// Called when the store has been restored from an older copy.
     std::function<void()> OnStoreRestored;
+    /// Called when the store is lost or reached again, while this node watches.
+    std::function<void()> OnStoreReachable;
   };
 
   PolicyFeed(EventLoop &Loop, ObjectStore &Store,
@@ -34,6 +37,8 @@
   void start(Handlers Callbacks);
   /// \brief Sets whether this node watches the store.
   void setWatching(bool Value);
+  /// \brief Sets the number of nodes that share the reads of the store.
+  void setFleetSize(std::size_t Nodes) noexcept { this->FleetSize = Nodes; }
   /// \brief Puts a policy into force if it is newer than the current one.
   ///
   /// A malformed policy is counted, logged and ignored.
@@ -52,10 +57,12 @@
   }
 
 private:
-  void read(bool AllowStale);
+  void read();
   void watch();
-  /// Checks the store rarely, in case no other node announced a newer policy.
-  void schedulePoll();
+  /// Schedules a read in case no other node announces a newer policy.
+  /// \param FoundNewer true if the last read found one; the next one follows
+  ///   soon then.
+  void schedulePoll(bool FoundNewer);
   void onListing(const StoreListing &Listing);
   void onStoreState(const StoreListing &Listing);
   void readAfterPause();
@@ -72,6 +79,7 @@
   std::optional<StoreEra> Era; ///< none before the first answer
   bool Watching = false;
   bool CallPending = false;
+  std::size_t FleetSize = 1;
   unsigned Failures = 0; ///< calls in series that failed
   Timer NextCall;
 };
--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -14,10 +14,10 @@
 namespace {
 
 /// Periods and number of the kernel's probes of a silent connection: it ends
-/// about 3 s after the last byte that the server acknowledged.
+/// about 2 s after the last byte that the server acknowledged.
 constexpr int ProbeIdleSeconds = 1;
 constexpr int ProbePeriodSeconds = 1;
-constexpr int ProbeCount = 2;
+constexpr int ProbeCount = 1;
 /// Interim responses, and responses to other requests, that are skipped before
 /// the response to a request. A server that sends more is not answering.
 constexpr unsigned MaxSkippedResponses = 16;
--- a/lib/daemon/PolicyFeed.cpp
+++ b/lib/daemon/PolicyFeed.cpp
@@ -15,7 +15,11 @@
 /// Time after the start for other nodes to send their policy.
 constexpr Milliseconds FirstReadDelay{2500};
 constexpr Milliseconds FirstReadJitter{1000};
-constexpr std::chrono::seconds PollPeriod{60};
+/// Interval at which the nodes of the fleet together read the store.
+constexpr Milliseconds FleetPollPeriod{1000};
+/// Interval of the reads of a node that found a policy which no other node had
+/// announced.
+constexpr Milliseconds FoundPollPeriod{500};
 
 } // namespace
 
@@ -30,9 +34,9 @@
   auto Jitter = Milliseconds(this->Random() % FirstReadJitter.count());
   this->NextCall = this->Loop.after(FirstReadDelay + Jitter, [this]() {
     if (this->Current)
-      this->schedulePoll();
+      this->schedulePoll(false);
     else
-      this->read(false);
+      this->read();
   });
 }
 
@@ -42,15 +46,17 @@
   this->Log.state("policy_watch", {{"watching", Value}});
   this->Failures = 0;
   if (Value && !this->CallPending)
-    this->read(false);
+    this->read();
 }
 
-void PolicyFeed::schedulePoll() {
-  auto Jitter = Milliseconds(
-      this->Random() %
-      std::chrono::duration_cast<Milliseconds>(PollPeriod).count());
+void PolicyFeed::schedulePoll(bool FoundNewer) {
+  auto Period =
+      FoundNewer ? FoundPollPeriod
+                 : FleetPollPeriod * static_cast<std::int64_t>(this->FleetSize);
+  auto Jitter = Milliseconds(static_cast<std::int64_t>(
+      this->Random() % static_cast<std::uint64_t>(Period.count())));
   this->NextCall =
-      this->Loop.after(PollPeriod / 2 + Jitter, [this]() { this->read(true); });
+      this->Loop.after(Period / 2 + Jitter, [this]() { this->read(); });
 }
 
 void PolicyFeed::offer(const std::string &Text, const char *Source) {
@@ -82,10 +88,13 @@
   bool IsReached = Listing.Outcome == StoreOutcome::Done ||
                    Listing.Outcome == StoreOutcome::RevisionExpired;
   this->Failures = IsReached ? 0 : this->Failures + 1;
-  if (IsReached != WasReached)
+  if (IsReached != WasReached) {
     this->Log.state(IsReached ? "store_reached" : "store_lost",
                     {{"outcome", toString(Listing.Outcome)},
                      {"revision", this->StoreRevision}});
+    if (this->Watching)
+      this->Callbacks.OnStoreReachable();
+  }
   if (!IsReached)
     return;
   auto Previous = std::exchange(this->Era, Listing.Era);
@@ -98,6 +107,11 @@
 }
 
 void PolicyFeed::readAfterPause() {
+  // Often only the connection was lost, and a new one works.
+  if (this->Failures == 1) {
+    this->read();
+    return;
+  }
   auto Doublings = std::min(this->Failures, 4U);
   auto Pause = std::min(MinRetryPause * (1U << Doublings), MaxRetryPause);
   // The jitter keeps nodes that lost the store at the same time from retrying
@@ -105,13 +119,13 @@
   auto Jitter =
       Milliseconds(this->Random() % static_cast<std::uint64_t>(Pause.count()));
   this->NextCall =
-      this->Loop.after(Pause / 2 + Jitter, [this]() { this->read(false); });
+      this->Loop.after(Pause / 2 + Jitter, [this]() { this->read(); });
 }
 
-void PolicyFeed::read(bool AllowStale) {
+void PolicyFeed::read() {
   this->NextCall.cancel();
   this->CallPending = true;
-  this->Store.list(this->Adapter.policyKind(), AllowStale, "policy-read",
+  this->Store.list(this->Adapter.policyKind(), false, "policy-read",
                    [this](const StoreListing &Listing) {
                      this->onStoreState(Listing);
                      if (Listing.Outcome == StoreOutcome::Done)
@@ -119,19 +133,20 @@
                      else if (this->Watching || !this->Current)
                        this->readAfterPause();
                      else
-                       this->schedulePoll();
+                       this->schedulePoll(false);
                    });
 }
 
 void PolicyFeed::onListing(const StoreListing &Listing) {
   this->StoreRevision = Listing.Revision;
+  auto Previous = this->Current;
   for (const auto &Object : Listing.Objects)
     if (Object.Name == this->Adapter.policyName())
       this->offer(Object.Value, "store");
   if (this->Watching)
     this->watch();
   else if (this->Current)
-    this->schedulePoll();
+    this->schedulePoll(this->Current != Previous);
   else
     this->readAfterPause();
 }
@@ -145,11 +160,11 @@
                       if (Listing.Outcome == StoreOutcome::Done)
                         this->onListing(Listing);
                       else if (Listing.Outcome == StoreOutcome::RevisionExpired)
-                        this->read(false);
+                        this->read();
                       else if (this->Watching)
                         this->readAfterPause();
                       else
-                        this->schedulePoll();
+                        this->schedulePoll(false);
                     });
 }
 
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -264,6 +264,8 @@
   PolicyHandlers.OnStoreRestored = [this]() {
     this->Fleet.registry().onStoreRestored();
   };
+  // The next in the failure domain takes over the watch as soon as it is told.
+  PolicyHandlers.OnStoreReachable = [this]() { this->Peers.broadcastLoad(); };
   this->Policies.start(std::move(PolicyHandlers));
   this->Fleet.start(this->Settings.FirstStart
                         ? ContactRegistry::Start::WithFleet
@@ -304,8 +306,10 @@
   this->Policies.setWatching(KnowsFleet && this->Links.holdsDuties() &&
                              !this->Leaving.isLeaving());
   // A share for fewer nodes than there are would exceed the fleet's allowance.
-  if (KnowsFleet)
-    this->updateSlack();
+  if (!KnowsFleet)
+    return;
+  this->updateSlack();
+  this->Policies.setFleetSize(this->Fleet.members().others().size() + 1);
 }
 
 void Sidecar::State::onTargetChange() {
--- a/soak/Witness.cpp
+++ b/soak/Witness.cpp
@@ -42,6 +42,18 @@
       });
 }
 
+bool Witness::wasInterrupted(std::size_t Node, TimePoint Start,
+                             TimePoint End) const {
+  return std::any_of(this->Disturbances.begin(), this->Disturbances.end(),
+                     [&](const Disturbance &D) {
+                       bool IsOfNode =
+                           D.Cause == Disturbance::Kind::Unplanned ||
+                           D.Cause == Disturbance::Kind::Planned;
+                       return (!D.Node || *D.Node == Node) && IsOfNode &&
+                              D.Start <= End && D.End >= Start;
+                     });
+}
+
 std::vector<Witness::Finding> Witness::check(TimePoint Now) const {
   Findings Broken;
   this->checkRuns(Broken);
@@ -151,7 +163,7 @@
       auto Told = Notice.Told.find(Found->second.Entry);
       if (Told != Notice.Told.end() &&
           Run.Started >= Told->second + NoticeDelay &&
-          this->isUndisturbed(Told->first, Told->second, Run.Started))
+          !this->wasInterrupted(Told->first, Told->second, Run.Started))
         Arrivals.push_back(Run.Started);
     }
     std::sort(Arrivals.begin(), Arrivals.end());
@@ -184,7 +196,7 @@
       auto Told = Notice.Told.find(Found->second.Entry);
       if (Told == Notice.Told.end() ||
           Found->second.Sent <= Told->second + this->Bounds.DrainTimeout ||
-          !this->isUndisturbed(Told->first, Told->second, Run.Started))
+          this->wasInterrupted(Told->first, Told->second, Run.Started))
         continue;
       Broken.push_back({"no new work for a target that says it leaves",
                         Run.Id + " at " + Run.Target + ", sent " +
--- a/soak/Witness.h
+++ b/soak/Witness.h
@@ -117,6 +117,10 @@
   isUndisturbed(std::size_t Node, TimePoint Start, TimePoint End,
                 bool CountPlanned = true,
                 Milliseconds Recovery = Milliseconds(0)) const;
+  /// \brief Returns true if a fault or stop of the node itself, or of its
+  ///   connections, falls into a span.
+  [[nodiscard]] bool wasInterrupted(std::size_t Node, TimePoint Start,
+                                    TimePoint End) const;
   void checkRuns(Findings &Broken) const;
   void checkAnswers(Findings &Broken, TimePoint Now) const;
   void checkDrains(Findings &Broken) const;
--- a/unittests/PolicyFeedTest.cpp
+++ b/unittests/PolicyFeedTest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/trompeloeil.hpp>
 #include <fcntl.h>
+#include <map>
 #include <nlohmann/json.hpp>
 
 using namespace limpetdrum;
@@ -72,11 +73,13 @@
   Metrics Counters;
   PolicyFeed Feed{Loop, Store, Adapter, Log, Counters, 1};
   int Restorations = 0;
+  int ReachableChanges = 0;
 
   explicit FeedFixture(EventLoop &Loop) : Loop(Loop) {
     PolicyFeed::Handlers Handlers;
     Handlers.OnPolicyChange = [](const TrafficPolicy &) {};
     Handlers.OnStoreRestored = [this]() { ++this->Restorations; };
+    Handlers.OnStoreReachable = [this]() { ++this->ReachableChanges; };
     this->Feed.start(std::move(Handlers));
   }
   [[nodiscard]] std::uint64_t version() const {
@@ -133,8 +136,10 @@
   CHECK(F.version() == 5);
   CHECK_FALSE(F.Feed.isStoreLost());
   auto Answer = std::move(OnWatch);
+  REQUIRE_CALL(F.Store, list("config", false, _, _)); // not answered
   Answer(outcome(StoreOutcome::Lost));
   CHECK(F.Feed.isStoreLost());
+  CHECK(F.ReachableChanges == 1);
   // Once it no longer watches, the loss says nothing about the store.
   F.Feed.setWatching(false);
   CHECK_FALSE(F.Feed.isStoreLost());
@@ -254,7 +259,7 @@
   void start(std::unique_ptr<PolicyFeed> &Feed) {
     Feed = std::make_unique<PolicyFeed>(this->Loop, this->Store, this->Adapter,
                                         this->Log, this->Counters, 1);
-    Feed->start({[](const TrafficPolicy &) {}, []() {}});
+    Feed->start({[](const TrafficPolicy &) {}, []() {}, []() {}});
   }
   static std::uint64_t version(const PolicyFeed &Feed) {
     return Feed.current() ? Feed.current()->version().value() : 0;
@@ -333,3 +338,54 @@
   CHECK(WentBack == 0);
   CHECK(Behind == 0);
 }
+
+TEST_CASE("PolicyFeed follows the store while no watcher reaches it") {
+  EventLoop Loop;
+  ModelStore Store;
+  platform::Adapter Adapter;
+  EventLog Log{open("/dev/null", O_WRONLY)};
+  Metrics Counters;
+  PolicyFeed Feed(Loop, Store, Adapter, Log, Counters, 7);
+  Feed.start({[](const TrafficPolicy &) {}, []() {}, []() {}});
+  Feed.setFleetSize(4);
+  Feed.offer(policy(1), "peer");
+  // The versions come while the other nodes have none of them.
+  std::uint64_t Version = 1;
+  std::map<std::uint64_t, TimePoint> WrittenAt;
+  Microseconds WorstDelay(0);
+  auto Writer = Loop.every(Milliseconds(150), [&]() {
+    Store.write(++Version);
+    WrittenAt[Version] = Loop.now();
+  });
+  // The first read takes the time that the nodes share.
+  wait(Loop, Milliseconds(9600));
+  REQUIRE(Feed.current()->version().value() > 1);
+  auto Checker = Loop.every(Milliseconds(20), [&]() {
+    auto Missing = WrittenAt.find(Feed.current()->version().value() + 1);
+    if (Missing != WrittenAt.end())
+      WorstDelay =
+          std::max(WorstDelay, std::chrono::duration_cast<Microseconds>(
+                                   Loop.now() - Missing->second));
+  });
+  wait(Loop, Milliseconds(3000));
+  CHECK(WorstDelay < Milliseconds(2000));
+}
+
+TEST_CASE("PolicyFeed reads again at once after its watch is lost") {
+  EventLoop Loop;
+  FeedFixture F(Loop);
+  ObjectStore::ListDone OnWatch;
+  ALLOW_CALL(F.Store, watch("config", 7U, StoreEra(0), _, _, _))
+      .LR_SIDE_EFFECT(OnWatch = _6);
+  {
+    REQUIRE_CALL(F.Store, list("config", false, _, _))
+        .SIDE_EFFECT(_4(listing(7, 0, 2)));
+    F.Feed.setWatching(true);
+  }
+  REQUIRE_CALL(F.Store, list("config", false, _, _))
+      .SIDE_EFFECT(_4(listing(7, 0, 3)));
+  auto Answer = std::move(OnWatch);
+  Answer(outcome(StoreOutcome::Lost));
+  CHECK(F.version() == 3);
+  CHECK(F.ReachableChanges == 2);
+}
