Repeat the whole status while loads are sent often

While policies come faster than every 0.5 s, the periodic message was never due, so the status was not repeated. Peers then keep an old record of the target for a node that restarts, such as an old request rate; states and loads were not affected, since their changes are sent at once.

The status has a period of its own now. Seen failing before: "Mesh repeats the whole status while the load is sent often" (no status within 10 s).

--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -147,7 +147,7 @@
   std::map<NodeId, std::unique_ptr<OutgoingLink>> OutgoingLinks;
   std::uint64_t LastCall = 0;
   TimePoint LastStateSentAt{}; ///< of a status or a load
-  unsigned LoadsSinceStatus = 0;
+  TimePoint LastStatusSentAt{};
   bool BroadcastPending = false;
   PolicyRequests Requests;
   Timer Ticker;
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -12,8 +12,8 @@
 /// Interval of the load messages, which serve as heartbeats.
 constexpr Milliseconds LoadPeriod{500};
 /// The whole status, otherwise sent on changes only, is repeated after this
-/// number of load messages.
-constexpr unsigned LoadsPerStatus = 10;
+/// time.
+constexpr Milliseconds StatusPeriod{5000};
 /// More than two load periods: after this silence, the node or the path to it
 /// has failed.
 constexpr Milliseconds SilenceTimeout{1300};
@@ -406,7 +406,7 @@
   this->Broadcast = this->Loop.after(Microseconds(0), [this]() {
     this->BroadcastPending = false;
     this->LastStateSentAt = this->Loop.now();
-    this->LoadsSinceStatus = 0;
+    this->LastStatusSentAt = this->LastStateSentAt;
     this->Incoming.sendToAll(
         codec::encodeStatus(this->Callbacks.LocalStatus()));
   });
@@ -414,7 +414,6 @@
 
 void Mesh::broadcastLoad() {
   this->LastStateSentAt = this->Loop.now();
-  ++this->LoadsSinceStatus;
   this->Incoming.sendToAll(codec::encodeLoad(this->Callbacks.LocalStatus()));
 }
 
@@ -431,12 +430,11 @@
 
 void Mesh::tick() {
   auto Now = this->Loop.now();
-  if (Now - this->LastStateSentAt >= LoadPeriod) {
-    if (this->LoadsSinceStatus < LoadsPerStatus)
-      this->broadcastLoad();
-    else
-      this->broadcast();
-  }
+  // Loads may be sent more often than this, but do not postpone the status.
+  if (Now - this->LastStatusSentAt >= StatusPeriod)
+    this->broadcast();
+  else if (Now - this->LastStateSentAt >= LoadPeriod)
+    this->broadcastLoad();
   std::vector<NodeId> Expired;
   std::vector<OutgoingLink *> Unconnected;
   for (auto &[Node, Entry] : this->OutgoingLinks) {
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -280,6 +280,27 @@
   }
 }
 
+// Guards against peers that keep an old record of a target while versions
+// change quickly: each change sends the load, which postponed the status.
+TEST_CASE("Mesh repeats the whole status while the load is sent often",
+          "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  MeshNode B(Loop, "b", PortB, 2);
+  B.Target.Id = "t1";
+  A.Links.add(contact("b", PortB));
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  auto Frequent =
+      Loop.every(Milliseconds(150), [&]() { B.Links.broadcastLoad(); });
+  B.Target.RequestRate = 2;
+  auto RateAtA = [&]() {
+    return A.Links.peers().at(NodeId("b")).Status->Target.RequestRate;
+  };
+  for (int Try = 0; Try < 2 && !RateAtA(); ++Try)
+    waitUntil(Loop, [&]() { return RateAtA().has_value(); });
+  CHECK(RateAtA() == 2);
+}
+
 TEST_CASE("Mesh sends the load without the whole status", "[rpc]") {
   EventLoop Loop;
   MeshNode A(Loop, "a", PortA, 1);
