--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -130,6 +130,8 @@
   void readNotices(const HttpResponse &Answer);
   /// Updates the request rate that the target names in its answers.
   void readRequestRate(const HttpResponse &Answer);
+  /// Keeps the target to a rate, in requests per second, from now on.
+  /// \param Source origin of the rate, for the log.
   void setRequestRate(std::optional<double> PerSecond, const char *Source);
   [[nodiscard]] Reply toReply(HttpResponse &Answer);
   void finish(AttemptId Id, Reply Value);
--- a/include/limpetdrum/request/Admission.h
+++ b/include/limpetdrum/request/Admission.h
@@ -51,9 +51,8 @@
   std::vector<AttemptId> Cancel;   ///< running requests to cancel
 };
 
-/// \brief Admission control of one target: a concurrency limit, the request
-/// rate
-///   that the target asked for, and a short queue ordered by class and cohort.
+/// \brief Admission control of one target: a concurrency limit, a request rate
+///   if the target asked for one, and a short queue by class and cohort.
 ///
 /// When the queue is full, a request of a higher class displaces the lowest
 /// queued one. A running request of a lower class is cancelled before a request
