Name the request in the log lines of attempts without an answer

Cause: each repetition of a request has another id, so the logs of BUDGET could not show whether the targets ended under one request or under several.

Change: "repeat", "failed" and "attempt_not_served" have a hash of method, host, path, credentials and body, made only when such a line is written.

--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -1,6 +1,7 @@
 #include "limpetdrum/daemon/Forwarder.h"
 
 #include "limpetdrum/request/Position.h"
+#include "limpetdrum/request/RequestFingerprint.h"
 
 #include <algorithm>
 #include <charconv>
@@ -408,6 +409,7 @@
       normalizedPosition(Request->Rank, Request->Cohort), this->Loop.now());
   this->Log.request("repeat",
                     {{"id", Request->Id},
+                     {"request", toString(fingerprint(Request->Message))},
                      {"route", Request->Route->Name},
                      {"service", Request->Service.value()},
                      {"reason", toString(Cause)},
@@ -530,15 +532,17 @@
 
 void Forwarder::fail(const RequestPtr &Request, int Status, Reason Cause) {
   this->reportCallFailure(*Request);
-  this->Log.request("failed", {{"id", Request->Id},
-                               {"route", Request->Route->Name},
-                               {"service", Request->Service.value()},
-                               {"status", Status},
-                               {"reason", toString(Cause)},
-                               {"node", Request->Node.value()},
-                               {"turns", Request->Plan.attempts()},
-                               {"parent", Request->ParentId},
-                               {"policy", Request->Policy->version().value()}});
+  this->Log.request("failed",
+                    {{"id", Request->Id},
+                     {"request", toString(fingerprint(Request->Message))},
+                     {"route", Request->Route->Name},
+                     {"service", Request->Service.value()},
+                     {"status", Status},
+                     {"reason", toString(Cause)},
+                     {"node", Request->Node.value()},
+                     {"turns", Request->Plan.attempts()},
+                     {"parent", Request->ParentId},
+                     {"policy", Request->Policy->version().value()}});
   this->answer(Request, Status, {},
                std::string("unknown: ") + toString(Cause) + "\n", "failed");
 }
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -1,6 +1,7 @@
 #include "limpetdrum/daemon/LocalTarget.h"
 
 #include "limpetdrum/process/Error.h"
+#include "limpetdrum/request/RequestFingerprint.h"
 
 #include <algorithm>
 #include <charconv>
@@ -399,17 +400,19 @@
                 IsServed ? RunEvent::Served : RunEvent::Failed);
   }
   if (Value.Outcome != Outcome::Answered)
-    this->Log.request("attempt_not_served",
-                      {{"id", Finished.Attempt.RequestId},
-                       {"route", Finished.Attempt.Route},
-                       {"target", Finished.Attempt.TargetId},
-                       {"outcome", toString(Value.Outcome)},
-                       {"reason", toString(Value.Reason)},
-                       {"waited_us", (Time - Finished.ArrivedAt).count()},
-                       {"dispatched", Finished.Ticket != 0},
-                       {"running", this->Queue.running()},
-                       {"queued", this->Queue.queued()},
-                       {"limit", this->Queue.limit(Time)}});
+    this->Log.request(
+        "attempt_not_served",
+        {{"id", Finished.Attempt.RequestId},
+         {"request", toString(fingerprint(Finished.Attempt.Request))},
+         {"route", Finished.Attempt.Route},
+         {"target", Finished.Attempt.TargetId},
+         {"outcome", toString(Value.Outcome)},
+         {"reason", toString(Value.Reason)},
+         {"waited_us", (Time - Finished.ArrivedAt).count()},
+         {"dispatched", Finished.Ticket != 0},
+         {"running", this->Queue.running()},
+         {"queued", this->Queue.queued()},
+         {"limit", this->Queue.limit(Time)}});
   auto SharedReply = std::make_shared<const Reply>(std::move(Value));
   this->Ledger.finish(Id, SharedReply, Time);
   for (const auto &OnReply : Finished.ReplyCallbacks)
