Add a failing test: a request that crashes targets is sent on and on

The soak's targets can be crashed by the contents of a request, which comes again under other ids at any node; each client of a sound request that failed repeats it once with the same contents. The witness checks that a crashing request reaches at most three targets later than the contact window after its third crash, and that no sound request is refused as a crashing one.

The relay before a target that has ended refuses connections now, as the address of a process that has ended does; it accepted and closed them.

--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -15,6 +15,7 @@
 DEFINE_uint32(seconds, 20, "seconds with faults in each run");
 DEFINE_double(rate, 12, "requests per second and node");
 DEFINE_uint32(first_port, 26000, "first port; each node uses twelve ports");
+DEFINE_string(fault, "", "name of the only fault to inject; by default all");
 DEFINE_string(sidecar, "",
               "path of the sidecar; by default in the folder of this program");
 DEFINE_string(folder, "",
@@ -40,6 +41,7 @@
   Options.FaultDuration = std::chrono::seconds(FLAGS_seconds);
   Options.RequestsPerNode = FLAGS_rate;
   Options.Program = Program;
+  Options.OnlyFault = FLAGS_fault;
   Options.Folder = RunFolder.string();
   Options.FirstPort = static_cast<std::uint16_t>(FLAGS_first_port);
   soak::Soak Run(Loop, Options);
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -35,6 +35,8 @@
 constexpr Milliseconds AddressReuseDelay{2000};
 /// One client in this many disconnects early.
 constexpr std::uint64_t AbandonOneIn = 12;
+/// Text in the answer to a request that is refused because it crashes targets.
+constexpr const char *CrashingReason = "crashes-targets";
 
 struct RouteSpec {
   const char *Path;
@@ -82,6 +84,7 @@
     {"terminate", &Soak::terminate, 4},
     {"reload", &Soak::reload, 2},
     {"crash target", &Soak::crashTarget, 2},
+    {"crashing request", &Soak::crashByRequest, 2},
     {"drain target", &Soak::drainTarget, 4},
     {"withdraw target", &Soak::withdrawTarget, 2},
     {"drain after notice", &Soak::drainAfterNotice, 2},
@@ -183,12 +186,27 @@
   Settings.Announced = this->address(N, TargetRelayPort);
   Settings.Reports = this->address(N, ReportsPort);
   Settings.Outbound = this->address(N, OutboundPort);
+  Settings.OnCrash = [this, &N]() {
+    if (!N.Target)
+      return;
+    this->endTarget(N);
+    this->recordDisturbance(N.Index, Disturbance::Kind::Target,
+                            Milliseconds(0));
+    this->runAfter(this->randomSpan(1000, 3000),
+                   [this, &N]() { this->startTarget(N); });
+  };
+  N.TargetRelay->listen();
   N.Target = std::make_unique<soak::Target>(
       this->Loop, Settings,
       "t" + N.Name + "-" + std::to_string(++N.TargetStarts), this->Observations,
       this->Random());
 }
 
+void Soak::endTarget(Node &N) {
+  N.Target.reset();
+  N.TargetRelay->stopListening();
+}
+
 void Soak::start() {
   this->publishPolicy(false);
   for (std::size_t I = 0; I < this->Config.Nodes; ++I) {
@@ -263,7 +281,7 @@
       });
     }
     if (Each->Target && Each->Target->hasExited()) {
-      Each->Target.reset();
+      this->endTarget(*Each);
       this->runAfter(AddressReuseDelay + this->randomSpan(100, 1000),
                      [this, &N = *Each]() { this->startTarget(N); });
     }
@@ -306,20 +324,42 @@
       Services[this->ReassignedService], this->Loop.now());
 }
 
-void Soak::sendRequests() {
+bool Soak::acceptsRequests() const {
   // New requests stop early so that the open ones can end.
-  if (this->FaultsEnded && this->Loop.now() > *this->FaultsEnded +
-                                                  RecoveryPeriod -
-                                                  FinalAnswerPeriod)
+  return !this->FaultsEnded || this->Loop.now() <= *this->FaultsEnded +
+                                                       RecoveryPeriod -
+                                                       FinalAnswerPeriod;
+}
+
+void Soak::sendRequests() {
+  if (!this->acceptsRequests())
     return;
   this->send(*this->Nodes[this->randomBelow(this->Nodes.size())]);
 }
 
 void Soak::send(Node &Entry) {
   static constexpr std::array<std::size_t, 8> Mix = {0, 0, 0, 1, 1, 1, 3, 3};
-  const auto &Route = Routes[Mix[this->randomBelow(Mix.size())]];
+  this->send(Entry, Mix[this->randomBelow(Mix.size())], "", 1);
+}
+
+void Soak::sendCrashing(std::size_t Route, const std::string &Content) {
+  if (!this->acceptsRequests())
+    return;
+  this->send(*this->Nodes[this->randomBelow(this->Nodes.size())], Route,
+             Content, 0);
+  this->runAfter(this->randomSpan(200, 2000), [this, Route, Content]() {
+    this->sendCrashing(Route, Content);
+  });
+}
+
+void Soak::send(Node &Entry, std::size_t RouteIndex, std::string Content,
+                unsigned Repeats) {
+  const auto &Route = Routes[RouteIndex];
   RequestRecord Record;
   Record.Id = "q" + std::to_string(++this->LastRequest);
+  Record.Content = Content.empty() ? Record.Id : std::move(Content);
+  Record.CrashesTargets =
+      Record.Content.compare(0, CrashingContent.size(), CrashingContent) == 0;
   Record.Route = Route.Path;
   Record.Entry = Entry.Index;
   Record.Idempotent = Route.Idempotent;
@@ -328,14 +368,15 @@
   this->Observations.Requests[Record.Id] = Record;
   HttpCall Call;
   Call.Method = Route.Idempotent ? "GET" : "POST";
-  Call.Path = Record.Route + Record.Id;
-  Call.Body = Route.Idempotent ? "" : Record.Id;
+  Call.Path = Record.Route + Record.Content;
+  Call.Body = Route.Idempotent ? "" : Record.Content;
   Call.Headers = {{"Host", wire::Host},
                   {wire::RequestId, Record.Id},
                   {wire::TimeLeft, "4000"}};
   Call.Timeout = Milliseconds(4000);
-  auto Ticket = Entry.Client->send(
-      Call, [this, Key = Record.Id](const HttpResponse &Response) {
+  auto Ticket =
+      Entry.Client->send(Call, [this, RouteIndex, Repeats,
+                                Key = Record.Id](const HttpResponse &Response) {
         auto &Record = this->Observations.Requests[Key];
         Record.Ended = this->Loop.now();
         Record.Status =
@@ -344,8 +385,19 @@
         if (Record.Status == 200)
           Record.AnswerMatches = Response.header(wire::Receipt) ==
                                  wire::receipt(Key, Response.Body);
+        Record.RefusedAsCrashing =
+            Response.Body.find(CrashingReason) != std::string::npos;
+        bool MayRepeat = Record.Idempotent || Record.Status == 503;
+        if (Record.Status == 200 || Repeats == 0 || !MayRepeat ||
+            !this->acceptsRequests())
+          return;
+        auto Content = Record.Content;
+        this->runAfter(this->randomSpan(1, 400), [=]() {
+          this->send(*this->Nodes[this->randomBelow(this->Nodes.size())],
+                     RouteIndex, Content, Repeats - 1);
+        });
       });
-  if (this->randomBelow(AbandonOneIn) != 0)
+  if (Record.CrashesTargets || this->randomBelow(AbandonOneIn) != 0)
     return;
   this->runAfter(this->randomSpan(10, 300),
                  [this, Ticket, &Entry, Key = Record.Id]() {
@@ -373,10 +425,16 @@
     return;
   }
   unsigned Sum = 0;
+  auto IsPlayed = [this](const FaultKind &Kind) {
+    return this->Config.OnlyFault.empty() ||
+           this->Config.OnlyFault == Kind.Name;
+  };
   for (const auto &Kind : FaultKinds)
-    Sum += Kind.Weight;
+    Sum += IsPlayed(Kind) ? Kind.Weight : 0;
   auto Remaining = this->randomBelow(Sum);
   for (const auto &Kind : FaultKinds) {
+    if (!IsPlayed(Kind))
+      continue;
     if (Remaining >= Kind.Weight) {
       Remaining -= Kind.Weight;
       continue;
@@ -440,7 +498,7 @@
 void Soak::crashTarget(Node &N) {
   if (!N.Target)
     return;
-  N.Target.reset();
+  this->endTarget(N);
   this->recordDisturbance(N.Index, Disturbance::Kind::Target, Milliseconds(0));
   // The next target reuses the address before or after the node detects the
   // crash.
@@ -448,6 +506,12 @@
                  [this, &N]() { this->startTarget(N); });
 }
 
+void Soak::crashByRequest(Node & /*N*/) {
+  this->sendCrashing(this->randomBelow(Routes.size()),
+                     CrashingContent +
+                         std::to_string(++this->LastCrashingContent));
+}
+
 void Soak::drainTarget(Node &N) {
   if (N.Target)
     N.Target->leave(false);
@@ -568,7 +632,8 @@
   unsigned Served = 0;
   auto Start = this->FaultsEnded.value_or(this->Started) + SettlingPeriod;
   for (const auto &[Id, Record] : this->Observations.Requests) {
-    if (Record.Sent < Start || Record.IsCall || Record.Abandoned)
+    if (Record.Sent < Start || Record.IsCall || Record.Abandoned ||
+        Record.CrashesTargets)
       continue;
     ++Sent;
     Served += Record.Status == 200 ? 1 : 0;
@@ -585,7 +650,9 @@
   std::map<std::string, unsigned> Outcomes;
   for (const auto &[Id, Record] : this->Observations.Requests)
     if (!Record.IsCall)
-      ++Outcomes[Record.Abandoned        ? "left"
+      ++Outcomes[Record.CrashesTargets
+                     ? "crashing " + std::to_string(Record.Status)
+                 : Record.Abandoned      ? "left"
                  : Record.Status != 0    ? std::to_string(Record.Status)
                  : Record.ConnectionLost ? "cut"
                  : Record.Ended          ? "no connection"
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -23,6 +23,7 @@
     std::string Program;                    ///< path of the sidecar
     std::string Folder;                     ///< for settings and logs
     std::uint16_t FirstPort = 26000;
+    std::string OnlyFault; ///< name of the only fault to inject; empty: all
   };
 
   Soak(EventLoop &Loop, Options Config);
@@ -58,6 +59,8 @@
   void logEvent(const std::string &Message);
   void startProcess(Node &N, bool FirstStart);
   void startTarget(Node &N);
+  /// \brief Ends a target as a crash does; its address refuses connections.
+  void endTarget(Node &N);
   /// \brief Restarts ended processes and replaces targets that have exited.
   void restartEndedProcesses();
   /// \brief Records stalls of the harness, and stops the loop at the end.
@@ -67,6 +70,14 @@
   void publishPolicy(bool Reassigns);
   void sendRequests();
   void send(Node &Entry);
+  /// \param Content what is asked for; empty: something new.
+  /// \param Repeats number of times that the client may repeat it.
+  void send(Node &Entry, std::size_t Route, std::string Content,
+            unsigned Repeats);
+  /// \brief Sends a request that crashes targets, again and again.
+  void sendCrashing(std::size_t Route, const std::string &Content);
+  /// \brief Returns true while new requests are sent.
+  [[nodiscard]] bool acceptsRequests() const;
   /// \brief Injects one random fault and schedules the next, or ends all
   ///   faults once their time is over.
   void injectFault();
@@ -83,6 +94,7 @@
   void terminate(Node &N);
   void reload(Node &N);
   void crashTarget(Node &N);
+  void crashByRequest(Node &N);
   void drainTarget(Node &N);
   void withdrawTarget(Node &N);
   void drainAfterNotice(Node &N);
@@ -114,6 +126,7 @@
   std::vector<std::string> Events;
   std::vector<Witness::Finding> HarnessFindings; ///< not from the witness
   std::uint64_t LastRequest = 0;
+  std::uint64_t LastCrashingContent = 0;
   std::uint64_t PolicyVersion = 0;
   nlohmann::json LastPolicy;         ///< as the operator wrote it
   std::size_t ReassignedService = 0; ///< index in the list of services
--- a/soak/Target.cpp
+++ b/soak/Target.cpp
@@ -154,6 +154,7 @@
 
 void Target::onRequest(const Exchange &Request) {
   auto Route = Request->path().substr(0, Request->path().rfind('/') + 1);
+  auto Content = Request->path().substr(Route.size());
   RunRecord Run;
   Run.Id = Request->header(wire::RequestId);
   Run.Node = this->Settings.Node;
@@ -162,8 +163,10 @@
   Run.CallerService = Request->header(wire::Caller);
   Run.Route = Route;
   Run.Started = this->Loop.now();
-  Run.Intact = Request->path() == Route + Run.Id &&
-               Request->body() == (Request->method() == "POST" ? Run.Id : "");
+  auto Sent = this->Observations.Requests.find(Run.Id);
+  Run.Intact = Sent != this->Observations.Requests.end() &&
+               Content == Sent->second.Content &&
+               Request->body() == (Request->method() == "POST" ? Content : "");
   HttpHeaders Headers = {{wire::RequestId, Run.Id}};
   for (auto &Entry : this->notices(Run.Id))
     Headers.push_back(std::move(Entry));
@@ -190,6 +193,15 @@
     if (auto Pending = Weak.lock())
       this->finish(Pending, 0);
   });
+  if (Content.compare(0, CrashingContent.size(), CrashingContent) == 0) {
+    Job->Completion =
+        this->Loop.after(Milliseconds(this->Random() % 80),
+                         [this, Weak = std::weak_ptr<Work>(Job)]() {
+                           if (auto Pending = Weak.lock())
+                             this->crash(Pending);
+                         });
+    return;
+  }
   constexpr double MeanMillis = 40;
   std::exponential_distribution<double> Duration(1 / MeanMillis);
   // One request in six runs long enough to overlap a fault on its node.
@@ -213,9 +225,18 @@
       });
 }
 
+void Target::crash(const std::shared_ptr<Work> &Cause) {
+  auto &Run = this->Observations.Runs[Cause->Run];
+  if (Run.Ended)
+    return;
+  Run.CrashedAt = this->Loop.now();
+  this->Loop.post(this->Settings.OnCrash);
+}
+
 void Target::callLookup(const std::shared_ptr<Work> &Parent) {
   RequestRecord Record;
   Record.Id = this->Id + "-" + std::to_string(++this->LastCall);
+  Record.Content = Record.Id;
   Record.Route = "/lookup/";
   Record.Entry = this->Settings.Node;
   Record.IsCall = true;
--- a/soak/Target.h
+++ b/soak/Target.h
@@ -38,8 +38,13 @@
   Endpoint Announced; ///< address at which the node reaches the target
   Endpoint Reports;   ///< reports address of the node
   Endpoint Outbound;  ///< outbound address of the node
+  /// Called when a request crashes the target; destroys it.
+  std::function<void()> OnCrash;
 };
 
+/// \brief Start of the contents that crash each target that runs them.
+inline const std::string CrashingContent = "crash-";
+
 /// \brief Stand-in for a target: one incarnation, at one address.
 class Target {
 public:
@@ -71,6 +76,8 @@
   };
 
   void onRequest(const Exchange &Request);
+  /// Ends the target by a request that it has begun to run.
+  void crash(const std::shared_ptr<Work> &Cause);
   void callLookup(const std::shared_ptr<Work> &Parent);
   /// \param Status of the answer; 0 sends none.
   void finish(const std::shared_ptr<Work> &Job, int Status);
--- a/soak/Witness.cpp
+++ b/soak/Witness.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned MinAbandonedRuns = 4;
 /// Lost connections and late arrivals that the platform's rules tolerate.
 constexpr unsigned ToleratedCount = 3;
+/// Targets that a request may crash before its sends are counted.
+constexpr std::size_t FreeCrashes = 3;
 /// Extra time that a policy version may take to come into force after a
 /// disturbance, such as a store that fails.
 constexpr Milliseconds StoreRecovery{5000};
@@ -66,6 +68,7 @@
   this->checkPolicyRegressions(Broken);
   this->checkRepeats(Broken);
   this->checkAbandonedRequests(Broken);
+  this->checkCrashes(Broken);
   return Broken;
 }
 
@@ -395,4 +398,40 @@
                           Example});
 }
 
+void Witness::checkCrashes(Findings &Broken) const {
+  std::map<std::string, std::vector<TimePoint>> CrashesOf;
+  for (const auto &Run : this->Runs) {
+    auto Found = this->Requests.find(Run.Id);
+    if (Run.CrashedAt && Found != this->Requests.end())
+      CrashesOf[Found->second.Content].push_back(*Run.CrashedAt);
+  }
+  std::map<std::string, unsigned> LateSends;
+  for (auto &[Content, Crashes] : CrashesOf)
+    std::sort(Crashes.begin(), Crashes.end());
+  for (const auto &Run : this->Runs) {
+    auto Found = this->Requests.find(Run.Id);
+    if (Found == this->Requests.end())
+      continue;
+    auto Crashes = CrashesOf.find(Found->second.Content);
+    if (Crashes == CrashesOf.end() || Crashes->second.size() < FreeCrashes)
+      continue;
+    auto Limit = Crashes->second[FreeCrashes - 1] + this->Bounds.ContactWindow;
+    if (Run.Started > Limit &&
+        this->isUndisturbed(Found->second.Entry, Run.Started, Run.Started) &&
+        this->isUndisturbed(Run.Node, Run.Started, Run.Started))
+      ++LateSends[Found->second.Content];
+  }
+  for (const auto &[Content, Count] : LateSends)
+    if (Count > ToleratedCount)
+      Broken.push_back({"a request that crashes targets is kept from them",
+                        Content + " was sent " + std::to_string(Count) +
+                            " times more after its third crash; " +
+                            std::to_string(CrashesOf[Content].size()) +
+                            " targets ended"});
+  for (const auto &[Id, Request] : this->Requests)
+    if (Request.RefusedAsCrashing && !Request.CrashesTargets)
+      Broken.push_back({"a sound request is not taken for a crashing one",
+                        Id + " for " + Request.Content});
+}
+
 } // namespace limpetdrum::soak
--- a/soak/Witness.h
+++ b/soak/Witness.h
@@ -14,6 +14,7 @@
 /// \brief A request as recorded by its client.
 struct RequestRecord {
   std::string Id;
+  std::string Content; ///< what it asks for; equal for repetitions
   std::string Route;
   std::size_t Entry = 0; ///< index of the node that it was sent to
   bool Idempotent = true;
@@ -25,6 +26,9 @@
   int Status = 0;                     ///< 0: no complete answer
   bool ConnectionLost = false; ///< the connection ended without an answer
   bool AnswerMatches = true;   ///< the receipt matches the ID and the body
+  bool CrashesTargets = false; ///< each target that begins to run it ends
+  /// True if it was refused because it is held to crash targets.
+  bool RefusedAsCrashing = false;
 };
 
 /// \brief The arrival of a request at a target, as recorded by the target.
@@ -40,6 +44,7 @@
   TimePoint Started{};
   TimePoint ExpectedEnd{}; ///< when it ends unless it is cancelled
   std::optional<TimePoint> Ended;
+  std::optional<TimePoint> CrashedAt; ///< when it ended its target
 };
 
 /// \brief What a target said about itself in all its answers for a while.
@@ -131,6 +136,9 @@
   void checkPolicyRegressions(Findings &Broken) const;
   void checkRepeats(Findings &Broken) const;
   void checkAbandonedRequests(Findings &Broken) const;
+  /// Checks that a request which crashes targets soon reaches no more of them,
+  /// and that no other request is taken for such a one.
+  void checkCrashes(Findings &Broken) const;
 
   soak::Bounds Bounds;
   std::vector<std::string> ServiceOfNode;
--- a/standins/bench/Relay.cpp
+++ b/standins/bench/Relay.cpp
@@ -68,8 +68,9 @@
 
 struct Relay::State {
   EventLoop &Loop;
+  Endpoint Listen;
   Endpoint Server;
-  evconnlistener *Listener = nullptr;
+  evconnlistener *Listener = nullptr; ///< null while connections are refused
   std::list<Pair> Pairs;
   Direction Blocked = Direction::None;
   Milliseconds Delay{0};
@@ -143,12 +144,23 @@
 }
 
 Relay::Relay(EventLoop &Loop, Endpoint Listen, Endpoint Server)
-    : Impl(new State{
-          Loop, Server, nullptr, {}, Direction::None, Milliseconds(0)}) {
-  auto Address = toSocketAddress(Listen);
+    : Impl(new State{Loop,
+                     Listen,
+                     Server,
+                     nullptr,
+                     {},
+                     Direction::None,
+                     Milliseconds(0)}) {
+  this->listen();
+}
+
+void Relay::listen() {
+  if (this->Impl->Listener != nullptr)
+    return;
+  auto Address = toSocketAddress(this->Impl->Listen);
   constexpr int Backlog = 256;
   this->Impl->Listener = evconnlistener_new_bind(
-      Loop.base(),
+      this->Impl->Loop.base(),
       [](evconnlistener * /*Listener*/, evutil_socket_t Socket,
          sockaddr * /*Peer*/, int /*Size*/,
          void *Context) { static_cast<State *>(Context)->onAccept(Socket); },
@@ -156,12 +168,17 @@
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
       Backlog, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
   if (this->Impl->Listener == nullptr)
-    throw NetworkError("cannot listen on " + toString(Listen),
+    throw NetworkError("cannot listen on " + toString(this->Impl->Listen),
                        "end the process that uses the port, or choose another "
                        "port");
 }
 
-Relay::~Relay() { evconnlistener_free(this->Impl->Listener); }
+void Relay::stopListening() {
+  if (this->Impl->Listener != nullptr)
+    evconnlistener_free(std::exchange(this->Impl->Listener, nullptr));
+}
+
+Relay::~Relay() { this->stopListening(); }
 
 std::size_t Relay::cutSilently() {
   std::size_t Count = 0;
--- a/standins/bench/Relay.h
+++ b/standins/bench/Relay.h
@@ -17,6 +17,12 @@
   Relay(const Relay &) = delete;
   Relay &operator=(const Relay &) = delete;
 
+  /// \brief Accepts connections again after stopListening().
+  /// \throws NetworkError if the address cannot be bound.
+  void listen();
+  /// \brief Refuses new connections, as the address of a process that has ended
+  ///   does. Open ones are relayed on.
+  void stopListening();
   /// \brief Stops relaying on all current connections without closing them, so
   ///   that neither end is notified. New connections work.
   /// \returns the number of connections cut.
--- a/unittests/SoakWitnessTest.cpp
+++ b/unittests/SoakWitnessTest.cpp
@@ -304,3 +304,36 @@
   H.addRun("r", 2400);
   CHECK(H.Observations.check(at(20000)).size() == (Sent > 2100 ? 1 : 0));
 }
+
+TEST_CASE("Witness detects a crashing request that is sent on and on") {
+  History Seen;
+  auto AddCrash = [&Seen](const std::string &Id, int Started) {
+    auto &Request = Seen.addRequest(Id, "/move/", Started);
+    Request.Content = "crash-1";
+    Request.CrashesTargets = true;
+    auto &Run = Seen.addRun(Id, Started, "t" + Id);
+    Run.Service = "a";
+    Run.CrashedAt = at(Started + 20);
+  };
+  for (int I = 0; I < 3; ++I)
+    AddCrash(std::to_string(I), 1000 + I);
+  // Sends within the contact window, and three more.
+  for (int I = 3; I < 6; ++I)
+    AddCrash(std::to_string(I), 4000 + I);
+  for (int I = 6; I < 9; ++I)
+    AddCrash(std::to_string(I), 4100 + I);
+  CHECK(Seen.Observations.check(at(9000)).empty());
+  AddCrash("9", 5000);
+  auto Findings = Seen.Observations.check(at(9000));
+  REQUIRE(Findings.size() == 1);
+  CHECK(Findings[0].Promise ==
+        "a request that crashes targets is kept from them");
+}
+
+TEST_CASE("Witness detects a sound request that is taken for a crashing one") {
+  History Seen;
+  Seen.addRequest("1", "/move/", 1000).RefusedAsCrashing = true;
+  CHECK(Seen.Observations.check(at(9000)).size() == 1);
+  Seen.Observations.Requests["1"].CrashesTargets = true;
+  CHECK(Seen.Observations.check(at(9000)).empty());
+}
