--- a/fuzz/Mesh.cpp
+++ b/fuzz/Mesh.cpp
@@ -31,6 +31,9 @@
   case mesh::Frame::USAGE:
     static_cast<void>(codec::decode(Frame.getUsage()));
     return;
+  case mesh::Frame::CRASHES:
+    static_cast<void>(codec::decode(Frame.getCrashes()));
+    return;
   default:
     return;
   }
--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -193,6 +193,11 @@
   /// \brief Sends a request and calls \p Done once, from the loop.
   /// \returns an id to pass to cancel().
   std::uint64_t send(const HttpCall &Call, Callback Done);
+  /// \brief Finds out whether the server's process has ended, by a connection
+  ///   that stays in the pool for the next request.
+  /// \param Done called once, from the loop, with true if the connection was
+  ///   refused; false if it was accepted or nothing is known after 200 ms.
+  void checkEnded(std::function<void(bool HasEnded)> Done);
   /// \brief Closes the connection of a request; its callback is not called.
   void cancel(std::uint64_t CallId);
   /// \brief Returns the number of requests without an outcome.
@@ -203,6 +208,9 @@
 private:
   struct State;
   friend struct ClientConnection;
+  /// Adds a call on a connection, and opens the connection unless it is reused.
+  std::uint64_t start(std::shared_ptr<ClientConnection> Connection, bool Reused,
+                      const HttpCall &Call, Callback Done);
   std::shared_ptr<State> Impl;
 };
 
--- a/include/limpetdrum/daemon/Forwarder.h
+++ b/include/limpetdrum/daemon/Forwarder.h
@@ -40,8 +40,9 @@
 
   Forwarder(Options Config, HeaderNames Names, EventLoop &Loop, Mesh &Peers,
             limpetdrum::LocalTarget &LocalTarget, RepeatBudget &Repeats,
-            OverloadControl &Overload, const LeavePlan &Leaving,
-            PolicyInForce Policy, EventLog &Log, Metrics &Counters);
+            const CrashHistory &Crashes, OverloadControl &Overload,
+            const LeavePlan &Leaving, PolicyInForce Policy, EventLog &Log,
+            Metrics &Counters);
 
   void onRequest(std::shared_ptr<HttpExchange> Exchange);
   /// \brief Handles a new status of another node.
@@ -58,6 +59,9 @@
   void assignRankAndCohort(const RequestPtr &Request);
   void admit(const RequestPtr &Request);
   void send(const RequestPtr &Request);
+  /// Ends a request that is proven to crash targets.
+  /// \returns false if it is not.
+  [[nodiscard]] bool endIfCrashing(const RequestPtr &Request);
   /// Sends the request to the node of the last attempt again, or to another one
   /// if that node is no longer a candidate.
   void resendToSameNode(const RequestPtr &Request);
@@ -116,6 +120,7 @@
   Mesh &Peers;
   limpetdrum::LocalTarget &LocalTarget;
   RepeatBudget &Repeats;
+  const CrashHistory &Crashes;
   OverloadControl &Overload;
   const LeavePlan &Leaving;
   PolicyInForce Policy;
--- a/include/limpetdrum/daemon/IncomingLinks.h
+++ b/include/limpetdrum/daemon/IncomingLinks.h
@@ -28,6 +28,7 @@
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnAcknowledged;
     std::function<void(MeshUsage)> OnUsage;
     std::function<void(const std::string &Text)> OnPolicy;
+    std::function<void(const CrashNews &)> OnCrashNews;
     /// Returns the status of this node.
     std::function<NodeStatus()> LocalStatus;
     /// Returns the text of the traffic policy in force at this node.
--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/LocalTarget.h
@@ -9,7 +9,9 @@
 #include "limpetdrum/request/Admission.h"
 #include "limpetdrum/request/AttemptLedger.h"
 #include "limpetdrum/request/CallContext.h"
+#include "limpetdrum/request/CrashHistory.h"
 #include "limpetdrum/request/DrainGate.h"
+#include "limpetdrum/request/SuspectTrials.h"
 
 #include <functional>
 #include <memory>
@@ -25,8 +27,8 @@
 ///
 /// All requests to the target pass through it, so it enforces that an attempt
 /// runs at most once, that a drained target gets no new requests, that the
-/// target's slots are not exceeded, and that only the addressed target runs an
-/// attempt.
+/// target's slots are not exceeded, that only the addressed target runs an
+/// attempt, and that a request which crashes targets does not run.
 class LocalTarget {
 public:
   struct Options {
@@ -43,8 +45,10 @@
     Milliseconds WarmUp{0}; ///< time for which the target is slow
   };
 
+  /// \param Crashes history of the whole fleet, to which this object adds.
   LocalTarget(const Options &Config, HeaderNames Names, TargetPort &Port,
-              EventLog &Log, Metrics &Counters, Clock Now);
+              CrashHistory &Crashes, EventLog &Log, Metrics &Counters,
+              Clock Now);
 
   /// \brief Handles a report that the target sent about itself.
   /// \returns true if the report is in force, so that it may be acknowledged.
@@ -100,6 +104,11 @@
   void setOnRun(std::function<void(const std::string &, RunEvent)> Action) {
     this->OnRun = std::move(Action);
   }
+  /// \brief Sets the callback for what this object adds to the history of
+  ///   crashes.
+  void setOnCrashNews(std::function<void(const CrashNews &)> Action) {
+    this->OnCrashNews = std::move(Action);
+  }
   /// \brief Sets the callback for a change of the target or of its state.
   void setOnChange(std::function<void()> Action) {
     this->OnChange = std::move(Action);
@@ -113,6 +122,8 @@
     std::vector<ReplyCallback> ReplyCallbacks;
     std::uint64_t Ticket = 0; ///< 0: queued
     bool CallFailed = false;  ///< true if a call that the run made has failed
+    /// Computed when it is first needed.
+    std::optional<RequestFingerprint> Fingerprint;
     /// Set when the caller cancels a running attempt: time at which the run is
     /// ended if the target has not answered.
     std::optional<TimePoint> CancelAt;
@@ -122,10 +133,29 @@
   [[nodiscard]] bool hasDeparted(const TargetRecord &Value) const;
   void setRecord(const TargetRecord &NewRecord, Milliseconds WarmUp);
   void applyDecisions(const AdmissionDecisions &Decisions);
+  /// Queues an attempt for the target.
+  void submit(AttemptId Id);
   void dispatch(AttemptId Id);
+  [[nodiscard]] static RequestFingerprint fingerprintOf(Entry &Value);
+  [[nodiscard]] CrashHistory::Verdict verdict(Entry &Value) const;
+  /// Refuses an attempt that crashes targets, and lets a suspected one wait
+  /// while another is on trial.
+  /// \returns true if the attempt may be queued or sent now.
+  [[nodiscard]] bool mayRun(AttemptId Id);
+  /// Refuses the attempts that wait for a trial if \p Condition holds.
+  void refuseWaiting(const std::function<bool(const Entry &)> &Condition,
+                     Reason Cause);
   [[nodiscard]] HttpCall makeCall(const Entry &Run,
                                   Milliseconds TimeLeft) const;
   void onAnswer(AttemptId Id, HttpResponse Answer);
+  /// Ends the runs whose connections broke.
+  /// \param HasEnded true if the target's process has ended.
+  void endBrokenRuns(bool HasEnded);
+  /// Reports under which runs the target's process ended.
+  void reportCrash(const std::vector<AttemptId> &Runs);
+  /// Reports that a suspected request was answered.
+  void reportSound(Entry &Run);
+  void endRun(AttemptId Id, Reply Value);
   /// Handles what the target says about itself in its answers.
   void readNotices(const HttpResponse &Answer);
   /// Updates the request rate that the target names in its answers.
@@ -142,6 +172,7 @@
   Options Config;
   HeaderNames Names;
   TargetPort &Port;
+  CrashHistory &Crashes;
   EventLog &Log;
   Metrics &Counters;
   Clock Now;
@@ -158,6 +189,11 @@
   std::unordered_map<std::string, AttemptId> RunningByRequestId;
   std::size_t CancelledCount = 0; ///< entries of Active with CancelAt
   bool HasAnswered = false;       ///< the target, since it was recorded here
+  SuspectTrials Trials;
+  /// Runs whose connections broke, while it is found out whether the target's
+  /// process has ended.
+  std::vector<AttemptId> BrokenRuns;
+  std::function<void(const CrashNews &)> OnCrashNews;
   std::function<void(const std::string &Route, RunEvent)> OnRun;
   std::function<void()> OnChange;
 };
--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/Mesh.h
@@ -47,6 +47,9 @@
     std::function<void(const NodeId &Node)> OnRemoved;
     std::function<void(MeshUsage)> OnUsage;
     std::function<void(const std::string &Text)> OnPolicy;
+    std::function<void(const CrashNews &)> OnCrashNews;
+    /// Returns what a newly linked node has to know of crashing requests.
+    std::function<CrashNews()> KnownCrashes;
     /// Called with the record of the local target that another node holds.
     std::function<void(const TargetRecord &)> OnRecordFromPeer;
     /// Returns the status of this node.
@@ -105,6 +108,15 @@
   /// \brief Sends observed route usage to the nodes of a failure domain that
   ///   are linked to this one.
   void sendUsage(const FailureDomain &Domain, const MeshUsage &Value);
+  /// \brief Sends what is new about crashing requests to a node that this one
+  ///   is linked to.
+  void sendCrashNews(const NodeId &Node, const CrashNews &Value);
+  /// \brief Sends what is new about crashing requests to the nodes of a failure
+  ///   domain that are linked to this one.
+  void sendCrashNews(const FailureDomain &Domain, const CrashNews &Value);
+  /// \brief Sends what is new about crashing requests to all nodes that are
+  ///   linked to this one.
+  void sendCrashNews(const CrashNews &Value);
 
 private:
   struct OutgoingLink;
@@ -131,6 +143,9 @@
   /// Sends a pending call over the link that is up.
   void send(OutgoingLink &Outgoing, std::uint64_t Number);
   void sendHello(PeerLink &Link, const NodeId &Receiver);
+  /// Sends a frame over the link that this node made to another one, if it is
+  /// up.
+  void sendTo(const NodeId &Node, const std::string &Frame);
   /// Asks for the policy of a node if it is newer than the local one.
   void requestPolicy(PeerLink &Link, const NodeStatus &PeerStatus);
   /// Handles the hello on a link that another node made to this one.
--- a/include/limpetdrum/daemon/MeshCodec.h
+++ b/include/limpetdrum/daemon/MeshCodec.h
@@ -5,6 +5,7 @@
 #include "limpetdrum/connection/PeerLink.h"
 #include "limpetdrum/process/NodeStatus.h"
 #include "limpetdrum/request/CallLearner.h"
+#include "limpetdrum/request/CrashHistory.h"
 #include "limpetdrum/request/Reply.h"
 
 namespace limpetdrum {
@@ -24,6 +25,8 @@
   ClassRank Rank;
   float Cohort = 0;
   std::string Route;
+  /// Targets that ended while they ran the request, as far as the caller knows.
+  std::uint8_t TargetsEnded = 0;
 };
 
 /// \brief First message that two nodes exchange on a new link.
@@ -64,6 +67,7 @@
 /// \brief Encodes a request for an immediate load message.
 [[nodiscard]] std::string encodeLoadRequest();
 [[nodiscard]] std::string encodeUsage(const MeshUsage &Value);
+[[nodiscard]] std::string encodeCrashNews(const CrashNews &Value);
 [[nodiscard]] std::string encodeCancel(std::uint64_t Call);
 [[nodiscard]] std::string encodePolicy(const std::string &Text);
 /// \brief Encodes a request for the policy in force at the receiver.
@@ -78,6 +82,7 @@
 void decode(mesh::Load::Reader Reader, NodeStatus &Status);
 [[nodiscard]] MeshAttempt decode(mesh::Attempt::Reader Reader);
 [[nodiscard]] MeshUsage decode(mesh::Usage::Reader Reader);
+[[nodiscard]] CrashNews decode(mesh::Crashes::Reader Reader);
 [[nodiscard]] Reply decode(mesh::Reply::Reader Reader);
 
 } // namespace codec
--- a/include/limpetdrum/daemon/Ports.h
+++ b/include/limpetdrum/daemon/Ports.h
@@ -27,6 +27,10 @@
                              HttpClient::Callback Done) = 0;
   /// \brief Cancels a request at the target; its callback is not called.
   virtual void cancel(std::uint64_t Ticket) = 0;
+  /// \brief Finds out whether the target's process has ended.
+  /// \param Done called once, from the loop, with true if the target's address
+  ///   refuses connections; false if it accepts them or nothing is known.
+  virtual void checkEnded(std::function<void(bool HasEnded)> Done) = 0;
 };
 
 /// \brief Result of an attempt that was sent to another node.
--- /dev/null
+++ b/include/limpetdrum/request/CrashHistory.h
@@ -0,0 +1,94 @@
+#ifndef LIMPETDRUM_REQUEST_CRASHHISTORY_H
+#define LIMPETDRUM_REQUEST_CRASHHISTORY_H
+
+#include "limpetdrum/request/RequestFingerprint.h"
+
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+namespace limpetdrum {
+
+/// \brief Number of targets that have to end under a request before it is
+///   suspected. One is the usual fate of a request beside another's crash.
+inline constexpr unsigned SuspectCrashes = 2;
+
+/// \brief Report that a target's process ended while it ran a request.
+struct CrashReport {
+  RequestFingerprint Request;
+  std::uint64_t Target = 0; ///< hash that identifies the target's process
+  /// True if the request was the only suspect at the target, which proves that
+  /// it crashes targets.
+  bool Alone = false;
+  Milliseconds Age{0}; ///< time since the target ended
+};
+
+/// \brief What nodes tell each other about requests and crashed targets.
+struct CrashNews {
+  std::vector<CrashReport> Reports;
+  /// Suspected requests that a target has answered.
+  std::vector<RequestFingerprint> Sound;
+
+  [[nodiscard]] bool empty() const noexcept {
+    return this->Reports.empty() && this->Sound.empty();
+  }
+};
+
+/// \brief Remembers under which requests targets ended, to keep a request that
+///   crashes its targets from further ones.
+///
+/// A target ends with all requests that it runs, and the others among them are
+/// often repeated at the target that the culprit crashes next. So being there
+/// at several crashes only makes a request a suspect. Suspects run one at a
+/// time at each target: the one that is answered is sound, the one under which
+/// the target ends is proven to crash targets and is refused for a while.
+///
+/// All nodes hold the same history and exchange it as CrashNews. Its size is
+/// bounded. Performs no I/O.
+class CrashHistory {
+public:
+  enum class Verdict : std::uint8_t {
+    None,     ///< nothing is held against the request
+    Suspect,  ///< runs only while no other suspect runs at the target
+    Crashing, ///< proven to crash targets: refused
+  };
+
+  [[nodiscard]] Verdict verdict(RequestFingerprint Request,
+                                TimePoint Now) const;
+  /// \brief Returns the time until a crashing request may run again.
+  [[nodiscard]] Milliseconds retryAfter(RequestFingerprint Request,
+                                        TimePoint Now) const;
+  /// \brief Adds what another node or the local target has reported.
+  /// \returns the part of it that was new.
+  CrashNews merge(const CrashNews &News, TimePoint Now);
+  /// \brief Returns the suspects and the crashing requests, for a node that may
+  ///   not know them.
+  [[nodiscard]] CrashNews known(TimePoint Now) const;
+  /// \brief Removes what has expired.
+  void sweep(TimePoint Now);
+
+  [[nodiscard]] bool empty() const noexcept { return this->Entries.empty(); }
+  [[nodiscard]] std::size_t size() const noexcept {
+    return this->Entries.size();
+  }
+
+private:
+  struct Entry {
+    std::vector<std::uint64_t> Targets; ///< that ended, each once; bounded
+    bool Alone = false;                 ///< one of the reports is a proof
+    bool IsSound = false;               ///< answered after it was suspected
+    TimePoint LastAt{};                 ///< of the last crash or answer
+  };
+
+  bool add(const CrashReport &Report, TimePoint Now);
+  bool markSound(RequestFingerprint Request, TimePoint Now);
+  /// Makes room for another entry.
+  void evictWeakest();
+  [[nodiscard]] Verdict verdictOf(const Entry &Found, TimePoint Now) const;
+
+  std::unordered_map<RequestFingerprint, Entry> Entries;
+};
+
+} // namespace limpetdrum
+
+#endif
--- a/include/limpetdrum/request/Reply.h
+++ b/include/limpetdrum/request/Reply.h
@@ -34,10 +34,12 @@
   RefusedByTarget,  ///< the target reported that it did not run it
   CallFailed,       ///< the target reported that one of its own calls failed
   RequestRate,      ///< the target takes no more requests per second
+  TargetEnded,      ///< the target's process ended while it ran the request
+  CrashesTargets,   ///< the request has crashed several targets
 };
 
 /// \brief Number of values of Reason.
-inline constexpr std::size_t ReasonCount = 16;
+inline constexpr std::size_t ReasonCount = 18;
 
 /// \brief Returns the name of a reason in headers, logs and metrics.
 [[nodiscard]] const char *toString(Reason Value) noexcept;
--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -21,6 +21,8 @@
 /// Interim responses, and responses to other requests, that are skipped before
 /// the response to a request. A server that sends more is not answering.
 constexpr unsigned MaxSkippedResponses = 16;
+/// The address of an ended process refuses connections at once.
+constexpr Milliseconds EndCheckTimeout{200};
 
 void setSocketOptions(evutil_socket_t Socket,
                       const HttpClientOptions &Options) {
@@ -96,6 +98,7 @@
   }
 
   void open();
+  void onConnected();
   void onReadable();
   void onEnd(bool Orderly);
 };
@@ -108,6 +111,7 @@
     std::string Echo;
     bool IsHead = false;
     bool Reused = false;
+    bool IsConnectOnly = false; ///< ends as soon as it is connected
   };
 
   EventLoop &Loop;
@@ -190,7 +194,7 @@
       [](bufferevent * /*Event*/, short Events, void *Context) {
         auto *Self = static_cast<ClientConnection *>(Context);
         if ((Events & BEV_EVENT_CONNECTED) != 0)
-          Self->Connected = true;
+          Self->onConnected();
         else if ((Events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
           Self->onEnd((Events & BEV_EVENT_EOF) != 0);
       },
@@ -204,6 +208,16 @@
     setSocketOptions(bufferevent_getfd(this->Event), this->Owner.Options);
 }
 
+void ClientConnection::onConnected() {
+  this->Connected = true;
+  auto Found = this->Owner.Calls.find(this->CallId);
+  if (Found == this->Owner.Calls.end() || !Found->second.IsConnectOnly)
+    return;
+  HttpResponse Response;
+  Response.Outcome = HttpOutcome::Answered;
+  this->Owner.finish(this->CallId, std::move(Response), true);
+}
+
 void ClientConnection::onReadable() {
   if (this->CallId == 0) {
     // Bytes without a request: later responses could be mismatched, so the
@@ -279,13 +293,11 @@
     this->Impl->destroyLater(std::move(Connection));
 }
 
-std::uint64_t HttpClient::send(const HttpCall &Call, Callback Done) {
+std::uint64_t HttpClient::start(std::shared_ptr<ClientConnection> Connection,
+                                bool Reused, const HttpCall &Call,
+                                Callback Done) {
   auto &Self = *this->Impl;
   auto CallId = ++Self.LastCallId;
-  auto Connection = Self.takeIdle();
-  bool Reused = Connection != nullptr;
-  if (!Connection)
-    Connection = std::make_shared<ClientConnection>(Self);
   Connection->CallId = CallId;
   Connection->SkippedResponses = 0;
   Connection->Parser.emplace(Call.Method == "HEAD", Self.Options.MaxBodyBytes);
@@ -302,6 +314,16 @@
   });
   if (!Reused)
     Connection->open();
+  return CallId;
+}
+
+std::uint64_t HttpClient::send(const HttpCall &Call, Callback Done) {
+  auto &Self = *this->Impl;
+  auto Connection = Self.takeIdle();
+  bool Reused = Connection != nullptr;
+  if (!Connection)
+    Connection = std::make_shared<ClientConnection>(Self);
+  auto CallId = this->start(Connection, Reused, Call, std::move(Done));
   if (Connection->Event != nullptr) {
     auto Text = serialize(Call, Self.Server);
     bufferevent_write(Connection->Event, Text.data(), Text.size());
@@ -309,6 +331,17 @@
   return CallId;
 }
 
+void HttpClient::checkEnded(std::function<void(bool HasEnded)> Done) {
+  HttpCall Call;
+  Call.Timeout = EndCheckTimeout;
+  auto CallId =
+      this->start(std::make_shared<ClientConnection>(*this->Impl), false, Call,
+                  [Done = std::move(Done)](const HttpResponse &Response) {
+                    Done(Response.Outcome == HttpOutcome::NotConnected);
+                  });
+  this->Impl->Calls.at(CallId).IsConnectOnly = true;
+}
+
 void HttpClient::cancel(std::uint64_t CallId) {
   auto Found = this->Impl->Calls.find(CallId);
   if (Found == this->Impl->Calls.end())
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -68,6 +68,7 @@
   NodeId Node;                  ///< of the current attempt
   std::uint64_t Call = 0;       ///< of the current attempt; 0: none
   RetryPlan Plan{false, 1};
+  std::uint8_t TargetsEnded = 0; ///< while they ran the request
   /// Part of the repeat budget that the current attempt was taken out of; none
   /// if it is not a repeat.
   std::optional<RepeatBudget::RouteKind> RepeatKind;
@@ -76,13 +77,13 @@
 
 Forwarder::Forwarder(Options Config, HeaderNames Names, EventLoop &Loop,
                      Mesh &Peers, limpetdrum::LocalTarget &LocalTarget,
-                     RepeatBudget &Repeats, OverloadControl &Overload,
-                     const LeavePlan &Leaving, PolicyInForce Policy,
-                     EventLog &Log, Metrics &Counters)
+                     RepeatBudget &Repeats, const CrashHistory &Crashes,
+                     OverloadControl &Overload, const LeavePlan &Leaving,
+                     PolicyInForce Policy, EventLog &Log, Metrics &Counters)
     : Config(Config), Names(std::move(Names)), Loop(Loop), Peers(Peers),
-      LocalTarget(LocalTarget), Repeats(Repeats), Overload(Overload),
-      Leaving(Leaving), Policy(std::move(Policy)), Log(Log), Counters(Counters),
-      NodePlacement(Config.FailureDomain, Config.Seed),
+      LocalTarget(LocalTarget), Repeats(Repeats), Crashes(Crashes),
+      Overload(Overload), Leaving(Leaving), Policy(std::move(Policy)), Log(Log),
+      Counters(Counters), NodePlacement(Config.FailureDomain, Config.Seed),
       Random(Config.Seed + 1) {}
 
 void Forwarder::onPeerStatus(const NodeId &Node) {
@@ -243,6 +244,8 @@
     this->onDeadline(Request);
     return;
   }
+  if (this->endIfCrashing(Request))
+    return;
   auto Node = this->selectNode(Request);
   if (!Node) {
     this->applyStep(Request, Request->Plan.terminalStep(),
@@ -252,6 +255,20 @@
   this->sendTo(Request, *Node);
 }
 
+bool Forwarder::endIfCrashing(const RequestPtr &Request) {
+  if (this->Crashes.empty())
+    return false;
+  auto Fingerprint = fingerprint(Request->Message);
+  auto Time = this->Loop.now();
+  if (this->Crashes.verdict(Fingerprint, Time) !=
+      CrashHistory::Verdict::Crashing)
+    return false;
+  this->applyStep(Request, Request->Plan.terminalStep(),
+                  notRun(Reason::CrashesTargets,
+                         this->Crashes.retryAfter(Fingerprint, Time)));
+  return true;
+}
+
 void Forwarder::resendToSameNode(const RequestPtr &Request) {
   auto Candidates = this->candidates(Request->Service).best();
   Candidates.erase(std::remove_if(Candidates.begin(), Candidates.end(),
@@ -280,6 +297,7 @@
   Attempt.Rank = Request.Rank;
   Attempt.Cohort = Request.Cohort;
   Attempt.Route = Request.Route->Name;
+  Attempt.TargetsEnded = Request.TargetsEnded;
   return Attempt;
 }
 
@@ -429,6 +447,8 @@
 }
 
 void Forwarder::onUnknown(const RequestPtr &Request, Reason Cause) {
+  if (Cause == Reason::TargetEnded)
+    ++Request->TargetsEnded;
   auto Step = Request->Plan.onUnknown(Cause, this->retryContext(Request));
   this->applyStep(Request, Step, unknownOutcome(Cause, Milliseconds(0)));
 }
--- a/lib/daemon/IncomingLinks.cpp
+++ b/lib/daemon/IncomingLinks.cpp
@@ -106,6 +106,9 @@
   case mesh::Frame::POLICY:
     this->Callbacks.OnPolicy(std::string(Frame.getPolicy().cStr()));
     break;
+  case mesh::Frame::CRASHES:
+    this->Callbacks.OnCrashNews(codec::decode(Frame.getCrashes()));
+    break;
   default:
     this->Counters.count("mesh_frames_unexpected");
   }
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -27,6 +27,9 @@
 /// A cancelled run that ends within this time leaves its connection usable. It
 /// is a fifth of the time within which work for a disconnected client must end.
 constexpr Milliseconds CancelGrace{100};
+/// Requests that are reported of one crash. A target with more slots than this
+/// may have to be crashed more often until the cause is known.
+constexpr std::size_t MaxReportsPerCrash = 1024;
 
 /// Returns a number of requests per second.
 /// \throws ValueError unless \p Text is a decimal number from 0.
@@ -50,11 +53,11 @@
 } // namespace
 
 LocalTarget::LocalTarget(const Options &Config, HeaderNames Names,
-                         TargetPort &Port, EventLog &Log, Metrics &Counters,
-                         Clock Now)
-    : Config(Config), Names(std::move(Names)), Port(Port), Log(Log),
-      Counters(Counters), Now(std::move(Now)), Gate(Config.DrainAllowance),
-      Ledger(AttemptRetention),
+                         TargetPort &Port, CrashHistory &Crashes, EventLog &Log,
+                         Metrics &Counters, Clock Now)
+    : Config(Config), Names(std::move(Names)), Port(Port), Crashes(Crashes),
+      Log(Log), Counters(Counters), Now(std::move(Now)),
+      Gate(Config.DrainAllowance), Ledger(AttemptRetention),
       Queue(Slots(1), {true, ShortWait}, Config.Seed) {}
 
 void LocalTarget::setRecord(const TargetRecord &NewRecord,
@@ -199,18 +202,65 @@
     this->finish(Id, notRun(Reason::Draining, MinRetryAfter));
     return;
   }
+  if (this->mayRun(Id))
+    this->submit(Id);
+}
+
+void LocalTarget::submit(AttemptId Id) {
+  const auto &Waiting = this->Active.at(Id);
+  const auto &Attempt = Waiting.Attempt;
   Arrival Submission;
   Submission.Id = Id;
   Submission.Rank = Attempt.Rank;
   Submission.Cohort = Attempt.Cohort;
-  Submission.Deadline = NewEntry.Deadline;
+  Submission.Deadline = Waiting.Deadline;
   // The queue refuses requests that could not end by their deadline, so an
   // earlier deadline enforces the wait limit.
   if (Attempt.WaitLimit > Milliseconds(0))
     Submission.Deadline =
-        std::min(Submission.Deadline,
-                 Time + Attempt.WaitLimit + this->Queue.typicalLatency());
-  this->applyDecisions(this->Queue.submit(Submission, Time));
+        std::min(Submission.Deadline, Waiting.ArrivedAt + Attempt.WaitLimit +
+                                          this->Queue.typicalLatency());
+  this->applyDecisions(this->Queue.submit(Submission, this->Now()));
+}
+
+RequestFingerprint LocalTarget::fingerprintOf(Entry &Value) {
+  if (!Value.Fingerprint)
+    Value.Fingerprint = fingerprint(Value.Attempt.Request);
+  return *Value.Fingerprint;
+}
+
+CrashHistory::Verdict LocalTarget::verdict(Entry &Value) const {
+  auto Known = this->Crashes.empty()
+                   ? CrashHistory::Verdict::None
+                   : this->Crashes.verdict(fingerprintOf(Value), this->Now());
+  // The caller may know of crashes that were not reported here yet.
+  if (Known == CrashHistory::Verdict::None &&
+      Value.Attempt.TargetsEnded >= SuspectCrashes)
+    return CrashHistory::Verdict::Suspect;
+  return Known;
+}
+
+bool LocalTarget::mayRun(AttemptId Id) {
+  auto &Value = this->Active.at(Id);
+  switch (this->verdict(Value)) {
+  case CrashHistory::Verdict::None:
+    return true;
+  case CrashHistory::Verdict::Suspect:
+    return this->Trials.begin(Id);
+  case CrashHistory::Verdict::Crashing:
+    break;
+  }
+  this->finish(
+      Id, notRun(Reason::CrashesTargets,
+                 this->Crashes.retryAfter(fingerprintOf(Value), this->Now())));
+  return false;
+}
+
+void LocalTarget::refuseWaiting(
+    const std::function<bool(const Entry &)> &Condition, Reason Cause) {
+  for (const auto &Id : std::vector(this->Trials.waiting()))
+    if (Condition(this->Active.at(Id)))
+      this->finish(Id, notRun(Cause, this->retryAfter()));
 }
 
 void LocalTarget::applyDecisions(const AdmissionDecisions &Decisions) {
@@ -253,6 +303,11 @@
     this->applyDecisions(Decisions);
     return;
   }
+  // The attempt may have become suspected while it was queued.
+  if (!this->mayRun(Id)) {
+    this->applyDecisions(this->Queue.complete(Id, Completion::Abandoned, Time));
+    return;
+  }
   this->RunningByRequestId[Entry.Attempt.RequestId] = Id;
   this->Ledger.dispatch(Id);
   this->Counters.count("target_requests");
@@ -356,12 +411,78 @@
   auto Found = this->Active.find(Id);
   if (Found == this->Active.end())
     return;
-  auto Time = this->Now();
-  if (Found->second.Attempt.TargetId == this->Record.Id)
+  bool IsCurrentTarget = Found->second.Attempt.TargetId == this->Record.Id;
+  if (Answer.Outcome == HttpOutcome::Broken && IsCurrentTarget &&
+      this->Record.State == TargetState::Ready) {
+    this->BrokenRuns.push_back(Id);
+    if (this->BrokenRuns.size() == 1)
+      this->Port.checkEnded(
+          [this](bool HasEnded) { this->endBrokenRuns(HasEnded); });
+    return;
+  }
+  if (IsCurrentTarget)
     this->readNotices(Answer);
   auto Value = this->toReply(Answer);
   if (Found->second.CallFailed && Value.Status >= 500)
     Value.Reason = Reason::CallFailed;
+  if (Value.Outcome == Outcome::Answered && Value.Status < 500)
+    this->reportSound(Found->second);
+  this->endRun(Id, std::move(Value));
+}
+
+void LocalTarget::endBrokenRuns(bool HasEnded) {
+  auto Runs = std::exchange(this->BrokenRuns, {});
+  if (HasEnded)
+    this->reportCrash(Runs);
+  auto Cause = HasEnded ? Reason::TargetEnded : Reason::TargetFailed;
+  for (const auto &Id : Runs)
+    if (this->Active.count(Id) != 0)
+      this->endRun(Id, unknownOutcome(Cause, MinRetryAfter));
+}
+
+void LocalTarget::reportCrash(const std::vector<AttemptId> &Runs) {
+  auto Trial = this->Trials.running();
+  bool IsProof =
+      Trial && std::find(Runs.begin(), Runs.end(), *Trial) != Runs.end();
+  CrashNews News;
+  for (const auto &Id : Runs) {
+    auto Found = this->Active.find(Id);
+    // A proof clears the requests that ran beside the trial.
+    if (Found == this->Active.end() || (IsProof && !(Id == *Trial)) ||
+        News.Reports.size() >= MaxReportsPerCrash)
+      continue;
+    const auto &Attempt = Found->second.Attempt;
+    News.Reports.push_back(
+        {fingerprintOf(Found->second),
+         stableHash(Attempt.TargetId,
+                    static_cast<std::uint64_t>(Attempt.TargetStarted)),
+         IsProof, Milliseconds(0)});
+  }
+  this->Counters.count("targets_ended");
+  this->Log.state("target_ended",
+                  {{"target", this->Record.Id},
+                   {"runs", Runs.size()},
+                   {"proven", IsProof ? toString(News.Reports.front().Request)
+                                      : std::string()}});
+  auto Fresh = this->Crashes.merge(News, this->Now());
+  if (!Fresh.empty() && this->OnCrashNews)
+    this->OnCrashNews(Fresh);
+}
+
+void LocalTarget::reportSound(Entry &Run) {
+  if (this->verdict(Run) == CrashHistory::Verdict::None)
+    return;
+  CrashNews News;
+  News.Sound.push_back(fingerprintOf(Run));
+  this->Log.request("suspect_answered",
+                    {{"id", Run.Attempt.RequestId},
+                     {"request", toString(fingerprintOf(Run))}});
+  auto Fresh = this->Crashes.merge(News, this->Now());
+  if (!Fresh.empty() && this->OnCrashNews)
+    this->OnCrashNews(Fresh);
+}
+
+void LocalTarget::endRun(AttemptId Id, Reply Value) {
   auto Result = Completion::Served;
   // A refusal does not count towards the concurrency limit either: the target
   // never gets more requests than it has slots, so it refuses for other
@@ -376,7 +497,7 @@
     Outdated.State = TargetState::Starting;
     this->setRecord(Outdated, Milliseconds(0));
   }
-  auto Decisions = this->Queue.complete(Id, Result, Time);
+  auto Decisions = this->Queue.complete(Id, Result, this->Now());
   this->finish(Id, std::move(Value));
   this->applyDecisions(Decisions);
 }
@@ -417,6 +538,9 @@
   this->Ledger.finish(Id, SharedReply, Time);
   for (const auto &OnReply : Finished.ReplyCallbacks)
     OnReply(*SharedReply);
+  while (auto Next = this->Trials.end(Id))
+    if (this->mayRun(*Next))
+      this->submit(*Next);
 }
 
 void LocalTarget::cancel(Incarnation Caller, std::uint64_t Call) {
@@ -483,11 +607,20 @@
                                         {"running", this->Queue.running()},
                                         {"queued", this->Queue.queued()}});
   this->applyDecisions(this->Queue.refuseQueued(Reason::Draining));
+  this->refuseWaiting([](const Entry &) { return true; }, Reason::Draining);
 }
 
 void LocalTarget::tick() {
   this->endCancelledRuns();
   this->refuseQueuedIfGateClosed();
+  auto Time = this->Now();
+  this->refuseWaiting(
+      [Time](const Entry &Waiting) {
+        const auto &Limit = Waiting.Attempt.WaitLimit;
+        return Waiting.Deadline <= Time ||
+               (Limit > Milliseconds(0) && Waiting.ArrivedAt + Limit <= Time);
+      },
+      Reason::DeadlineTooNear);
   this->Ledger.sweep(this->Now());
   this->applyDecisions(this->Queue.tick(MaxRanks, this->Now()));
 }
--- a/lib/daemon/Mesh.cpp
+++ b/lib/daemon/Mesh.cpp
@@ -67,7 +67,8 @@
                         },
                         this->Callbacks.OnAttempt, this->Callbacks.OnCancel,
                         this->Callbacks.OnAcknowledged, this->Callbacks.OnUsage,
-                        this->Callbacks.OnPolicy, this->Callbacks.LocalStatus,
+                        this->Callbacks.OnPolicy, this->Callbacks.OnCrashNews,
+                        this->Callbacks.LocalStatus,
                         this->Callbacks.PolicyText},
                        Listen);
   this->Ticker = this->Loop.every(TickPeriod, [this]() { this->tick(); });
@@ -162,6 +163,8 @@
   if (Found != this->Peers.end() && Found->second.Status)
     Hello.ReceiverTarget = Found->second.Status->Target;
   Link.send(codec::encodeHello(Hello));
+  if (auto Known = this->Callbacks.KnownCrashes(); !Known.empty())
+    Link.send(codec::encodeCrashNews(Known));
 }
 
 void Mesh::onConnected(const NodeId &Node, bool AsSpare) {
@@ -257,6 +260,9 @@
         Outgoing.Link->send(codec::encodePolicy(this->Callbacks.PolicyText()));
       break;
     }
+    case mesh::Frame::CRASHES:
+      this->Callbacks.OnCrashNews(codec::decode(Frame.getCrashes()));
+      break;
     default:
       this->Counters.count("mesh_frames_unexpected");
     }
@@ -417,17 +423,33 @@
   this->Incoming.sendToAll(codec::encodeLoad(this->Callbacks.LocalStatus()));
 }
 
-void Mesh::sendUsage(const NodeId &Node, const MeshUsage &Value) {
+void Mesh::sendTo(const NodeId &Node, const std::string &Frame) {
   auto Found = this->OutgoingLinks.find(Node);
   if (Found != this->OutgoingLinks.end() && Found->second->IsUp &&
       Found->second->Link)
-    Found->second->Link->send(codec::encodeUsage(Value));
+    Found->second->Link->send(Frame);
+}
+
+void Mesh::sendUsage(const NodeId &Node, const MeshUsage &Value) {
+  this->sendTo(Node, codec::encodeUsage(Value));
 }
 
 void Mesh::sendUsage(const FailureDomain &Domain, const MeshUsage &Value) {
   this->Incoming.sendToDomain(Domain, codec::encodeUsage(Value));
 }
 
+void Mesh::sendCrashNews(const NodeId &Node, const CrashNews &Value) {
+  this->sendTo(Node, codec::encodeCrashNews(Value));
+}
+
+void Mesh::sendCrashNews(const FailureDomain &Domain, const CrashNews &Value) {
+  this->Incoming.sendToDomain(Domain, codec::encodeCrashNews(Value));
+}
+
+void Mesh::sendCrashNews(const CrashNews &Value) {
+  this->Incoming.sendToAll(codec::encodeCrashNews(Value));
+}
+
 void Mesh::tick() {
   auto Now = this->Loop.now();
   // Loads may be sent more often than this, but do not postpone the status.
--- a/lib/daemon/MeshCodec.cpp
+++ b/lib/daemon/MeshCodec.cpp
@@ -150,6 +150,7 @@
   Builder.setRank(Value.Rank.value());
   Builder.setCohort(Value.Cohort);
   Builder.setRoute(Value.Route);
+  Builder.setTargetsEnded(Value.TargetsEnded);
   writeCalls(
       Builder.initAcknowledged(static_cast<unsigned>(Acknowledged.size())),
       Acknowledged);
@@ -204,6 +205,24 @@
   return encodeFrame(Message);
 }
 
+std::string encodeCrashNews(const CrashNews &Value) {
+  capnp::MallocMessageBuilder Message;
+  auto Builder = Message.initRoot<mesh::Frame>().initCrashes();
+  auto Reports =
+      Builder.initReports(static_cast<unsigned>(Value.Reports.size()));
+  for (unsigned I = 0; I < Reports.size(); ++I) {
+    const auto &Report = Value.Reports[I];
+    Reports[I].setRequest(Report.Request.value());
+    Reports[I].setTarget(Report.Target);
+    Reports[I].setAlone(Report.Alone);
+    Reports[I].setAgeMillis(static_cast<std::uint32_t>(Report.Age.count()));
+  }
+  auto Sound = Builder.initSound(static_cast<unsigned>(Value.Sound.size()));
+  for (unsigned I = 0; I < Sound.size(); ++I)
+    Sound.set(I, Value.Sound[I].value());
+  return encodeFrame(Message);
+}
+
 std::string encodeCancel(std::uint64_t Call) {
   capnp::MallocMessageBuilder Message;
   Message.initRoot<mesh::Frame>().setCancel(Call);
@@ -293,6 +312,18 @@
   Value.Rank = ClassRank(Reader.getRank());
   Value.Cohort = Reader.getCohort();
   Value.Route = text(Reader.getRoute());
+  Value.TargetsEnded = Reader.getTargetsEnded();
+  return Value;
+}
+
+CrashNews decode(mesh::Crashes::Reader Reader) {
+  CrashNews Value;
+  for (auto Entry : Reader.getReports())
+    Value.Reports.push_back({RequestFingerprint(Entry.getRequest()),
+                             Entry.getTarget(), Entry.getAlone(),
+                             Milliseconds(Entry.getAgeMillis())});
+  for (auto Request : Reader.getSound())
+    Value.Sound.emplace_back(Request);
   return Value;
 }
 
--- a/lib/daemon/NodeState.h
+++ b/lib/daemon/NodeState.h
@@ -28,6 +28,9 @@
     return this->Client->send(Call, std::move(Done));
   }
   void cancel(std::uint64_t Ticket) override { this->Client->cancel(Ticket); }
+  void checkEnded(std::function<void(bool HasEnded)> Done) override {
+    this->Client->checkEnded(std::move(Done));
+  }
 
 private:
   EventLoop &Loop;
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -29,6 +29,7 @@
 /// then it is connected to those that run.
 constexpr Milliseconds WarmUpLimit{1500};
 constexpr Milliseconds StatusCheckTimeout{500};
+constexpr std::chrono::seconds CrashSweepPeriod{10};
 
 std::int64_t unixMillis() {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -52,6 +53,9 @@
     return this->Client.send(Call, std::move(Done));
   }
   void cancel(std::uint64_t Ticket) override { this->Client.cancel(Ticket); }
+  void checkEnded(std::function<void(bool HasEnded)> Done) override {
+    this->Client.checkEnded(std::move(Done));
+  }
 
 private:
   HttpClient Client;
@@ -78,6 +82,7 @@
   std::uint64_t Seed;
   TimePoint Started;
   HttpTarget TargetClient;
+  CrashHistory Crashes;
   limpetdrum::LocalTarget LocalTarget;
   FleetView Fleet;
   Mesh Peers;
@@ -108,8 +113,8 @@
         TargetClient(Loop, Settings.Target, targetOptions(Adapter.headers())),
         LocalTarget({Settings.DrainTimeout / 2, this->Seed, unixMillis,
                      Settings.Service},
-                    Adapter.headers(), this->TargetClient, Log, Counters,
-                    [&Loop]() { return Loop.now(); }),
+                    Adapter.headers(), this->TargetClient, this->Crashes, Log,
+                    Counters, [&Loop]() { return Loop.now(); }),
         Fleet(Loop, Store, this->member(), Log, Counters, this->Seed + 2),
         Peers(Loop, this->contact(), this->Incarnation, Log, Counters),
         Links(this->Fleet.members(), this->Peers, Loop),
@@ -128,7 +133,7 @@
                return this->Links.findUnlinked(Service, Excluded);
              }},
             Adapter.headers(), Loop, this->Peers, this->LocalTarget,
-            this->Repeats, this->Overload, this->Leaving,
+            this->Repeats, this->Crashes, this->Overload, this->Leaving,
             [this]() { return this->Policies.current(); }, Log, Counters) {}
 
   [[nodiscard]] Contact contact() const {
@@ -163,6 +168,10 @@
   /// Updates the links and the duties of this node.
   void updateRole();
   void onTargetChange();
+  /// Tells the fleet what the local target adds to the history of crashes.
+  void announceCrashNews(const CrashNews &News);
+  /// Handles what another node tells; duty holders pass on what is new.
+  void onCrashNews(const CrashNews &News);
   void shareUsage();
   void onUsage(MeshUsage Report);
   void updateGate();
@@ -240,6 +249,12 @@
   Handlers.PolicyText = [this]() {
     return this->Policies.current() ? this->Policies.current()->text() : "";
   };
+  Handlers.OnCrashNews = [this](const CrashNews &News) {
+    this->onCrashNews(News);
+  };
+  Handlers.KnownCrashes = [this]() {
+    return this->Crashes.known(this->Loop.now());
+  };
   Handlers.OnUsage = [this](MeshUsage Report) {
     this->onUsage(std::move(Report));
   };
@@ -248,6 +263,8 @@
 
 void Sidecar::State::start() {
   this->LocalTarget.setOnChange([this]() { this->onTargetChange(); });
+  this->LocalTarget.setOnCrashNews(
+      [this](const CrashNews &News) { this->announceCrashNews(News); });
   this->LocalTarget.setOnRun([this](const std::string &Route, RunEvent Event) {
     auto &Learner = this->Overload.learner();
     if (Event == RunEvent::Started)
@@ -278,6 +295,8 @@
       this->Loop.every(UsagePeriod, [this]() { this->shareUsage(); }));
   this->Timers.push_back(
       this->Loop.every(GateUpdatePeriod, [this]() { this->updateGate(); }));
+  this->Timers.push_back(this->Loop.every(
+      CrashSweepPeriod, [this]() { this->Crashes.sweep(this->Loop.now()); }));
   this->Timers.push_back(
       this->Loop.every(GateLogPeriod, [this]() { this->logGate(); }));
   this->Timers.push_back(this->Loop.every(LogFlushPeriod, [this]() {
@@ -321,6 +340,31 @@
   this->Fleet.announce(IsLeaving ? TargetState::Draining : TargetState::Ready);
 }
 
+void Sidecar::State::announceCrashNews(const CrashNews &News) {
+  this->Peers.sendCrashNews(News);
+  for (const auto &Holder :
+       this->Links.dutyHolders(this->Settings.FailureDomain))
+    this->Peers.sendCrashNews(Holder, News);
+}
+
+void Sidecar::State::onCrashNews(const CrashNews &News) {
+  auto Fresh = this->Crashes.merge(News, this->Loop.now());
+  if (Fresh.empty())
+    return;
+  this->Counters.count("crash_news");
+  for (const auto &Report : Fresh.Reports)
+    if (Report.Alone)
+      this->Log.state("request_crashes_targets",
+                      {{"request", toString(Report.Request)},
+                       {"age_ms", Report.Age.count()}});
+  if (!this->Links.holdsDuties())
+    return;
+  this->Peers.sendCrashNews(this->Settings.FailureDomain, Fresh);
+  for (const auto &Other : this->Links.otherDomains())
+    for (const auto &Holder : this->Links.dutyHolders(Other))
+      this->Peers.sendCrashNews(Holder, Fresh);
+}
+
 void Sidecar::State::shareUsage() {
   auto Now = this->Loop.now();
   const auto &Domain = this->Settings.FailureDomain;
--- /dev/null
+++ b/lib/request/CrashHistory.cpp
@@ -0,0 +1,137 @@
+#include "limpetdrum/request/CrashHistory.h"
+
+#include <algorithm>
+
+namespace limpetdrum {
+
+namespace {
+
+/// Time for which a proven request is refused. Afterwards it is a suspect, so
+/// that a request that still crashes targets costs one of them in this time.
+constexpr std::chrono::minutes RefusalPeriod{10};
+constexpr std::chrono::minutes Retention{20};
+/// Time after a suspect was answered in which reports about it are ignored:
+/// they were made before.
+constexpr std::chrono::seconds SoundPeriod{5};
+constexpr std::size_t MaxEntries = 4096;
+/// Targets remembered of one request: enough to compare with SuspectCrashes.
+constexpr std::size_t MaxTargets = 4;
+
+} // namespace
+
+CrashHistory::Verdict CrashHistory::verdictOf(const Entry &Found,
+                                              TimePoint Now) const {
+  if (Found.IsSound || Now - Found.LastAt >= Retention)
+    return Verdict::None;
+  if (Found.Alone && Now - Found.LastAt < RefusalPeriod)
+    return Verdict::Crashing;
+  return Found.Alone || Found.Targets.size() >= SuspectCrashes
+             ? Verdict::Suspect
+             : Verdict::None;
+}
+
+CrashHistory::Verdict CrashHistory::verdict(RequestFingerprint Request,
+                                            TimePoint Now) const {
+  auto Found = this->Entries.find(Request);
+  return Found == this->Entries.end() ? Verdict::None
+                                      : this->verdictOf(Found->second, Now);
+}
+
+Milliseconds CrashHistory::retryAfter(RequestFingerprint Request,
+                                      TimePoint Now) const {
+  auto Found = this->Entries.find(Request);
+  if (Found == this->Entries.end())
+    return Milliseconds(0);
+  auto Left = Found->second.LastAt + RefusalPeriod - Now;
+  return std::max(Milliseconds(0),
+                  std::chrono::duration_cast<Milliseconds>(Left));
+}
+
+bool CrashHistory::add(const CrashReport &Report, TimePoint Now) {
+  auto At = Now - Report.Age;
+  if (Report.Age >= Retention)
+    return false;
+  auto Found = this->Entries.find(Report.Request);
+  if (Found == this->Entries.end()) {
+    if (this->Entries.size() >= MaxEntries)
+      this->evictWeakest();
+    Found = this->Entries.try_emplace(Report.Request).first;
+  }
+  auto &Known = Found->second;
+  if (Known.IsSound) {
+    if (At - Known.LastAt < SoundPeriod)
+      return false;
+    Known = Entry();
+  }
+  auto IsKnownTarget = std::find(Known.Targets.begin(), Known.Targets.end(),
+                                 Report.Target) != Known.Targets.end();
+  bool IsProof = Report.Alone && !Known.Alone;
+  if (IsKnownTarget && !IsProof)
+    return false;
+  // Evidence of an earlier period does not count any more.
+  if (Now - Known.LastAt >= Retention)
+    Known = Entry();
+  if (!IsKnownTarget) {
+    if (Known.Targets.size() >= MaxTargets)
+      Known.Targets.erase(Known.Targets.begin());
+    Known.Targets.push_back(Report.Target);
+  }
+  Known.Alone = Known.Alone || Report.Alone;
+  Known.LastAt = std::max(Known.LastAt, At);
+  return true;
+}
+
+bool CrashHistory::markSound(RequestFingerprint Request, TimePoint Now) {
+  auto Found = this->Entries.find(Request);
+  if (Found == this->Entries.end() || Found->second.IsSound)
+    return false;
+  Found->second = Entry();
+  Found->second.IsSound = true;
+  Found->second.LastAt = Now;
+  return true;
+}
+
+void CrashHistory::evictWeakest() {
+  auto IsWeaker = [](const auto &A, const auto &B) {
+    auto Key = [](const Entry &E) {
+      return std::make_tuple(E.Alone, E.Targets.size(), E.LastAt);
+    };
+    return Key(A.second) < Key(B.second);
+  };
+  this->Entries.erase(
+      std::min_element(this->Entries.begin(), this->Entries.end(), IsWeaker));
+}
+
+CrashNews CrashHistory::merge(const CrashNews &News, TimePoint Now) {
+  CrashNews Fresh;
+  for (const auto &Report : News.Reports)
+    if (this->add(Report, Now))
+      Fresh.Reports.push_back(Report);
+  for (auto Request : News.Sound)
+    if (this->markSound(Request, Now))
+      Fresh.Sound.push_back(Request);
+  return Fresh;
+}
+
+CrashNews CrashHistory::known(TimePoint Now) const {
+  CrashNews Result;
+  for (const auto &[Request, Known] : this->Entries) {
+    if (this->verdictOf(Known, Now) == Verdict::None)
+      continue;
+    auto Age = std::chrono::duration_cast<Milliseconds>(Now - Known.LastAt);
+    for (auto Target : Known.Targets)
+      Result.Reports.push_back({Request, Target, Known.Alone, Age});
+  }
+  return Result;
+}
+
+void CrashHistory::sweep(TimePoint Now) {
+  for (auto It = this->Entries.begin(); It != this->Entries.end();) {
+    auto Age = Now - It->second.LastAt;
+    bool HasExpired =
+        Age >= Retention || (It->second.IsSound && Age >= SoundPeriod);
+    It = HasExpired ? this->Entries.erase(It) : std::next(It);
+  }
+}
+
+} // namespace limpetdrum
--- a/lib/request/Reply.cpp
+++ b/lib/request/Reply.cpp
@@ -10,7 +10,8 @@
     "none",          "overload",          "level-at-entry", "displaced",
     "deadline",      "cancelled",         "no-target",      "draining",
     "retries-spent", "target-broke",      "node-gone",      "timed-out",
-    "wrong-target",  "refused-by-target", "call-failed",    "request-rate"};
+    "wrong-target",  "refused-by-target", "call-failed",    "request-rate",
+    "target-ended",  "crashes-targets"};
 
 constexpr std::array<const char *, 3> OutcomeNames = {"answered", "not-run",
                                                       "unknown"};
--- a/lib/request/RetryPlan.cpp
+++ b/lib/request/RetryPlan.cpp
@@ -35,7 +35,7 @@
 }
 
 RetryPlan::Step RetryPlan::onNotRun(Reason Cause, const Context &Ctx) const {
-  if (!this->hasAttemptLeft(Ctx))
+  if (!this->hasAttemptLeft(Ctx) || Cause == Reason::CrashesTargets)
     return this->terminalStep();
   if (!RetryPlan::reachedTarget(Cause)) {
     bool IsWorthRetrying =
--- a/lib/rpc/Mesh.capnp
+++ b/lib/rpc/Mesh.capnp
@@ -54,6 +54,7 @@
   acknowledged @12 :List(UInt64); # calls whose replies need not be kept
   route @13 :Text;
   waitLimit @14 :UInt32;   # longest time in the queue, milliseconds
+  targetsEnded @15 :UInt8; # targets that ended while they ran the request
 }
 
 struct Reply {
@@ -105,6 +106,18 @@
   yourTarget @1 :Target;   # last known target of the receiving node
 }
 
+struct Crash {             # a target that ended while it ran a request
+  request @0 :UInt64;      # fingerprint of the request
+  target @1 :UInt64;       # hash that identifies the target's process
+  alone @2 :Bool;          # the request was the only suspect there
+  ageMillis @3 :UInt32;    # time since the target ended
+}
+
+struct Crashes {
+  reports @0 :List(Crash);
+  sound @1 :List(UInt64);  # suspected requests that were answered
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -118,5 +131,6 @@
     load @8 :Load;
     ask @9 :Void;          # requests an immediate Load message
     askPolicy @10 :Void;   # requests the text of the policy in force
+    crashes @11 :Crashes;
   }
 }
--- a/lib/rpc/Mesh.capnp.h
+++ b/lib/rpc/Mesh.capnp.h
@@ -27,6 +27,8 @@
 CAPNP_DECLARE_SCHEMA(857ead72a9212591);
 CAPNP_DECLARE_SCHEMA(9396cedb4177a953);
 CAPNP_DECLARE_SCHEMA(bd2d1ae1e954a18c);
+CAPNP_DECLARE_SCHEMA(d39b9f6b20fdc1f0);
+CAPNP_DECLARE_SCHEMA(a3209e220744ece8);
 CAPNP_DECLARE_SCHEMA(f1944e7361dc9b30);
 
 }  // namespace schemas
@@ -200,6 +202,36 @@
   };
 };
 
+struct Crash {
+  Crash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d39b9f6b20fdc1f0, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Crashes {
+  Crashes() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3209e220744ece8, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Frame {
   Frame() = delete;
 
@@ -218,6 +250,7 @@
     LOAD,
     ASK,
     ASK_POLICY,
+    CRASHES,
   };
 
   struct _capnpPrivate {
@@ -737,6 +770,8 @@
 
   inline  ::uint32_t getWaitLimit() const;
 
+  inline  ::uint8_t getTargetsEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -847,6 +882,9 @@
   inline  ::uint32_t getWaitLimit();
   inline void setWaitLimit( ::uint32_t value);
 
+  inline  ::uint8_t getTargetsEnded();
+  inline void setTargetsEnded( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1511,6 +1549,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class Crash::Reader {
+public:
+  typedef Crash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getTarget() const;
+
+  inline bool getAlone() const;
+
+  inline  ::uint32_t getAgeMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Crash::Builder {
+public:
+  typedef Crash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getTarget();
+  inline void setTarget( ::uint64_t value);
+
+  inline bool getAlone();
+  inline void setAlone(bool value);
+
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Crash::Pipeline {
+public:
+  typedef Crash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Crashes::Reader {
+public:
+  typedef Crashes Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReports() const;
+  inline  ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+
+  inline bool hasSound() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSound() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Crashes::Builder {
+public:
+  typedef Crashes Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReports();
+  inline  ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>::Builder getReports();
+  inline void setReports( ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
+  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>> disownReports();
+
+  inline bool hasSound();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSound();
+  inline void setSound( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSound(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSound(unsigned int size);
+  inline void adoptSound(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSound();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Crashes::Pipeline {
+public:
+  typedef Crashes Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Frame::Reader {
 public:
   typedef Frame Reads;
@@ -1570,6 +1791,10 @@
   inline bool isAskPolicy() const;
   inline  ::capnp::Void getAskPolicy() const;
 
+  inline bool isCrashes() const;
+  inline bool hasCrashes() const;
+  inline  ::limpetdrum::mesh::Crashes::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1676,6 +1901,14 @@
   inline  ::capnp::Void getAskPolicy();
   inline void setAskPolicy( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isCrashes();
+  inline bool hasCrashes();
+  inline  ::limpetdrum::mesh::Crashes::Builder getCrashes();
+  inline void setCrashes( ::limpetdrum::mesh::Crashes::Reader value);
+  inline  ::limpetdrum::mesh::Crashes::Builder initCrashes();
+  inline void adoptCrashes(::capnp::Orphan< ::limpetdrum::mesh::Crashes>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::mesh::Crashes> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2618,6 +2851,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Attempt::Reader::getTargetsEnded() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Attempt::Builder::getTargetsEnded() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Attempt::Builder::setTargetsEnded( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Reply::Reader::getCall() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3282,6 +3529,134 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Crash::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Crash::Reader::getTarget() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getTarget() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setTarget( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Crash::Reader::getAlone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Crash::Builder::getAlone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setAlone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Crashes::Reader::hasReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Crashes::Builder::hasReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>::Reader Crashes::Reader::getReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>::Builder Crashes::Builder::getReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Crashes::Builder::setReports( ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>::Builder Crashes::Builder::initReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Crashes::Builder::adoptReports(
+    ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>> Crashes::Builder::disownReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Crashes::Reader::hasSound() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Crashes::Builder::hasSound() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Crashes::Reader::getSound() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crashes::Builder::getSound() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Crashes::Builder::setSound( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Crashes::Builder::setSound(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crashes::Builder::initSound(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Crashes::Builder::adoptSound(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Crashes::Builder::disownSound() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::limpetdrum::mesh::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3807,6 +4182,60 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Frame::Reader::isCrashes() const {
+  return which() == Frame::CRASHES;
+}
+inline bool Frame::Builder::isCrashes() {
+  return which() == Frame::CRASHES;
+}
+inline bool Frame::Reader::hasCrashes() const {
+  if (which() != Frame::CRASHES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasCrashes() {
+  if (which() != Frame::CRASHES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::limpetdrum::mesh::Crashes::Reader Frame::Reader::getCrashes() const {
+  KJ_IREQUIRE((which() == Frame::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Crashes>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::limpetdrum::mesh::Crashes::Builder Frame::Builder::getCrashes() {
+  KJ_IREQUIRE((which() == Frame::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Crashes>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setCrashes( ::limpetdrum::mesh::Crashes::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASHES);
+  ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Crashes>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::limpetdrum::mesh::Crashes::Builder Frame::Builder::initCrashes() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASHES);
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Crashes>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptCrashes(
+    ::capnp::Orphan< ::limpetdrum::mesh::Crashes>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASHES);
+  ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Crashes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::limpetdrum::mesh::Crashes> Frame::Builder::disownCrashes() {
+  KJ_IREQUIRE((which() == Frame::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Crashes>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/unittests/CrashTrialsTest.cpp
@@ -0,0 +1,153 @@
+#include "LocalTargetFixture.h"
+
+using namespace limpetdrum;
+using namespace limpetdrum::test;
+
+namespace {
+
+/// A target that ends and starts again, and requests named by their paths.
+struct CrashFixture : LocalTargetFixture {
+  std::uint64_t LastCall = 0;
+  std::uint64_t Targets = 0;
+
+  CrashFixture() { this->startTarget(); }
+
+  void startTarget() {
+    ++this->Targets;
+    REQUIRE(this->Target.onReport(
+        report(this->id(), static_cast<std::int64_t>(100 * this->Targets), 1)));
+  }
+  [[nodiscard]] std::string id() const {
+    return "t" + std::to_string(this->Targets);
+  }
+  /// \returns the index of the request at the target, if it was sent there.
+  std::optional<std::size_t> run(const std::string &Path,
+                                 Milliseconds TimeLeft = Milliseconds(1000)) {
+    auto Sent = this->SentCallbacks.size();
+    this->execute(++this->LastCall, this->id(), TimeLeft, Path);
+    return this->SentCallbacks.size() > Sent ? std::optional(Sent)
+                                             : std::nullopt;
+  }
+  void breakConnections(const std::vector<std::size_t> &Indices,
+                        bool HasEnded) {
+    HttpResponse Broken;
+    Broken.Outcome = HttpOutcome::Broken;
+    for (auto Index : Indices)
+      this->SentCallbacks.at(Index)(Broken);
+    this->finishEndChecks(HasEnded);
+  }
+  /// Lets the target end while it runs requests.
+  void crash(const std::vector<std::string> &Paths) {
+    std::vector<std::size_t> Indices;
+    for (const auto &Path : Paths)
+      Indices.push_back(*this->run(Path));
+    this->breakConnections(Indices, true);
+    this->startTarget();
+  }
+};
+
+} // namespace
+
+TEST_CASE("LocalTarget keeps a request that crashes targets from the fourth") {
+  CrashFixture Fixture;
+  for (int Crash = 0; Crash < 3; ++Crash)
+    Fixture.crash({"/crash", "/beside/" + std::to_string(Crash)});
+  CHECK_FALSE(Fixture.run("/crash"));
+  CHECK(Fixture.Replies.back().Outcome == Outcome::NotRun);
+  CHECK(Fixture.Replies.back().Reason == Reason::CrashesTargets);
+  CHECK(Fixture.Replies.back().RetryAfter > std::chrono::minutes(9));
+  // What ran beside it is served.
+  for (int Crash = 0; Crash < 3; ++Crash)
+    CHECK(Fixture.run("/beside/" + std::to_string(Crash)));
+}
+
+TEST_CASE("LocalTarget serves the requests that ran beside every crash") {
+  CrashFixture Fixture;
+  for (int Crash = 0; Crash < 2; ++Crash)
+    Fixture.crash({"/crash", "/sound/1", "/sound/2"});
+  // All three are suspected, and run one at a time, beside others.
+  auto First = Fixture.run("/sound/1");
+  REQUIRE(First);
+  CHECK_FALSE(Fixture.run("/crash"));
+  CHECK_FALSE(Fixture.run("/sound/2"));
+  CHECK(Fixture.run("/other"));
+  Fixture.SentCallbacks[*First](LocalTargetFixture::answer(200));
+  CHECK(Fixture.Replies.back().Outcome == Outcome::Answered);
+  CHECK(Fixture.News.back().Sound.size() == 1);
+  // The answered one is cleared; now the culprit runs, and is proven.
+  CHECK(Fixture.run("/sound/1"));
+  REQUIRE(Fixture.SentCalls.size() == 10);
+  CHECK(Fixture.SentCalls[8].Path == "/crash");
+  Fixture.breakConnections({7, 8, 9}, true);
+  REQUIRE(Fixture.News.back().Reports.size() == 1);
+  CHECK(Fixture.News.back().Reports[0].Alone);
+  // The next was sent to the ended target.
+  REQUIRE(Fixture.SentCalls.size() == 11);
+  HttpResponse Refused;
+  Refused.Outcome = HttpOutcome::NotConnected;
+  Fixture.SentCallbacks[10](Refused);
+  CHECK(Fixture.Replies.back().Outcome == Outcome::NotRun);
+  Fixture.startTarget();
+  CHECK_FALSE(Fixture.run("/crash"));
+  auto Second = Fixture.run("/sound/2");
+  REQUIRE(Second);
+  Fixture.SentCallbacks[*Second](LocalTargetFixture::answer(200));
+  CHECK(Fixture.Replies.back().Outcome == Outcome::Answered);
+}
+
+TEST_CASE("LocalTarget holds nothing against requests whose connections broke "
+          "at a target that goes on") {
+  CrashFixture Fixture;
+  for (int I = 0; I < 5; ++I) {
+    Fixture.breakConnections({*Fixture.run("/lost")}, false);
+    CHECK(Fixture.Replies.back().Outcome == Outcome::Unknown);
+    CHECK(Fixture.Replies.back().Reason == Reason::TargetFailed);
+    Fixture.startTarget();
+  }
+  CHECK(Fixture.News.empty());
+  CHECK(Fixture.run("/lost"));
+}
+
+TEST_CASE("LocalTarget puts a request on trial that has crashed targets of "
+          "which only its caller knows") {
+  CrashFixture Fixture;
+  MeshAttempt Attempt;
+  Attempt.TargetId = Fixture.id();
+  Attempt.TimeLeft = Milliseconds(1000);
+  Attempt.TargetsEnded = 2;
+  for (std::uint64_t Call : {101, 102}) {
+    Attempt.Call = Call;
+    Fixture.Target.execute(Incarnation(7), Attempt, [](const Reply &) {});
+  }
+  REQUIRE(Fixture.SentCallbacks.size() == 1);
+  Fixture.breakConnections({0}, true);
+  REQUIRE(Fixture.News.size() == 1);
+  CHECK(Fixture.News[0].Reports.at(0).Alone);
+}
+
+TEST_CASE("LocalTarget ends what waits for a trial") {
+  CrashFixture Fixture;
+  for (int Crash = 0; Crash < 2; ++Crash)
+    Fixture.crash({"/crash", "/sound"});
+  REQUIRE(Fixture.run("/crash"));
+  auto Replies = Fixture.Replies.size();
+  CHECK_FALSE(Fixture.run("/sound", Milliseconds(500)));
+  CHECK(Fixture.Replies.size() == Replies);
+  SECTION("at its deadline") {
+    Fixture.Clock.advance(Milliseconds(501));
+    Fixture.Target.tick();
+    REQUIRE(Fixture.Replies.size() == Replies + 1);
+    CHECK(Fixture.Replies.back().Outcome == Outcome::NotRun);
+  }
+  SECTION("when the target leaves") {
+    REQUIRE(Fixture.Target.onLeave(Fixture.id()));
+    Fixture.Clock.advance(Milliseconds(1001));
+    Fixture.Target.tick();
+    REQUIRE(Fixture.Replies.size() == Replies + 1);
+    CHECK(Fixture.Replies.back().Reason == Reason::Draining);
+  }
+  SECTION("when its caller cancels it") {
+    Fixture.Target.cancel(Incarnation(7), Fixture.LastCall);
+    CHECK(Fixture.Target.outstanding() == 1);
+  }
+}
--- a/unittests/DrainModelTest.cpp
+++ b/unittests/DrainModelTest.cpp
@@ -23,6 +23,7 @@
     return ++this->Sent;
   }
   void cancel(std::uint64_t) override {}
+  void checkEnded(std::function<void(bool)>) override {}
 };
 
 /// A target that leaves, its node, and reports and records that arrive late.
@@ -33,7 +34,7 @@
   Model(EventLog &Log, Metrics &Counters)
       : Target({DrainTimeout / 2, 1, []() { return std::int64_t(5000); },
                 ServiceName("ordering")},
-               HeaderNames{}, Port, Log, Counters,
+               HeaderNames{}, Port, Crashes, Log, Counters,
                [this]() { return this->Clock.now(); }) {
     this->report(TargetState::Ready, ++this->Sequence);
   }
@@ -145,6 +146,7 @@
 
   FakeClock Clock;
   PendingTarget Port;
+  CrashHistory Crashes;
   LocalTarget Target;
   std::uint64_t Sequence = 0;
   std::uint64_t LastCall = 0;
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <optional>
 #include <random>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -291,3 +292,35 @@
   CHECK(Stalled.Closed);
   CHECK(Stalled.Received < BodyBytes);
 }
+
+TEST_CASE("HttpClient finds out whether a server has ended", "[http]") {
+  EventLoop Loop;
+  HttpClient Client(Loop, ServerAddress);
+  auto HasEnded = [&]() {
+    std::optional<bool> Result;
+    Client.checkEnded([&](bool Value) {
+      Result = Value;
+      Loop.stop();
+    });
+    Loop.run();
+    return Result;
+  };
+  CHECK(HasEnded() == true);
+  HttpServer Server(Loop, ServerAddress,
+                    [](const std::shared_ptr<HttpExchange> &Exchange) {
+                      Exchange->reply(200, {}, "");
+                    });
+  CHECK(HasEnded() == false);
+  // The connection is not wasted.
+  auto Opened = Client.connectionsOpened();
+  HttpResponse Answer;
+  HttpCall Call;
+  Call.Path = "/";
+  Client.send(Call, [&](HttpResponse Value) {
+    Answer = std::move(Value);
+    Loop.stop();
+  });
+  Loop.run();
+  CHECK(Answer.Status == 200);
+  CHECK(Client.connectionsOpened() == Opened);
+}
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -1,87 +1,13 @@
-#include "limpetdrum/daemon/LocalTarget.h"
-#include "FakeClock.h"
-#include "MockPorts.h"
+#include "LocalTargetFixture.h"
 
 #include <algorithm>
-#include <catch2/catch.hpp>
 #include <deque>
-#include <fcntl.h>
 
 using namespace limpetdrum;
 using namespace limpetdrum::test;
 
-namespace {
-
 using trompeloeil::_;
 
-/// A local target with a mock connection, which records what is sent.
-struct LocalTargetFixture {
-  FakeClock Clock;
-  Metrics Counters;
-  EventLog Log{open("/dev/null", O_WRONLY)};
-  MockTarget Port;
-  std::int64_t UnixTime = 5000;
-  LocalTarget Target{{Milliseconds(1000), 1,
-                      [this]() { return this->UnixTime; },
-                      ServiceName("ordering")},
-                     HeaderNames{},
-                     Port,
-                     Log,
-                     Counters,
-                     [this]() { return this->Clock.now(); }};
-  std::vector<Reply> Replies;
-  std::vector<HttpClient::Callback> SentCallbacks;
-  std::vector<HttpCall> SentCalls;
-
-  static LocalTarget::Report report(const std::string &Id, std::int64_t Started,
-                                    std::uint64_t Sequence,
-                                    TargetState State = TargetState::Ready,
-                                    unsigned SlotCount = 10) {
-    TargetRecord Record;
-    Record.Id = Id;
-    Record.Started = Started;
-    Record.Sequence = Sequence;
-    Record.Service = ServiceName("ordering");
-    Record.Slots = Slots(static_cast<std::uint16_t>(SlotCount));
-    Record.State = State;
-    return {Record, Milliseconds(0)};
-  }
-
-  void execute(std::uint64_t Call, const std::string &TargetId = "t1",
-               Milliseconds TimeLeft = Milliseconds(1000)) {
-    MeshAttempt Attempt;
-    Attempt.Call = Call;
-    Attempt.RequestId = "r" + std::to_string(Call);
-    Attempt.Request.Method = "POST";
-    Attempt.Request.Target = "/orders/1";
-    Attempt.TimeLeft = TimeLeft;
-    Attempt.TargetId = TargetId;
-    this->Target.execute(Incarnation(7), Attempt, [this](const Reply &Value) {
-      this->Replies.push_back(Value);
-    });
-  }
-
-  std::unique_ptr<trompeloeil::expectation> allowSends() {
-    return NAMED_ALLOW_CALL(this->Port, send(_, _))
-        .LR_SIDE_EFFECT(this->SentCalls.push_back(_1))
-        .LR_SIDE_EFFECT(this->SentCallbacks.push_back(_2))
-        .LR_RETURN(this->SentCallbacks.size());
-  }
-  std::unique_ptr<trompeloeil::expectation> SendExpectation =
-      this->allowSends();
-
-  static HttpResponse answer(int Status, HttpHeaders Headers = {}) {
-    HttpResponse Value;
-    Value.Outcome = HttpOutcome::Answered;
-    Value.Status = Status;
-    Value.Headers = std::move(Headers);
-    Value.Body = "body";
-    return Value;
-  }
-};
-
-} // namespace
-
 // Guards against a report that is delayed in transit, or comes from an earlier
 // process, replacing the record of the current target.
 TEST_CASE("LocalTarget orders reports by start time and then by sequence") {
@@ -235,6 +161,7 @@
   REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 1)));
   Fixture.execute(1);
   Fixture.SentCallbacks.at(0)(C.Answer);
+  Fixture.finishEndChecks(false);
   REQUIRE(Fixture.Replies.size() == 1);
   INFO(C.Answer.Status);
   CHECK(Fixture.Replies[0].Outcome == C.Expected);
@@ -408,6 +335,7 @@
   HttpResponse Broken;
   Broken.Outcome = HttpOutcome::Broken;
   Fixture.SentCallbacks[0](Broken);
+  Fixture.finishEndChecks(false);
   CHECK(Events == std::vector<RunEvent>{RunEvent::Started, RunEvent::Failed});
   Fixture.execute(2);
   Fixture.SentCallbacks[1](LocalTargetFixture::answer(200));
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -36,6 +36,7 @@
   Revision Policy;
   std::vector<std::string> PoliciesReceived;
   std::vector<NodeId> Removed;
+  CrashHistory Crashes;
 
   MeshNode(EventLoop &Loop, const std::string &Name, std::uint16_t Port,
            std::uint64_t IncarnationValue)
@@ -63,6 +64,12 @@
       this->PoliciesReceived.push_back(Text);
       this->Policy = Revision(std::stoull(Text));
     };
+    Handlers.OnCrashNews = [this](const CrashNews &News) {
+      (void)this->Crashes.merge(News, this->Loop.now());
+    };
+    Handlers.KnownCrashes = [this]() {
+      return this->Crashes.known(this->Loop.now());
+    };
     Handlers.OnRecordFromPeer = [this](const TargetRecord &Record) {
       if (!Record.Id.empty())
         this->RecordFromPeer = Record;
@@ -600,3 +607,23 @@
   REQUIRE(Results.All.size() == 1);
   CHECK(Results.All[0].Kind == MeshResult::Kind::Replied);
 }
+
+TEST_CASE("Mesh tells a restarted node which requests crash targets", "[rpc]") {
+  EventLoop Loop;
+  RequestFingerprint Request(42);
+  MeshNode A(Loop, "a", PortA, 1);
+  auto IsRefusedAt = [&](const MeshNode &Node) {
+    return Node.Crashes.verdict(Request, Loop.now()) ==
+           CrashHistory::Verdict::Crashing;
+  };
+  (void)A.Crashes.merge({{{Request, 1, true, Milliseconds(0)}}, {}},
+                        Loop.now());
+  // The restarted node makes the link, or the other one does.
+  for (bool MakesLink : {true, false}) {
+    MeshNode B(Loop, "b", PortB, MakesLink ? 2 : 3);
+    auto &From = MakesLink ? B : A;
+    From.Links.add(MakesLink ? contact("a", PortA) : contact("b", PortB));
+    waitUntil(Loop, [&]() { return IsRefusedAt(B); });
+    CHECK(IsRefusedAt(B));
+  }
+}
--- a/unittests/MockPorts.h
+++ b/unittests/MockPorts.h
@@ -17,6 +17,7 @@
   MAKE_MOCK2(send, std::uint64_t(const HttpCall &, HttpClient::Callback),
              override);
   MAKE_MOCK1(cancel, void(std::uint64_t), override);
+  MAKE_MOCK1(checkEnded, void(std::function<void(bool)>), override);
 };
 
 /// \brief Mock of the connections to other nodes.
--- a/unittests/RetryPlanTest.cpp
+++ b/unittests/RetryPlanTest.cpp
@@ -66,6 +66,15 @@
         Step::TryOtherNode);
 }
 
+TEST_CASE("RetryPlan ends a request that crashes targets") {
+  CHECK(sent(true, 3).onNotRun(Reason::CrashesTargets, context()) ==
+        Step::Refuse);
+  auto MayHaveRun = sent(true, 3);
+  MayHaveRun.onRepeatGranted(
+      MayHaveRun.onUnknown(Reason::TargetEnded, context()), false);
+  CHECK(MayHaveRun.onNotRun(Reason::CrashesTargets, context()) == Step::Fail);
+}
+
 TEST_CASE(
     "RetryPlan sends a request to no more targets than the route allows") {
   auto Plan = sent(true, 3);
