Keep proven crashing requests in the store over a restart of the whole fleet

Cause: a restarted node learns of crashing requests from the others; if all nodes end at once, nobody is left to tell, and each such request may crash three more targets.

Change: the node that proves a request writes one object to the store. The first start of a fleet reads nothing.

Ruled out: writing suspects too (a write for each request at two crashes).

--- a/include/limpetdrum/request/CrashHistory.h
+++ b/include/limpetdrum/request/CrashHistory.h
@@ -13,6 +13,9 @@
 ///   suspected. One is the usual fate of a request beside another's crash.
 inline constexpr unsigned SuspectCrashes = 2;
 
+/// \brief Time for which a crash is remembered.
+inline constexpr std::chrono::minutes CrashRetention{20};
+
 /// \brief Report that a target's process ended while it ran a request.
 struct CrashReport {
   RequestFingerprint Request;
--- a/include/limpetdrum/request/RequestFingerprint.h
+++ b/include/limpetdrum/request/RequestFingerprint.h
@@ -19,6 +19,10 @@
 /// \brief Formats a fingerprint as 16 hexadecimal digits.
 [[nodiscard]] std::string toString(RequestFingerprint Value);
 
+/// \brief Parses a fingerprint of 16 hexadecimal digits.
+/// \throws ValueError if \p Text has another form.
+[[nodiscard]] RequestFingerprint parseFingerprint(const std::string &Text);
+
 } // namespace limpetdrum
 
 #endif
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -1,5 +1,6 @@
 #include "limpetdrum/daemon/Sidecar.h"
 
+#include "limpetdrum/daemon/CrashArchive.h"
 #include "limpetdrum/daemon/FleetView.h"
 #include "limpetdrum/daemon/Forwarder.h"
 #include "limpetdrum/daemon/LinkKeeper.h"
@@ -83,6 +84,7 @@
   TimePoint Started;
   HttpTarget TargetClient;
   CrashHistory Crashes;
+  CrashArchive ProvenCrashes;
   limpetdrum::LocalTarget LocalTarget;
   FleetView Fleet;
   Mesh Peers;
@@ -111,6 +113,7 @@
         Seed(stableHash(Settings.Node.value(), this->Incarnation.value())),
         Started(Loop.now()),
         TargetClient(Loop, Settings.Target, targetOptions(Adapter.headers())),
+        ProvenCrashes(Loop, Store, Log, unixMillis),
         LocalTarget({Settings.DrainTimeout / 2, this->Seed, unixMillis,
                      Settings.Service},
                     Adapter.headers(), this->TargetClient, this->Crashes, Log,
@@ -170,7 +173,8 @@
   void onTargetChange();
   /// Tells the fleet what the local target adds to the history of crashes.
   void announceCrashNews(const CrashNews &News);
-  /// Handles what another node tells; duty holders pass on what is new.
+  /// Handles what another node or the store tells; duty holders pass on what
+  /// is new.
   void onCrashNews(const CrashNews &News);
   void shareUsage();
   void onUsage(MeshUsage Report);
@@ -284,6 +288,9 @@
   // The next in the failure domain takes over the watch as soon as it is told.
   PolicyHandlers.OnStoreReachable = [this]() { this->Peers.broadcastLoad(); };
   this->Policies.start(std::move(PolicyHandlers));
+  if (!this->Settings.FirstStart)
+    this->ProvenCrashes.read(
+        [this](const CrashNews &News) { this->onCrashNews(News); });
   this->Fleet.start(this->Settings.FirstStart
                         ? ContactRegistry::Start::WithFleet
                         : ContactRegistry::Start::Alone);
@@ -345,6 +352,9 @@
   for (const auto &Holder :
        this->Links.dutyHolders(this->Settings.FailureDomain))
     this->Peers.sendCrashNews(Holder, News);
+  for (const auto &Report : News.Reports)
+    if (Report.Alone)
+      this->ProvenCrashes.write(Report.Request);
 }
 
 void Sidecar::State::onCrashNews(const CrashNews &News) {
--- a/lib/request/CrashHistory.cpp
+++ b/lib/request/CrashHistory.cpp
@@ -9,7 +9,6 @@
 /// Time for which a proven request is refused. Afterwards it is a suspect, so
 /// that a request that still crashes targets costs one of them in this time.
 constexpr std::chrono::minutes RefusalPeriod{10};
-constexpr std::chrono::minutes Retention{20};
 /// Time after a suspect was answered in which reports about it are ignored:
 /// they were made before.
 constexpr std::chrono::seconds SoundPeriod{5};
@@ -21,7 +20,7 @@
 
 CrashHistory::Verdict CrashHistory::verdictOf(const Entry &Found,
                                               TimePoint Now) const {
-  if (Found.IsSound || Now - Found.LastAt >= Retention)
+  if (Found.IsSound || Now - Found.LastAt >= CrashRetention)
     return Verdict::None;
   if (Found.Alone && Now - Found.LastAt < RefusalPeriod)
     return Verdict::Crashing;
@@ -49,7 +48,7 @@
 
 bool CrashHistory::add(const CrashReport &Report, TimePoint Now) {
   auto At = Now - Report.Age;
-  if (Report.Age >= Retention)
+  if (Report.Age >= CrashRetention)
     return false;
   auto Found = this->Entries.find(Report.Request);
   if (Found == this->Entries.end()) {
@@ -69,7 +68,7 @@
   if (IsKnownTarget && !IsProof)
     return false;
   // Evidence of an earlier period does not count any more.
-  if (Now - Known.LastAt >= Retention)
+  if (Now - Known.LastAt >= CrashRetention)
     Known = Entry();
   if (!IsKnownTarget) {
     if (Known.Targets.size() >= MaxTargets)
@@ -129,7 +128,7 @@
   for (auto It = this->Entries.begin(); It != this->Entries.end();) {
     auto Age = Now - It->second.LastAt;
     bool HasExpired =
-        Age >= Retention || (It->second.IsSound && Age >= SoundPeriod);
+        Age >= CrashRetention || (It->second.IsSound && Age >= SoundPeriod);
     It = HasExpired ? this->Entries.erase(It) : std::next(It);
   }
 }
--- a/unittests/PolicyFeedTest.cpp
+++ b/unittests/PolicyFeedTest.cpp
@@ -1,37 +1,18 @@
 #include "limpetdrum/daemon/PolicyFeed.h"
 #include "Adapter.h"
+#include "MockStore.h"
 
-#include <catch2/catch.hpp>
-
-#include <catch2/trompeloeil.hpp>
 #include <fcntl.h>
 #include <map>
 #include <nlohmann/json.hpp>
 
 using namespace limpetdrum;
+using namespace limpetdrum::test;
 
 namespace {
 
 using trompeloeil::_;
 
-class MockStore : public ObjectStore {
-public:
-  MAKE_MOCK4(list, void(const std::string &, bool, const char *, ListDone),
-             override);
-  MAKE_MOCK6(watch,
-             void(const std::string &, std::uint64_t, StoreEra, Milliseconds,
-                  const char *, ListDone),
-             override);
-  MAKE_MOCK4(put,
-             void(const std::string &, const StoredObject &, const char *,
-                  WriteDone),
-             override);
-  MAKE_MOCK4(remove,
-             void(const std::string &, const std::string &, const char *,
-                  WriteDone),
-             override);
-};
-
 std::string policy(std::uint64_t Version) {
   char Text[17];
   std::snprintf(Text, sizeof(Text), "%08llx",
