Do not take a node without descriptors for a target that has ended

Cause, found by reading: the check whether a target has ended set its mark on the call after the connection was opened. If no socket can be made, the call may be over by then, and the lookup of it would throw and end the process; besides, a failure to make a socket says nothing about the target.

Change: the mark is set before the connection is opened, and a connection that has no socket does not count as refused. Two lookups in LocalTarget cope with entries that are gone.

--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -209,8 +209,9 @@
   struct State;
   friend struct ClientConnection;
   /// Adds a call on a connection, and opens the connection unless it is reused.
+  /// \param IsConnectOnly true if the call ends as soon as it is connected.
   std::uint64_t start(std::shared_ptr<ClientConnection> Connection, bool Reused,
-                      const HttpCall &Call, Callback Done);
+                      const HttpCall &Call, Callback Done, bool IsConnectOnly);
   std::shared_ptr<State> Impl;
 };
 
--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -269,7 +269,10 @@
     return;
   }
   HttpResponse Response;
-  if (!this->Connected)
+  // Without a socket, nothing has been learned of the server.
+  bool HasSocket = bufferevent_getfd(this->Event) >= 0;
+  bool IsConnectOnly = this->Owner.Calls.at(this->CallId).IsConnectOnly;
+  if (!this->Connected && (HasSocket || !IsConnectOnly))
     Response.Outcome = HttpOutcome::NotConnected;
   else if (Orderly && this->Owner.Options.AcceptCloseDelimited &&
            this->Parser->isCloseDelimited() && this->Parser->finishAtClose()) {
@@ -295,7 +298,7 @@
 
 std::uint64_t HttpClient::start(std::shared_ptr<ClientConnection> Connection,
                                 bool Reused, const HttpCall &Call,
-                                Callback Done) {
+                                Callback Done, bool IsConnectOnly) {
   auto &Self = *this->Impl;
   auto CallId = ++Self.LastCallId;
   Connection->CallId = CallId;
@@ -307,6 +310,7 @@
   Pending.Echo = Call.ExpectedEcho;
   Pending.IsHead = Call.Method == "HEAD";
   Pending.Reused = Reused;
+  Pending.IsConnectOnly = IsConnectOnly;
   Pending.Timeout = Self.Loop.after(Call.Timeout, [&Self, CallId]() {
     HttpResponse Response;
     Response.Outcome = HttpOutcome::TimedOut;
@@ -323,7 +327,7 @@
   bool Reused = Connection != nullptr;
   if (!Connection)
     Connection = std::make_shared<ClientConnection>(Self);
-  auto CallId = this->start(Connection, Reused, Call, std::move(Done));
+  auto CallId = this->start(Connection, Reused, Call, std::move(Done), false);
   if (Connection->Event != nullptr) {
     auto Text = serialize(Call, Self.Server);
     bufferevent_write(Connection->Event, Text.data(), Text.size());
@@ -334,12 +338,12 @@
 void HttpClient::checkEnded(std::function<void(bool HasEnded)> Done) {
   HttpCall Call;
   Call.Timeout = EndCheckTimeout;
-  auto CallId =
-      this->start(std::make_shared<ClientConnection>(*this->Impl), false, Call,
-                  [Done = std::move(Done)](const HttpResponse &Response) {
-                    Done(Response.Outcome == HttpOutcome::NotConnected);
-                  });
-  this->Impl->Calls.at(CallId).IsConnectOnly = true;
+  (void)this->start(
+      std::make_shared<ClientConnection>(*this->Impl), false, Call,
+      [Done = std::move(Done)](const HttpResponse &Response) {
+        Done(Response.Outcome == HttpOutcome::NotConnected);
+      },
+      true);
 }
 
 void HttpClient::cancel(std::uint64_t CallId) {
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/LocalTarget.cpp
@@ -259,7 +259,8 @@
 void LocalTarget::refuseWaiting(
     const std::function<bool(const Entry &)> &Condition, Reason Cause) {
   for (const auto &Id : std::vector(this->Trials.waiting()))
-    if (Condition(this->Active.at(Id)))
+    if (auto Found = this->Active.find(Id);
+        Found != this->Active.end() && Condition(Found->second))
       this->finish(Id, notRun(Cause, this->retryAfter()));
 }
 
@@ -462,8 +463,9 @@
   this->Log.state("target_ended",
                   {{"target", this->Record.Id},
                    {"runs", Runs.size()},
-                   {"proven", IsProof ? toString(News.Reports.front().Request)
-                                      : std::string()}});
+                   {"proven", IsProof && !News.Reports.empty()
+                                  ? toString(News.Reports.front().Request)
+                                  : std::string()}});
   auto Fresh = this->Crashes.merge(News, this->Now());
   if (!Fresh.empty() && this->OnCrashNews)
     this->OnCrashNews(Fresh);
