Let the soak's routes allow three targets, and its clients repeat twice

Change: routes allow three targets, as the users' do, and clients repeat an idempotent request twice. A request that is passed on for a client that has left is named in the finding.

--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -35,6 +35,8 @@
 constexpr Milliseconds AddressReuseDelay{2000};
 /// One client in this many disconnects early.
 constexpr std::uint64_t AbandonOneIn = 12;
+/// Times that a client repeats a request that failed.
+constexpr unsigned ClientRepeats = 2;
 /// Text in the answer to a request that is refused because it crashes targets.
 constexpr const char *CrashingReason = "crashes-targets";
 
@@ -313,7 +315,7 @@
         {"target-latency", "1000ms"},
         {"priority", Route.Priority},
         {"service", Service},
-        {"max-attempts", 2}};
+        {"max-attempts", 3}};
   }
   for (const auto &Service : Services)
     Policy["services"][Service] = {{"health-check-path", "/health"},
@@ -339,7 +341,7 @@
 
 void Soak::send(Node &Entry) {
   static constexpr std::array<std::size_t, 8> Mix = {0, 0, 0, 1, 1, 1, 3, 3};
-  this->send(Entry, Mix[this->randomBelow(Mix.size())], "", 1);
+  this->send(Entry, Mix[this->randomBelow(Mix.size())], "", ClientRepeats);
 }
 
 void Soak::sendCrashing(std::size_t Route, const std::string &Content) {
--- a/soak/Witness.cpp
+++ b/soak/Witness.cpp
@@ -362,6 +362,7 @@
   unsigned Expected = 0;
   unsigned StillRunning = 0;
   std::string Example;
+  std::string LateExample;
   for (const auto &Run : this->Runs) {
     auto Found = this->Requests.find(Run.Id);
     if (Found == this->Requests.end() || !Found->second.Abandoned)
@@ -371,8 +372,13 @@
     if (!this->isUndisturbed(Request.Entry, Request.Sent, Limit) ||
         !this->isUndisturbed(Run.Node, Request.Sent, Limit))
       continue;
-    if (Run.Started > Limit)
+    if (Run.Started > Limit) {
       ++LateArrivals;
+      LateExample = Run.Id + " from " + std::to_string(Request.Entry) + " at " +
+                    Run.Target + ", " +
+                    millis(Run.Started - *Request.Abandoned) +
+                    " after its client left";
+    }
     if (!Request.Idempotent || !Run.Executed ||
         Run.Started > *Request.Abandoned)
       continue;
@@ -390,7 +396,8 @@
   }
   if (LateArrivals > ToleratedCount)
     Broken.push_back({"nothing is passed on for a client that has left",
-                      std::to_string(LateArrivals) + " arrived late"});
+                      std::to_string(LateArrivals) + " arrived late, one is " +
+                          LateExample});
   if (Expected >= MinAbandonedRuns && StillRunning * 4 > Expected)
     Broken.push_back({"work for a client that has left ends",
                       std::to_string(StillRunning) + " of " +
