Replace the test of a check without descriptors

Cause: the test took all descriptors of its process, and UBSan reported an invalid vptr there ("memory cannot be printed"): its vptr check reads memory through a pipe, for which no descriptor was left.

--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -325,18 +325,15 @@
   CHECK(Client.connectionsOpened() == Opened);
 }
 
-// Guards against an exception from a connection that fails at once, as it does
-// when the process has no descriptors left.
-TEST_CASE("HttpClient checks a server without a free descriptor", "[http]") {
+// Guards against taking a connection that fails at once for a sign that the
+// server has ended.
+TEST_CASE("HttpClient checks a server to which no socket can be opened",
+          "[http]") {
   EventLoop Loop;
-  HttpClient Client(Loop, ServerAddress);
-  std::vector<int> Taken;
-  for (int Copy = dup(0); Copy >= 0; Copy = dup(0))
-    Taken.push_back(Copy);
+  constexpr Endpoint LoopbackBroadcast{0x7fffffff, 20998};
+  HttpClient Client(Loop, LoopbackBroadcast);
   std::optional<bool> HasEnded;
   Client.checkEnded([&](bool Value) { HasEnded = Value; });
-  for (int Copy : Taken)
-    close(Copy);
   auto Timeout = Loop.after(Milliseconds(300), [&]() { Loop.stop(); });
   Loop.run();
   CHECK(HasEnded == false);
