Rename the type Tenant to Organisation

Ruled out: renaming what leaves the process. The header Limpetdrum-Tenant, the metric label tenant and the field of Node.capnp keep their names. No behaviour changes.

--- a/benchmarks/Decisions.cpp
+++ b/benchmarks/Decisions.cpp
@@ -24,7 +24,7 @@
   A.Id = attempt(Number);
   A.Rank = ClassRank(static_cast<std::uint8_t>(Number % 3));
   A.Cohort = static_cast<float>(Number % 97) / 97;
-  A.Tenant = Tenant("tenant-" + std::to_string(Number % 20));
+  A.Organisation = Organisation("organisation-" + std::to_string(Number % 20));
   A.Deadline = Now + std::chrono::seconds(2);
   return A;
 }
--- a/include/limpetdrum/daemon/Executor.h
+++ b/include/limpetdrum/daemon/Executor.h
@@ -108,7 +108,7 @@
 namespace header {
 inline constexpr const char *Attempt = "Limpetdrum-Attempt";
 inline constexpr const char *Deadline = "Limpetdrum-Deadline-Ms";
-inline constexpr const char *Tenant = "Limpetdrum-Tenant";
+inline constexpr const char *Organisation = "Limpetdrum-Tenant";
 inline constexpr const char *Outcome = "Limpetdrum-Outcome";
 inline constexpr const char *Reason = "Limpetdrum-Reason";
 inline constexpr const char *RetryAfterMillis = "Limpetdrum-Retry-After-Ms";
--- a/include/limpetdrum/daemon/KeyedCalls.h
+++ b/include/limpetdrum/daemon/KeyedCalls.h
@@ -86,9 +86,10 @@
   std::unordered_map<IdempotencyKey, AttemptId> RunningLocally;
 };
 
-/// \brief Returns the key of the ledger: a client's key is scoped to its tenant
+/// \brief Returns the key of the ledger: a client's key is scoped to its
+/// organisation
 ///   and path.
-[[nodiscard]] IdempotencyKey scopedKey(const Tenant &Owner,
+[[nodiscard]] IdempotencyKey scopedKey(const Organisation &Owner,
                                        const std::string &Path,
                                        const std::string &ClientKey);
 
--- a/include/limpetdrum/process/Types.h
+++ b/include/limpetdrum/process/Types.h
@@ -61,8 +61,8 @@
 using FailureDomain = StrongType<struct FailureDomainTag, std::string>;
 /// \brief Name of a region, which contains failure domains.
 using Region = StrongType<struct RegionTag, std::string>;
-/// \brief Name of a tenant (customer).
-using Tenant = StrongType<struct TenantTag, std::string>;
+/// \brief Name of an organisation (customer).
+using Organisation = StrongType<struct OrganisationTag, std::string>;
 /// \brief Key under which a client's retries count as the same request.
 using IdempotencyKey = StrongType<struct IdempotencyKeyTag, std::string>;
 /// \brief Rank of a request class by what it earns; 0 is shed last.
--- a/include/limpetdrum/request/Admission.h
+++ b/include/limpetdrum/request/Admission.h
@@ -18,7 +18,7 @@
   AttemptId Id;
   ClassRank Rank;
   float Cohort = 0;
-  limpetdrum::Tenant Tenant;
+  limpetdrum::Organisation Organisation;
   TimePoint Deadline;
   /// True if the request may be cancelled while it runs.
   bool Cancellable = false;
@@ -134,7 +134,7 @@
   struct RunningRequest {
     OrderKey Key;
     TimePoint Start;
-    limpetdrum::Tenant Tenant;
+    limpetdrum::Organisation Organisation;
     bool Cancellable = false;
   };
   struct RunningEntry {
@@ -162,7 +162,7 @@
                                        TimePoint Now) const;
   void enforceCapacity(AttemptId NewestId, TimePoint Now,
                        AdmissionDecisions &Decisions);
-  void releaseTenant(const Tenant &Name);
+  void releaseOrganisation(const Organisation &Name);
 
   AdmissionOptions Options;
   ConcurrencyLimit Limit;
@@ -174,8 +174,8 @@
   std::set<RunningEntry> CancellableRunning;
   /// Cancelled requests that have not completed yet.
   std::size_t Cancelling = 0;
-  /// Queued and running requests by tenant.
-  std::unordered_map<Tenant, std::size_t> TenantRequests;
+  /// Queued and running requests by organisation.
+  std::unordered_map<Organisation, std::size_t> OrganisationRequests;
   std::uint64_t LastSequence = 0;
 };
 
--- a/include/limpetdrum/request/AttemptSpec.h
+++ b/include/limpetdrum/request/AttemptSpec.h
@@ -24,7 +24,7 @@
   std::string Body;
   ClassRank Rank;
   float Cohort = 0;
-  limpetdrum::Tenant Tenant;
+  limpetdrum::Organisation Organisation;
   Microseconds TimeLeft{0};
   std::uint16_t Retries = 0;
   IdempotencyKey Key; ///< empty if the client sent none
--- a/lib/daemon/Codec.cpp
+++ b/lib/daemon/Codec.cpp
@@ -76,7 +76,7 @@
   Out.setBody(toData(Value.Body));
   Out.setClassRank(Value.Rank.value());
   Out.setCohort(Value.Cohort);
-  Out.setTenant(Value.Tenant.value());
+  Out.setTenant(Value.Organisation.value());
   Out.setTimeLeft(static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, Value.TimeLeft.count())));
   Out.setRetries(Value.Retries);
@@ -99,7 +99,7 @@
     throw ValueError("cohort " + std::to_string(Value.Cohort) +
                          " is out of range: expected at least 0 and below 1",
                      "run the same version of limpetdrum on all nodes");
-  Value.Tenant = Tenant(toText(In.getTenant(), MaxNameBytes));
+  Value.Organisation = Organisation(toText(In.getTenant(), MaxNameBytes));
   Value.TimeLeft = Microseconds(In.getTimeLeft());
   Value.Retries = In.getRetries();
   Value.Key = IdempotencyKey(toText(In.getKey(), MaxKeyBytes));
--- a/lib/daemon/Entrance.cpp
+++ b/lib/daemon/Entrance.cpp
@@ -14,7 +14,7 @@
 /// call is granted half of the remaining retries.
 constexpr unsigned FurtherCalls = 1;
 constexpr std::size_t MaxKeyLength = 256;
-constexpr std::size_t MaxTenantLength = 128;
+constexpr std::size_t MaxOrganisationLength = 128;
 constexpr Milliseconds ShortRetryAfter{1000};
 
 int httpStatus(const Reply &Value) {
@@ -62,7 +62,7 @@
   const CompiledRoute *Route = nullptr;
   std::optional<AttemptId> Parent;
   CallRequest Request;
-  Tenant Owner;
+  Organisation Owner;
   std::uint16_t GrantedRetries = 0; ///< taken from any parent's budget
   std::uint64_t Ticket = 0;
   bool Done = false;
@@ -139,13 +139,13 @@
   Spec.Body = E->Exchange->body();
   Spec.TimeLeft = Declared.Deadline;
   auto Key = E->Exchange->header(header::IdempotencyKey);
-  auto Owner = E->Exchange->header(header::Tenant);
-  if (Key.size() > MaxKeyLength || Owner.size() > MaxTenantLength) {
-    this->reject(E, 400, "the Idempotency-Key or tenant is too long");
+  auto Owner = E->Exchange->header(header::Organisation);
+  if (Key.size() > MaxKeyLength || Owner.size() > MaxOrganisationLength) {
+    this->reject(E, 400, "the Idempotency-Key or organisation is too long");
     return false;
   }
   if (!E->Parent) {
-    Spec.Tenant = Tenant(Owner);
+    Spec.Organisation = Organisation(Owner);
     Spec.Rank = E->Route->Rank;
     Spec.Root = {this->Random(), this->Random()};
     Spec.Retries =
@@ -156,7 +156,7 @@
     }
   } else {
     auto &Parent = *this->LocalExecutor.parent(*E->Parent);
-    Spec.Tenant = Parent.Spec.Tenant;
+    Spec.Organisation = Parent.Spec.Organisation;
     Spec.Rank = Parent.Spec.Rank;
     Spec.Root = Parent.Spec.Root;
     E->Request.RetryOnOverload = true;
@@ -167,14 +167,14 @@
                                     Parent.Deadline - this->Now()));
   }
   if (!Key.empty() && Declared.Runs == RunSemantics::Once) {
-    Spec.Key = scopedKey(Spec.Tenant, Spec.Path, Key);
+    Spec.Key = scopedKey(Spec.Organisation, Spec.Path, Key);
     // Retries of a key fall into the same cohort.
     if (!E->Parent)
       Spec.Root = {stableHash(Spec.Key.value(), 1),
                    stableHash(Spec.Key.value(), 2)};
   }
   Spec.Cohort = cohortOf(Spec.Root);
-  E->Owner = Spec.Tenant;
+  E->Owner = Spec.Organisation;
   E->GrantedRetries = Spec.Retries;
   return true;
 }
--- a/lib/daemon/Executor.cpp
+++ b/lib/daemon/Executor.cpp
@@ -38,8 +38,9 @@
                   {header::TraceParent, traceParent(Attempt)}};
   if (!Attempt.ContentType.empty())
     Call.Headers.emplace_back(header::ContentType, Attempt.ContentType);
-  if (!Attempt.Tenant.value().empty())
-    Call.Headers.emplace_back(header::Tenant, Attempt.Tenant.value());
+  if (!Attempt.Organisation.value().empty())
+    Call.Headers.emplace_back(header::Organisation,
+                              Attempt.Organisation.value());
   if (!Attempt.Key.value().empty())
     Call.Headers.emplace_back(header::IdempotencyKey, clientKey(Attempt.Key));
   return Call;
@@ -157,7 +158,7 @@
   Value.Id = Attempt.Id;
   Value.Rank = Attempt.Rank;
   Value.Cohort = Attempt.Cohort;
-  Value.Tenant = Attempt.Tenant;
+  Value.Organisation = Attempt.Organisation;
   Value.Deadline = J.Context.Deadline;
   Value.Cancellable =
       Route != nullptr && Route->Declared.Runs == RunSemantics::Idempotent;
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/Forwarder.cpp
@@ -576,7 +576,7 @@
       this->Loop.now() - Request->Message.Started);
   if (Status < 400)
     this->Overload.onServed(Request->Route->Name, Latency);
-  this->Counters.request(Tenant(""),
+  this->Counters.request(Organisation(""),
                          Request->Route ? Request->Route->Name : "none",
                          Outcome, Latency);
   Request->Exchange->reply(Status, Headers, Body);
--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -46,9 +46,10 @@
 
 } // namespace
 
-IdempotencyKey scopedKey(const Tenant &Owner, const std::string &Path,
+IdempotencyKey scopedKey(const Organisation &Owner, const std::string &Path,
                          const std::string &ClientKey) {
-  // The tenant is hashed, so that no tenant can write the keys of another.
+  // The organisation is hashed, so that no organisation can write the keys of
+  // another.
   return IdempotencyKey(std::to_string(stableHash(Owner.value())) + Path + " " +
                         ClientKey);
 }
--- a/lib/process/Metrics.cpp
+++ b/lib/process/Metrics.cpp
@@ -11,7 +11,7 @@
 
 namespace bh = boost::histogram;
 
-constexpr std::size_t MaxTenants = 100;
+constexpr std::size_t MaxOrganisations = 100;
 constexpr unsigned LatencyBins = 48;
 constexpr double MinLatencyMs = 0.1;
 constexpr double MaxLatencyMs = 60'000;
@@ -31,7 +31,7 @@
   std::map<std::string, std::uint64_t> Outcomes;
 };
 
-using SeriesKey = std::pair<std::string, std::string>; // tenant, class
+using SeriesKey = std::pair<std::string, std::string>; // organisation, class
 using LabelKey = std::pair<std::string, std::string>;  // label name, value
 
 prometheus::ClientMetric labelled(const SeriesKey &Key) {
@@ -55,14 +55,15 @@
   std::map<std::string, std::map<LabelKey, std::uint64_t>> Counters;
   std::map<std::string, double> Gauges;
   std::map<SeriesKey, Series> Requests;
-  std::map<std::string, bool> Tenants;
+  std::map<std::string, bool> Organisations;
 
-  /// Returns the tenant's label; `other` once there are MaxTenants.
-  std::string boundedTenant(const Tenant &Id) {
+  /// Returns the organisation's label; `other` once there are MaxOrganisations.
+  std::string boundedOrganisation(const Organisation &Id) {
     auto Name = Id.value().empty() ? "none" : Id.value();
-    if (this->Tenants.count(Name) == 0 && this->Tenants.size() >= MaxTenants)
+    if (this->Organisations.count(Name) == 0 &&
+        this->Organisations.size() >= MaxOrganisations)
       return "other";
-    this->Tenants[Name] = true;
+    this->Organisations[Name] = true;
     return Name;
   }
 
@@ -136,10 +137,12 @@
   this->Impl->Gauges[Name] = Value;
 }
 
-void Metrics::request(const limpetdrum::Tenant &Tenant,
+void Metrics::request(const limpetdrum::Organisation &Organisation,
                       const std::string &Class, const std::string &Outcome,
                       Microseconds Latency) {
-  auto &S = this->Impl->Requests[{this->Impl->boundedTenant(Tenant), Class}];
+  auto &S =
+      this->Impl
+          ->Requests[{this->Impl->boundedOrganisation(Organisation), Class}];
   double LatencyMs = static_cast<double>(Latency.count()) / 1000;
   S.Latency(LatencyMs);
   S.SumMs += LatencyMs;
--- a/lib/request/Admission.cpp
+++ b/lib/request/Admission.cpp
@@ -11,7 +11,8 @@
 constexpr double QueueShare = 1.0;
 /// Targets with few slots get a longer queue, which smooths bursts of arrivals.
 constexpr std::size_t MinQueueCapacity = 10;
-/// A tenant above this multiple of its fair share is served last in its class.
+/// An organisation above this multiple of its fair share is served last in its
+/// class.
 constexpr double ShareTolerance = 1.5;
 
 } // namespace
@@ -39,9 +40,11 @@
   Key.Rank = Request.Rank.value();
   Key.Cohort = Request.Cohort;
   auto Total = static_cast<double>(this->Running.size() + this->Queue.size());
-  auto Found = this->TenantRequests.find(Request.Tenant);
-  if (Found != this->TenantRequests.end() && this->TenantRequests.size() > 1) {
-    double Fair = Total / static_cast<double>(this->TenantRequests.size());
+  auto Found = this->OrganisationRequests.find(Request.Organisation);
+  if (Found != this->OrganisationRequests.end() &&
+      this->OrganisationRequests.size() > 1) {
+    double Fair =
+        Total / static_cast<double>(this->OrganisationRequests.size());
     Key.OverShare = static_cast<double>(Found->second) > Fair * ShareTolerance;
   }
   return Key;
@@ -75,7 +78,7 @@
   AdmissionDecisions Decisions;
   this->Level.onArrival(position(Request.Rank, Request.Cohort));
   QueuedRequest Entry{this->orderKeyFor(Request), Request};
-  ++this->TenantRequests[Request.Tenant];
+  ++this->OrganisationRequests[Request.Organisation];
   this->QueuedKeys.emplace(Request.Id, Entry.Key);
   this->Queue.insert(std::move(Entry));
   this->dispatchQueued(Now, Decisions);
@@ -142,9 +145,9 @@
 void Admission::dispatch(const QueuedRequest &Entry, TimePoint Now,
                          AdmissionDecisions &Decisions) {
   const auto &Request = Entry.Request;
-  this->Running.emplace(
-      Request.Id,
-      RunningRequest{Entry.Key, Now, Request.Tenant, Request.Cancellable});
+  this->Running.emplace(Request.Id,
+                        RunningRequest{Entry.Key, Now, Request.Organisation,
+                                       Request.Cancellable});
   if (Request.Cancellable)
     this->CancellableRunning.insert({Entry.Key, Request.Id});
   Decisions.Dispatch.push_back(Request.Id);
@@ -175,15 +178,15 @@
 }
 
 void Admission::erase(std::set<QueuedRequest>::iterator Entry) {
-  this->releaseTenant(Entry->Request.Tenant);
+  this->releaseOrganisation(Entry->Request.Organisation);
   this->QueuedKeys.erase(Entry->Request.Id);
   this->Queue.erase(Entry);
 }
 
-void Admission::releaseTenant(const Tenant &Name) {
-  auto Found = this->TenantRequests.find(Name);
-  if (Found != this->TenantRequests.end() && --Found->second == 0)
-    this->TenantRequests.erase(Found);
+void Admission::releaseOrganisation(const Organisation &Name) {
+  auto Found = this->OrganisationRequests.find(Name);
+  if (Found != this->OrganisationRequests.end() && --Found->second == 0)
+    this->OrganisationRequests.erase(Found);
 }
 
 AdmissionDecisions Admission::complete(AttemptId Id, Completion Result,
@@ -202,7 +205,7 @@
     this->Limit.onCompletion(
         std::chrono::duration_cast<Microseconds>(Now - Finished.Start),
         Result == Completion::Shed, Saturated, Now);
-  this->releaseTenant(Finished.Tenant);
+  this->releaseOrganisation(Finished.Organisation);
   this->Running.erase(Found);
   this->dispatchQueued(Now, Decisions);
   return Decisions;
--- a/standins/bench/LoadGenerator.cpp
+++ b/standins/bench/LoadGenerator.cpp
@@ -101,8 +101,8 @@
   Call.Timeout = R->Spec->Timeout;
   if (R->Spec->Keyed)
     Call.Headers.emplace_back(header::IdempotencyKey, this->keyOf(*R));
-  if (!R->Spec->Tenant.empty())
-    Call.Headers.emplace_back(header::Tenant, R->Spec->Tenant);
+  if (!R->Spec->Organisation.empty())
+    Call.Headers.emplace_back(header::Organisation, R->Spec->Organisation);
   this->client(Servers[this->Random() % Servers.size()])
       .send(Call, [this, R](const HttpResponse &Answer) {
         this->onAnswer(R, Answer);
--- a/standins/bench/LoadGenerator.h
+++ b/standins/bench/LoadGenerator.h
@@ -20,7 +20,7 @@
 struct StreamSpec {
   std::string Name;
   std::string Path;
-  std::string Tenant;
+  std::string Organisation;
   double Rate = 10; ///< new requests per second
   bool Keyed = false;
   unsigned Tries = 4;
--- a/unittests/AdmissionTest.cpp
+++ b/unittests/AdmissionTest.cpp
@@ -179,21 +179,21 @@
   CHECK(B.Violations > 0);
 }
 
-TEST_CASE("Admission prevents one tenant from displacing another",
+TEST_CASE("Admission prevents one organisation from displacing another",
           "[admission]") {
   Bench B(4);
   std::uint64_t Number = 0;
   auto Arrive = [&](const char *Name) {
     auto A = request(++Number, Browse, B.Clock);
-    A.Tenant = Tenant(Name);
+    A.Organisation = Organisation(Name);
     B.arrive(A);
   };
   Arrive("small");
   for (std::uint64_t I = 0; I < 3 + QueuePlaces; ++I)
     Arrive("large");
   CHECK(B.RefusedBrowses == 0);
-  // The queue is full of requests of the large tenant, which exceeds its fair
-  // share; its latest request is displaced.
+  // The queue is full of requests of the large organisation, which exceeds its
+  // fair share; its latest request is displaced.
   Arrive("small");
   CHECK(B.Present.count(attempt(Number)) == 1);
   CHECK(B.RefusedBrowses == 1);
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -75,7 +75,7 @@
                                       {NodeId("there"), FailureDomain("b")}};
     for (int I = 0;; ++I) {
       auto Name = std::to_string(I);
-      auto Key = scopedKey(Tenant(), "/ordering/place", Name);
+      auto Key = scopedKey(Organisation(), "/ordering/place", Name);
       if (findKeyNodes(Key, Both)->Home == NodeId("here"))
         return Name;
     }
@@ -84,7 +84,7 @@
   void startCall(const std::string &Key) {
     CallRequest R;
     R.Spec.Path = "/ordering/place";
-    R.Spec.Key = scopedKey(Tenant(), R.Spec.Path, Key);
+    R.Spec.Key = scopedKey(Organisation(), R.Spec.Path, Key);
     R.Spec.TimeLeft = std::chrono::seconds(2);
     R.Spec.Retries = 3;
     R.Runs = RunSemantics::Once;
@@ -134,7 +134,8 @@
   KeyRecord Record;
   Record.Holder = {NodeId("there"), Incarnation(0)};
   Record.Expiry = Node.Clock.now() + std::chrono::minutes(5);
-  Node.Keyed.adopt({{scopedKey(Tenant(), "/ordering/place", Key), Record}});
+  Node.Keyed.adopt(
+      {{scopedKey(Organisation(), "/ordering/place", Key), Record}});
   FORBID_CALL(Node.Target, send(_, _));
   ALLOW_CALL(Node.Peers, execute(_, _, _)).SIDE_EFFECT(_3(refusedConnection()));
   Node.startCall(Key);
@@ -152,7 +153,7 @@
   FORBID_CALL(Node.Target, send(_, _));
   AttemptSpec Spec;
   Spec.Path = "/ordering/place";
-  Spec.Key = scopedKey(Tenant(), Spec.Path, KeyedNode::keyWithHomeHere());
+  Spec.Key = scopedKey(Organisation(), Spec.Path, KeyedNode::keyWithHomeHere());
   Spec.Executor = Incarnation(0);
   Spec.TimeLeft = std::chrono::seconds(2);
   for (auto Role : {AttemptRole::Execute, AttemptRole::Witness}) {
@@ -175,7 +176,7 @@
   Node.Keyed.refuseNewKeys();
   AttemptSpec Spec;
   Spec.Path = "/ordering/place";
-  Spec.Key = scopedKey(Tenant(), Spec.Path, "k");
+  Spec.Key = scopedKey(Organisation(), Spec.Path, "k");
   Spec.Role = AttemptRole::Witness;
   Spec.Executor = Incarnation(1);
   Spec.TimeLeft = std::chrono::seconds(2);
@@ -200,7 +201,7 @@
                                    {NodeId("third"), FailureDomain("c")}};
   std::set<std::string> Shared;
   for (int I = 0; I < 200; ++I) {
-    auto Key = scopedKey(Tenant(), "/ordering/place", std::to_string(I));
+    auto Key = scopedKey(Organisation(), "/ordering/place", std::to_string(I));
     KeyRecord Record;
     Record.Expiry = Node.Clock.now() + std::chrono::minutes(5);
     Node.Keyed.adopt({{Key, Record}});
