Split the sidecar's large classes where new decisions plug in

Cause: every new part would have gone through Forwarder, LocalTarget and Sidecar, each of which did two jobs or more. Ruled out: splitting Mesh, whose parts share the state of one link. Change: TargetSelector (which node gets a request) out of Forwarder; TargetIdentity (which report is in force) and TargetAnswer (what an answer says) out of LocalTarget; UsageExchange, CrashExchange and TargetCheck out of Sidecar; lib/daemon gets folders for the fleet's view and links, for calls and for policies.

--- a/fuzz/Mesh.cpp
+++ b/fuzz/Mesh.cpp
@@ -1,5 +1,5 @@
 // Fuzzes the decoders of frames received from peers.
-#include "limpetdrum/daemon/MeshCodec.h"
+#include "limpetdrum/daemon/fleet/MeshCodec.h"
 #include "limpetdrum/process/Error.h"
 
 #include <capnp/serialize-packed.h>
--- a/include/limpetdrum/daemon/Caller.h
+++ b/include/limpetdrum/daemon/Caller.h
@@ -3,8 +3,8 @@
 
 #include "limpetdrum/connection/EventLoop.h"
 #include "limpetdrum/daemon/Executor.h"
-#include "limpetdrum/daemon/Ports.h"
 #include "limpetdrum/daemon/ServiceDirectory.h"
+#include "limpetdrum/daemon/calls/Ports.h"
 #include "limpetdrum/request/Call.h"
 #include "limpetdrum/request/Router.h"
 
--- a/include/limpetdrum/daemon/Executor.h
+++ b/include/limpetdrum/daemon/Executor.h
@@ -1,7 +1,7 @@
 #ifndef LIMPETDRUM_DAEMON_EXECUTOR_H
 #define LIMPETDRUM_DAEMON_EXECUTOR_H
 
-#include "limpetdrum/daemon/Ports.h"
+#include "limpetdrum/daemon/calls/Ports.h"
 #include "limpetdrum/process/Metrics.h"
 #include "limpetdrum/request/Admission.h"
 #include "limpetdrum/request/AttemptLedger.h"
--- a/include/limpetdrum/daemon/PeerPool.h
+++ b/include/limpetdrum/daemon/PeerPool.h
@@ -3,7 +3,7 @@
 
 #include "limpetdrum/connection/Liveness.h"
 #include "limpetdrum/connection/RpcClient.h"
-#include "limpetdrum/daemon/Ports.h"
+#include "limpetdrum/daemon/calls/Ports.h"
 #include "limpetdrum/process/Metrics.h"
 
 #include <kj/async.h>
--- a/include/limpetdrum/daemon/Sidecar.h
+++ b/include/limpetdrum/daemon/Sidecar.h
@@ -3,7 +3,7 @@
 
 #include "limpetdrum/connection/EventLoop.h"
 #include "limpetdrum/connection/ObjectStore.h"
-#include "limpetdrum/daemon/PlatformAdapter.h"
+#include "limpetdrum/daemon/policy/PlatformAdapter.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/SidecarSettings.h"
 
--- a/include/limpetdrum/daemon/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -1,11 +1,9 @@
-#ifndef LIMPETDRUM_DAEMON_FORWARDER_H
-#define LIMPETDRUM_DAEMON_FORWARDER_H
+#ifndef LIMPETDRUM_DAEMON_CALLS_FORWARDER_H
+#define LIMPETDRUM_DAEMON_CALLS_FORWARDER_H
 
-#include "limpetdrum/daemon/LocalTarget.h"
-#include "limpetdrum/daemon/Mesh.h"
+#include "limpetdrum/daemon/calls/TargetSelector.h"
 #include "limpetdrum/request/LeavePlan.h"
 #include "limpetdrum/request/OverloadControl.h"
-#include "limpetdrum/request/Placement.h"
 #include "limpetdrum/request/RepeatBudget.h"
 #include "limpetdrum/request/RetryPlan.h"
 #include "limpetdrum/request/SplitChooser.h"
@@ -21,8 +19,6 @@
 public:
   struct Options {
     limpetdrum::NodeId Node;
-    limpetdrum::FailureDomain FailureDomain;
-    limpetdrum::Region Region;
     limpetdrum::Incarnation Incarnation;
     ServiceName LocalService; ///< of the local target
     std::uint64_t Seed = 1;
@@ -30,25 +26,16 @@
     /// derived from the id of the call.
     std::function<std::optional<std::string>(const std::string &RequestId)>
         ParentRequestId;
-    /// Returns a node of a service that this one is not linked to, except the
-    /// given ones.
-    std::function<std::optional<Contact>(const ServiceName &,
-                                         const std::vector<NodeId> &)>
-        FindUnlinkedNode;
   };
   using PolicyInForce = std::function<std::shared_ptr<const TrafficPolicy>()>;
 
   Forwarder(Options Config, HeaderNames Names, EventLoop &Loop, Mesh &Peers,
-            limpetdrum::LocalTarget &LocalTarget, RepeatBudget &Repeats,
-            const CrashHistory &Crashes, OverloadControl &Overload,
-            const LeavePlan &Leaving, PolicyInForce Policy, EventLog &Log,
-            Metrics &Counters);
+            limpetdrum::LocalTarget &LocalTarget, TargetSelector &Targets,
+            RepeatBudget &Repeats, const CrashHistory &Crashes,
+            OverloadControl &Overload, const LeavePlan &Leaving,
+            PolicyInForce Policy, EventLog &Log, Metrics &Counters);
 
   void onRequest(std::shared_ptr<HttpExchange> Exchange);
-  /// \brief Handles a new status of another node.
-  void onPeerStatus(const NodeId &Node);
-  /// \brief Discards what was observed of a node that is no longer linked.
-  void onPeerRemoved(const NodeId &Node);
 
 private:
   struct ForwardedRequest;
@@ -74,8 +61,6 @@
   void onNotRun(const RequestPtr &Request, const Reply &Value);
   [[nodiscard]] RepeatBudget::RouteKind
   routeKind(const ForwardedRequest &Request) const;
-  /// Returns true if a candidate node has not been sent the request yet.
-  [[nodiscard]] bool hasUntriedNode(const ForwardedRequest &Request) const;
   [[nodiscard]] RetryPlan::Context
   retryContext(const RequestPtr &Request) const;
   /// Takes a repeat out of the budget, and logs whether it was granted.
@@ -97,20 +82,6 @@
   void fail(const RequestPtr &Request, int Status, Reason Cause);
   void answer(const RequestPtr &Request, int Status, const HttpHeaders &Headers,
               const std::string &Body, const char *Outcome);
-  /// Nodes of a service that this one is linked to.
-  struct Candidates {
-    std::vector<PlacementCandidate> Ready;
-    /// Used only if no other node is ready: nodes that do not respond, or else
-    /// targets that are leaving but still serve requests for a short time.
-    std::vector<PlacementCandidate> Fallback;
-    [[nodiscard]] const std::vector<PlacementCandidate> &best() const noexcept {
-      return this->Ready.empty() ? this->Fallback : this->Ready;
-    }
-  };
-  [[nodiscard]] Candidates candidates(const ServiceName &Service) const;
-  /// Selects the node for the next attempt, and links to it if need be.
-  [[nodiscard]] std::optional<NodeId> selectNode(const RequestPtr &Request);
-  [[nodiscard]] const TargetRecord *targetAt(const NodeId &Node) const;
   [[nodiscard]] MeshAttempt makeAttempt(const ForwardedRequest &Request,
                                         const TargetRecord &Target) const;
 
@@ -119,6 +90,7 @@
   EventLoop &Loop;
   Mesh &Peers;
   limpetdrum::LocalTarget &LocalTarget;
+  TargetSelector &Targets;
   RepeatBudget &Repeats;
   const CrashHistory &Crashes;
   OverloadControl &Overload;
@@ -126,7 +98,6 @@
   PolicyInForce Policy;
   EventLog &Log;
   Metrics &Counters;
-  Placement NodePlacement;
   SplitChooser Splits;
   std::mt19937_64 Random;
   std::uint64_t LastLocalCall = 0;
--- a/include/limpetdrum/daemon/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -1,9 +1,9 @@
-#ifndef LIMPETDRUM_DAEMON_LOCALTARGET_H
-#define LIMPETDRUM_DAEMON_LOCALTARGET_H
+#ifndef LIMPETDRUM_DAEMON_CALLS_LOCALTARGET_H
+#define LIMPETDRUM_DAEMON_CALLS_LOCALTARGET_H
 
-#include "limpetdrum/daemon/HeaderNames.h"
-#include "limpetdrum/daemon/MeshCodec.h"
-#include "limpetdrum/daemon/Ports.h"
+#include "limpetdrum/daemon/calls/HeaderNames.h"
+#include "limpetdrum/daemon/calls/Ports.h"
+#include "limpetdrum/daemon/fleet/MeshCodec.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
 #include "limpetdrum/request/Admission.h"
@@ -12,6 +12,7 @@
 #include "limpetdrum/request/CrashHistory.h"
 #include "limpetdrum/request/DrainGate.h"
 #include "limpetdrum/request/SuspectTrials.h"
+#include "limpetdrum/request/TargetIdentity.h"
 
 #include <functional>
 #include <memory>
@@ -129,8 +130,6 @@
     std::optional<TimePoint> CancelAt;
   };
 
-  /// Returns true if the leave of this target was acknowledged.
-  [[nodiscard]] bool hasDeparted(const TargetRecord &Value) const;
   void setRecord(const TargetRecord &NewRecord, Milliseconds WarmUp);
   void applyDecisions(const AdmissionDecisions &Decisions);
   /// Queues an attempt for the target.
@@ -163,7 +162,6 @@
   /// Keeps the target to a rate, in requests per second, from now on.
   /// \param Source origin of the rate, for the log.
   void setRequestRate(std::optional<double> PerSecond, const char *Source);
-  [[nodiscard]] Reply toReply(HttpResponse &Answer);
   void finish(AttemptId Id, Reply Value);
   void endCancelledRuns();
   void refuseQueuedIfGateClosed();
@@ -177,9 +175,7 @@
   Metrics &Counters;
   Clock Now;
   TargetRecord Record;
-  /// Ids of targets whose leave was acknowledged, with the time of the leave in
-  /// milliseconds since the Unix epoch.
-  std::unordered_map<std::string, std::int64_t> DepartedTargets;
+  TargetIdentity Identity;
   DrainGate Gate;
   bool GateCloseHandled = false;
   bool RefusesNewWork = false; ///< set shortly before the node ends
--- a/include/limpetdrum/daemon/Ports.h
+++ b/include/limpetdrum/daemon/calls/Ports.h
@@ -1,5 +1,5 @@
-#ifndef LIMPETDRUM_DAEMON_PORTS_H
-#define LIMPETDRUM_DAEMON_PORTS_H
+#ifndef LIMPETDRUM_DAEMON_CALLS_PORTS_H
+#define LIMPETDRUM_DAEMON_CALLS_PORTS_H
 
 #include "limpetdrum/connection/Http.h"
 #include "limpetdrum/process/Membership.h"
--- a/include/limpetdrum/daemon/ContactRegistry.h
+++ b/include/limpetdrum/daemon/fleet/ContactRegistry.h
@@ -1,5 +1,5 @@
-#ifndef LIMPETDRUM_DAEMON_CONTACTREGISTRY_H
-#define LIMPETDRUM_DAEMON_CONTACTREGISTRY_H
+#ifndef LIMPETDRUM_DAEMON_FLEET_CONTACTREGISTRY_H
+#define LIMPETDRUM_DAEMON_FLEET_CONTACTREGISTRY_H
 
 #include "limpetdrum/connection/EventLoop.h"
 #include "limpetdrum/connection/ObjectStore.h"
--- a/include/limpetdrum/daemon/CrashArchive.h
+++ b/include/limpetdrum/daemon/fleet/CrashArchive.h
@@ -1,5 +1,5 @@
-#ifndef LIMPETDRUM_DAEMON_CRASHARCHIVE_H
-#define LIMPETDRUM_DAEMON_CRASHARCHIVE_H
+#ifndef LIMPETDRUM_DAEMON_FLEET_CRASHARCHIVE_H
+#define LIMPETDRUM_DAEMON_FLEET_CRASHARCHIVE_H
 
 #include "limpetdrum/connection/EventLoop.h"
 #include "limpetdrum/connection/ObjectStore.h"
--- a/include/limpetdrum/daemon/FleetView.h
+++ b/include/limpetdrum/daemon/fleet/FleetView.h
@@ -1,8 +1,8 @@
-#ifndef LIMPETDRUM_DAEMON_FLEETVIEW_H
-#define LIMPETDRUM_DAEMON_FLEETVIEW_H
+#ifndef LIMPETDRUM_DAEMON_FLEET_FLEETVIEW_H
+#define LIMPETDRUM_DAEMON_FLEET_FLEETVIEW_H
 
 #include "limpetdrum/connection/Datagram.h"
-#include "limpetdrum/daemon/ContactRegistry.h"
+#include "limpetdrum/daemon/fleet/ContactRegistry.h"
 #include "limpetdrum/process/Metrics.h"
 
 namespace limpetdrum {
--- a/include/limpetdrum/daemon/IncomingLinks.h
+++ b/include/limpetdrum/daemon/fleet/IncomingLinks.h
@@ -1,7 +1,7 @@
-#ifndef LIMPETDRUM_DAEMON_INCOMINGLINKS_H
-#define LIMPETDRUM_DAEMON_INCOMINGLINKS_H
+#ifndef LIMPETDRUM_DAEMON_FLEET_INCOMINGLINKS_H
+#define LIMPETDRUM_DAEMON_FLEET_INCOMINGLINKS_H
 
-#include "limpetdrum/daemon/MeshCodec.h"
+#include "limpetdrum/daemon/fleet/MeshCodec.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
 
--- a/include/limpetdrum/daemon/LinkKeeper.h
+++ b/include/limpetdrum/daemon/fleet/LinkKeeper.h
@@ -1,7 +1,7 @@
-#ifndef LIMPETDRUM_DAEMON_LINKKEEPER_H
-#define LIMPETDRUM_DAEMON_LINKKEEPER_H
+#ifndef LIMPETDRUM_DAEMON_FLEET_LINKKEEPER_H
+#define LIMPETDRUM_DAEMON_FLEET_LINKKEEPER_H
 
-#include "limpetdrum/daemon/Mesh.h"
+#include "limpetdrum/daemon/fleet/Mesh.h"
 #include "limpetdrum/request/LinkPlan.h"
 #include "limpetdrum/request/LoadEstimate.h"
 
--- a/include/limpetdrum/daemon/Mesh.h
+++ b/include/limpetdrum/daemon/fleet/Mesh.h
@@ -1,9 +1,9 @@
-#ifndef LIMPETDRUM_DAEMON_MESH_H
-#define LIMPETDRUM_DAEMON_MESH_H
+#ifndef LIMPETDRUM_DAEMON_FLEET_MESH_H
+#define LIMPETDRUM_DAEMON_FLEET_MESH_H
 
 #include "limpetdrum/connection/Liveness.h"
-#include "limpetdrum/daemon/IncomingLinks.h"
-#include "limpetdrum/daemon/PendingCalls.h"
+#include "limpetdrum/daemon/fleet/IncomingLinks.h"
+#include "limpetdrum/daemon/fleet/PendingCalls.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
 #include "limpetdrum/version/PolicyRequests.h"
--- a/include/limpetdrum/daemon/MeshCodec.h
+++ b/include/limpetdrum/daemon/fleet/MeshCodec.h
@@ -1,5 +1,5 @@
-#ifndef LIMPETDRUM_DAEMON_MESHCODEC_H
-#define LIMPETDRUM_DAEMON_MESHCODEC_H
+#ifndef LIMPETDRUM_DAEMON_FLEET_MESHCODEC_H
+#define LIMPETDRUM_DAEMON_FLEET_MESHCODEC_H
 
 #include "limpetdrum/connection/Http.h"
 #include "limpetdrum/connection/PeerLink.h"
--- a/include/limpetdrum/daemon/PendingCalls.h
+++ b/include/limpetdrum/daemon/fleet/PendingCalls.h
@@ -1,7 +1,7 @@
-#ifndef LIMPETDRUM_DAEMON_PENDINGCALLS_H
-#define LIMPETDRUM_DAEMON_PENDINGCALLS_H
+#ifndef LIMPETDRUM_DAEMON_FLEET_PENDINGCALLS_H
+#define LIMPETDRUM_DAEMON_FLEET_PENDINGCALLS_H
 
-#include "limpetdrum/daemon/MeshCodec.h"
+#include "limpetdrum/daemon/fleet/MeshCodec.h"
 
 #include <functional>
 #include <map>
--- a/include/limpetdrum/daemon/PlatformAdapter.h
+++ b/include/limpetdrum/daemon/policy/PlatformAdapter.h
@@ -1,8 +1,8 @@
-#ifndef LIMPETDRUM_DAEMON_PLATFORMADAPTER_H
-#define LIMPETDRUM_DAEMON_PLATFORMADAPTER_H
+#ifndef LIMPETDRUM_DAEMON_POLICY_PLATFORMADAPTER_H
+#define LIMPETDRUM_DAEMON_POLICY_PLATFORMADAPTER_H
 
-#include "limpetdrum/daemon/HeaderNames.h"
-#include "limpetdrum/daemon/LocalTarget.h"
+#include "limpetdrum/daemon/calls/HeaderNames.h"
+#include "limpetdrum/daemon/calls/LocalTarget.h"
 #include "limpetdrum/version/TrafficPolicy.h"
 
 #include <memory>
--- a/include/limpetdrum/daemon/PolicyFeed.h
+++ b/include/limpetdrum/daemon/policy/PolicyFeed.h
@@ -1,9 +1,9 @@
-#ifndef LIMPETDRUM_DAEMON_POLICYFEED_H
-#define LIMPETDRUM_DAEMON_POLICYFEED_H
+#ifndef LIMPETDRUM_DAEMON_POLICY_POLICYFEED_H
+#define LIMPETDRUM_DAEMON_POLICY_POLICYFEED_H
 
 #include "limpetdrum/connection/EventLoop.h"
 #include "limpetdrum/connection/ObjectStore.h"
-#include "limpetdrum/daemon/PlatformAdapter.h"
+#include "limpetdrum/daemon/policy/PlatformAdapter.h"
 #include "limpetdrum/process/EventLog.h"
 #include "limpetdrum/process/Metrics.h"
 
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -1,10 +1,11 @@
 #include "limpetdrum/daemon/Sidecar.h"
 
-#include "limpetdrum/daemon/CrashArchive.h"
-#include "limpetdrum/daemon/FleetView.h"
-#include "limpetdrum/daemon/Forwarder.h"
-#include "limpetdrum/daemon/LinkKeeper.h"
-#include "limpetdrum/daemon/PolicyFeed.h"
+#include "limpetdrum/daemon/calls/Forwarder.h"
+#include "limpetdrum/daemon/calls/TargetCheck.h"
+#include "limpetdrum/daemon/fleet/CrashExchange.h"
+#include "limpetdrum/daemon/fleet/FleetView.h"
+#include "limpetdrum/daemon/fleet/UsageExchange.h"
+#include "limpetdrum/daemon/policy/PolicyFeed.h"
 #include "limpetdrum/process/Error.h"
 
 #include <algorithm>
@@ -29,7 +30,6 @@
 /// Time after which a node may become ready without a link to every peer: by
 /// then it is connected to those that run.
 constexpr Milliseconds WarmUpLimit{1500};
-constexpr Milliseconds StatusCheckTimeout{500};
 constexpr std::chrono::seconds CrashSweepPeriod{10};
 
 std::int64_t unixMillis() {
@@ -86,13 +86,17 @@
   CrashHistory Crashes;
   CrashArchive ProvenCrashes;
   limpetdrum::LocalTarget LocalTarget;
+  TargetCheck RunningTarget;
   FleetView Fleet;
   Mesh Peers;
   LinkKeeper Links;
+  CrashExchange CrashNewsExchange;
   RepeatBudget Repeats;
   OverloadControl Overload;
+  UsageExchange Usage;
   LeavePlan Leaving;
   PolicyFeed Policies;
+  TargetSelector Targets;
   limpetdrum::Forwarder Forwarder;
   std::unique_ptr<HttpServer> Outbound;
   std::unique_ptr<HttpServer> Readiness;
@@ -103,7 +107,6 @@
   bool HasLeft = false;
   bool WasReady = false;
   bool HasReport = false;
-  Timer StatusCheck;
 
   State(EventLoop &Loop, const SidecarSettings &Settings,
         const PlatformAdapter &Adapter, ObjectStore &Store, EventLog &Log,
@@ -118,26 +121,36 @@
                      Settings.Service},
                     Adapter.headers(), this->TargetClient, this->Crashes, Log,
                     Counters, [&Loop]() { return Loop.now(); }),
+        RunningTarget(Settings.Service, Adapter.headers(), this->TargetClient,
+                      this->LocalTarget, Log, Counters),
         Fleet(Loop, Store, this->member(), Log, Counters, this->Seed + 2),
         Peers(Loop, this->contact(), this->Incarnation, Log, Counters),
         Links(this->Fleet.members(), this->Peers, Loop),
+        CrashNewsExchange(Settings.FailureDomain, this->Crashes,
+                          this->ProvenCrashes, this->Links, this->Peers, Log,
+                          Counters),
         Repeats(Settings.RepeatRatio, Settings.RepeatWindow, this->Seed + 5),
-        Overload(this->Seed + 4), Leaving(Settings.ExitLimit),
+        Overload(this->Seed + 4),
+        Usage({Settings.Node, Settings.FailureDomain, Settings.Service},
+              this->Overload, this->Links, this->Peers),
+        Leaving(Settings.ExitLimit),
         Policies(Loop, Store, Adapter, Log, Counters, this->Seed + 1),
+        Targets({Settings.Node, Settings.FailureDomain, this->Seed + 6,
+                 [this](const ServiceName &Service,
+                        const std::vector<NodeId> &Excluded) {
+                   return this->Links.findUnlinked(Service, Excluded);
+                 }},
+                Loop, this->Peers, this->LocalTarget, Log, Counters),
         Forwarder(
-            {Settings.Node, Settings.FailureDomain, Settings.Region,
-             callerKey(Settings.Node, this->Incarnation), Settings.Service,
-             this->Seed + 3,
+            {Settings.Node, callerKey(Settings.Node, this->Incarnation),
+             Settings.Service, this->Seed + 3,
              [&Adapter](const std::string &Id) {
                return Adapter.parentRequestId(Id);
-             },
-             [this](const ServiceName &Service,
-                    const std::vector<NodeId> &Excluded) {
-               return this->Links.findUnlinked(Service, Excluded);
              }},
             Adapter.headers(), Loop, this->Peers, this->LocalTarget,
-            this->Repeats, this->Crashes, this->Overload, this->Leaving,
-            [this]() { return this->Policies.current(); }, Log, Counters) {}
+            this->Targets, this->Repeats, this->Crashes, this->Overload,
+            this->Leaving, [this]() { return this->Policies.current(); }, Log,
+            Counters) {}
 
   [[nodiscard]] Contact contact() const {
     return {this->Settings.Node, this->Settings.AdvertisedLink,
@@ -162,7 +175,6 @@
   void listen();
   void onReport(const std::shared_ptr<HttpExchange> &Exchange);
   void onPolicy(const TrafficPolicy &NewPolicy);
-  void checkTarget();
   [[nodiscard]] bool isReady();
   [[nodiscard]] NodeStatus status();
   void leave();
@@ -171,13 +183,6 @@
   /// Updates the links and the duties of this node.
   void updateRole();
   void onTargetChange();
-  /// Tells the fleet what the local target adds to the history of crashes.
-  void announceCrashNews(const CrashNews &News);
-  /// Handles what another node or the store tells; duty holders pass on what
-  /// is new.
-  void onCrashNews(const CrashNews &News);
-  void shareUsage();
-  void onUsage(MeshUsage Report);
   void updateGate();
   void refreshGauges();
   void logGate();
@@ -236,10 +241,10 @@
     this->LocalTarget.acknowledge(Caller, Call);
   };
   Handlers.OnStatus = [this](const NodeId &From) {
-    this->Forwarder.onPeerStatus(From);
+    this->Targets.onPeerStatus(From);
   };
   Handlers.OnRemoved = [this](const NodeId &Node) {
-    this->Forwarder.onPeerRemoved(Node);
+    this->Targets.onPeerRemoved(Node);
   };
   Handlers.OnPolicy = [this](const std::string &Text) {
     this->Policies.offer(Text, "peer");
@@ -254,21 +259,22 @@
     return this->Policies.current() ? this->Policies.current()->text() : "";
   };
   Handlers.OnCrashNews = [this](const CrashNews &News) {
-    this->onCrashNews(News);
+    this->CrashNewsExchange.onNews(News, this->Loop.now());
   };
   Handlers.KnownCrashes = [this]() {
     return this->Crashes.known(this->Loop.now());
   };
   Handlers.OnUsage = [this](MeshUsage Report) {
-    this->onUsage(std::move(Report));
+    this->Usage.onUsage(std::move(Report), this->Loop.now());
   };
   return Handlers;
 }
 
 void Sidecar::State::start() {
   this->LocalTarget.setOnChange([this]() { this->onTargetChange(); });
-  this->LocalTarget.setOnCrashNews(
-      [this](const CrashNews &News) { this->announceCrashNews(News); });
+  this->LocalTarget.setOnCrashNews([this](const CrashNews &News) {
+    this->CrashNewsExchange.announce(News);
+  });
   this->LocalTarget.setOnRun([this](const std::string &Route, RunEvent Event) {
     auto &Learner = this->Overload.learner();
     if (Event == RunEvent::Started)
@@ -289,8 +295,9 @@
   PolicyHandlers.OnStoreReachable = [this]() { this->Peers.broadcastLoad(); };
   this->Policies.start(std::move(PolicyHandlers));
   if (!this->Settings.FirstStart)
-    this->ProvenCrashes.read(
-        [this](const CrashNews &News) { this->onCrashNews(News); });
+    this->ProvenCrashes.read([this](const CrashNews &News) {
+      this->CrashNewsExchange.onNews(News, this->Loop.now());
+    });
   this->Fleet.start(this->Settings.FirstStart
                         ? ContactRegistry::Start::WithFleet
                         : ContactRegistry::Start::Alone);
@@ -298,8 +305,8 @@
       this->Loop.every(LinkUpdatePeriod, [this]() { this->updateRole(); }));
   this->Timers.push_back(this->Loop.every(
       AdmissionTickPeriod, [this]() { this->LocalTarget.tick(); }));
-  this->Timers.push_back(
-      this->Loop.every(UsagePeriod, [this]() { this->shareUsage(); }));
+  this->Timers.push_back(this->Loop.every(
+      UsagePeriod, [this]() { this->Usage.share(this->Loop.now()); }));
   this->Timers.push_back(
       this->Loop.every(GateUpdatePeriod, [this]() { this->updateGate(); }));
   this->Timers.push_back(this->Loop.every(
@@ -347,85 +354,6 @@
   this->Fleet.announce(IsLeaving ? TargetState::Draining : TargetState::Ready);
 }
 
-void Sidecar::State::announceCrashNews(const CrashNews &News) {
-  this->Peers.sendCrashNews(News);
-  for (const auto &Holder :
-       this->Links.dutyHolders(this->Settings.FailureDomain))
-    this->Peers.sendCrashNews(Holder, News);
-  for (const auto &Report : News.Reports)
-    if (Report.Alone)
-      this->ProvenCrashes.write(Report.Request);
-}
-
-void Sidecar::State::onCrashNews(const CrashNews &News) {
-  auto Fresh = this->Crashes.merge(News, this->Loop.now());
-  if (Fresh.empty())
-    return;
-  this->Counters.count("crash_news");
-  for (const auto &Report : Fresh.Reports)
-    if (Report.Alone)
-      this->Log.state("request_crashes_targets",
-                      {{"request", toString(Report.Request)},
-                       {"age_ms", Report.Age.count()}});
-  if (!this->Links.holdsDuties())
-    return;
-  this->Peers.sendCrashNews(this->Settings.FailureDomain, Fresh);
-  for (const auto &Other : this->Links.otherDomains())
-    for (const auto &Holder : this->Links.dutyHolders(Other))
-      this->Peers.sendCrashNews(Holder, Fresh);
-}
-
-void Sidecar::State::shareUsage() {
-  auto Now = this->Loop.now();
-  const auto &Domain = this->Settings.FailureDomain;
-  MeshUsage Report;
-  Report.Node = this->Settings.Node;
-  Report.Usage =
-      this->Overload.report(Report.Node, this->Settings.Service, Now);
-  for (const auto &Holder : this->Links.dutyHolders(Domain))
-    this->Peers.sendUsage(Holder, Report);
-  if (!this->Links.holdsDuties())
-    return;
-  auto Send = [](enum MeshUsage::Scope Scope, const FailureDomain &SummedOver,
-                 std::vector<UsageSummary> Sums, const auto &Receivers) {
-    for (auto &Sum : Sums) {
-      MeshUsage Message;
-      Message.Scope = Scope;
-      Message.FailureDomain = SummedOver;
-      Message.Usage = std::move(Sum);
-      Receivers(Message);
-    }
-  };
-  Send(MeshUsage::Scope::FailureDomain, Domain,
-       this->Overload.demand().summaries(Now), [this](const MeshUsage &Sum) {
-         for (const auto &Other : this->Links.otherDomains())
-           for (const auto &Holder : this->Links.dutyHolders(Other))
-             this->Peers.sendUsage(Holder, Sum);
-       });
-  Send(MeshUsage::Scope::Fleet, {}, this->Overload.demand().fleetSummaries(Now),
-       [this, &Domain](const MeshUsage &Sum) {
-         this->Peers.sendUsage(Domain, Sum);
-       });
-}
-
-void Sidecar::State::onUsage(MeshUsage Report) {
-  auto Now = this->Loop.now();
-  auto &Demand = this->Overload.demand();
-  switch (Report.Scope) {
-  case MeshUsage::Scope::Node:
-    Demand.record(Report.Node, std::move(Report.Usage), Now);
-    return;
-  case MeshUsage::Scope::FailureDomain:
-    Demand.recordDomain(Report.FailureDomain, std::move(Report.Usage), Now);
-    return;
-  case MeshUsage::Scope::Fleet:
-    // A duty holder makes the sums itself, from fresher reports.
-    if (!this->Links.holdsDuties())
-      Demand.recordFleet(std::move(Report.Usage), Now);
-    return;
-  }
-}
-
 void Sidecar::State::refreshGauges() {
   const auto &Others = this->Fleet.members().others();
   auto Present = std::count_if(Others.begin(), Others.end(),
@@ -464,40 +392,8 @@
   // Tells the linked nodes, which then ask for the policy.
   this->Peers.broadcastLoad();
   // After a restart of the process the target may already be running.
-  if (!this->Settings.FirstStart && this->LocalTarget.record().Id.empty())
-    this->checkTarget();
-}
-
-void Sidecar::State::checkTarget() {
-  const auto &Policy = this->Policies.current();
-  const auto *Service =
-      Policy ? Policy->service(this->Settings.Service) : nullptr;
-  if (Service == nullptr || !this->LocalTarget.record().Id.empty())
-    return;
-  HttpCall Check;
-  Check.Path = Service->HealthPath;
-  Check.Timeout = StatusCheckTimeout;
-  this->Counters.count("target_status_checks");
-  (void)this->TargetClient.send(Check, [this](const HttpResponse &Answer) {
-    const auto &Names = this->Adapter.headers();
-    auto Id = Answer.header(Names.TargetId);
-    bool IsHealthy = Answer.Outcome == HttpOutcome::Answered &&
-                     Answer.Status == 200 && !Id.empty();
-    this->Log.state(
-        "target_checked",
-        {{"status", Answer.Status}, {"target", Id}, {"healthy", IsHealthy}});
-    if (!IsHealthy)
-      return;
-    auto Load = Answer.header(Names.TargetLoad);
-    auto Slots = std::strtoul(
-        Load.substr(std::min(Load.size(), Load.rfind(',') + 1)).c_str(),
-        nullptr, 10);
-    constexpr unsigned long MaxSlots = 65'535;
-    this->LocalTarget.onStatusCheck(
-        Id, this->Settings.Service,
-        limpetdrum::Slots(
-            static_cast<std::uint16_t>(std::clamp(Slots, 1UL, MaxSlots))));
-  });
+  if (!this->Settings.FirstStart)
+    this->RunningTarget.run(NewPolicy);
 }
 
 void Sidecar::State::onReport(const std::shared_ptr<HttpExchange> &Exchange) {
--- a/lib/daemon/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/Forwarder.h"
+#include "limpetdrum/daemon/calls/Forwarder.h"
 
 #include "limpetdrum/request/Position.h"
 #include "limpetdrum/request/RequestFingerprint.h"
@@ -77,22 +77,15 @@
 
 Forwarder::Forwarder(Options Config, HeaderNames Names, EventLoop &Loop,
                      Mesh &Peers, limpetdrum::LocalTarget &LocalTarget,
-                     RepeatBudget &Repeats, const CrashHistory &Crashes,
-                     OverloadControl &Overload, const LeavePlan &Leaving,
-                     PolicyInForce Policy, EventLog &Log, Metrics &Counters)
+                     TargetSelector &Targets, RepeatBudget &Repeats,
+                     const CrashHistory &Crashes, OverloadControl &Overload,
+                     const LeavePlan &Leaving, PolicyInForce Policy,
+                     EventLog &Log, Metrics &Counters)
     : Config(Config), Names(std::move(Names)), Loop(Loop), Peers(Peers),
-      LocalTarget(LocalTarget), Repeats(Repeats), Crashes(Crashes),
-      Overload(Overload), Leaving(Leaving), Policy(std::move(Policy)), Log(Log),
-      Counters(Counters), NodePlacement(Config.FailureDomain, Config.Seed),
-      Random(Config.Seed + 1) {}
-
-void Forwarder::onPeerStatus(const NodeId &Node) {
-  this->NodePlacement.onReport(Node);
-}
-
-void Forwarder::onPeerRemoved(const NodeId &Node) {
-  this->NodePlacement.remove(Node);
-}
+      LocalTarget(LocalTarget), Targets(Targets), Repeats(Repeats),
+      Crashes(Crashes), Overload(Overload), Leaving(Leaving),
+      Policy(std::move(Policy)), Log(Log), Counters(Counters),
+      Random(Config.Seed) {}
 
 void Forwarder::onRequest(std::shared_ptr<HttpExchange> Exchange) {
   auto Request = std::make_shared<ForwardedRequest>();
@@ -181,63 +174,6 @@
   this->send(Request);
 }
 
-Forwarder::Candidates Forwarder::candidates(const ServiceName &Service) const {
-  Candidates Result;
-  std::vector<PlacementCandidate> Draining;
-  auto AddCandidate = [&](const NodeStatus &Status, const Contact &Contact,
-                          bool IsSuspect) {
-    if (Status.Target.Service != Service || Status.Target.Id.empty())
-      return;
-    PlacementCandidate Candidate{Contact.Node, Contact.FailureDomain,
-                                 Status.Running + Status.Queued, Status.Limit};
-    if (Status.Target.State == TargetState::Ready && !Status.Leaving)
-      (IsSuspect ? Result.Fallback : Result.Ready)
-          .push_back(std::move(Candidate));
-    else if (Status.Target.State != TargetState::Starting)
-      Draining.push_back(std::move(Candidate));
-  };
-  NodeStatus Local;
-  this->LocalTarget.fillStatus(Local);
-  AddCandidate(Local, {this->Config.Node, {}, this->Config.FailureDomain},
-               false);
-  for (const auto &[Node, Peer] : this->Peers.peers())
-    if (Peer.IsReachable && Peer.Status)
-      AddCandidate(*Peer.Status, Peer.Contact, Peer.IsSuspect);
-  if (Result.Fallback.empty())
-    Result.Fallback = std::move(Draining);
-  return Result;
-}
-
-std::optional<NodeId> Forwarder::selectNode(const RequestPtr &Request) {
-  auto Linked = this->candidates(Request->Service);
-  auto Time = this->Loop.now();
-  auto Node = this->NodePlacement.pick(Linked.Ready, Request->Excluded, Time);
-  if (Node)
-    return Node;
-  if (auto Unlinked =
-          this->Config.FindUnlinkedNode(Request->Service, Request->Excluded)) {
-    this->Counters.count("links_on_demand");
-    this->Log.request("link_on_demand", {{"id", Request->Id},
-                                         {"service", Request->Service.value()},
-                                         {"node", Unlinked->Node.value()}});
-    this->Peers.add(*Unlinked);
-    return this->NodePlacement.pick({{Unlinked->Node, Unlinked->FailureDomain}},
-                                    {}, Time);
-  }
-  if (!Linked.Ready.empty())
-    return std::nullopt;
-  return this->NodePlacement.pick(Linked.Fallback, Request->Excluded, Time);
-}
-
-const TargetRecord *Forwarder::targetAt(const NodeId &Node) const {
-  if (Node == this->Config.Node)
-    return &this->LocalTarget.record();
-  auto Peer = this->Peers.peers().find(Node);
-  if (Peer == this->Peers.peers().end() || !Peer->second.Status)
-    return nullptr;
-  return &Peer->second.Status->Target;
-}
-
 void Forwarder::send(const RequestPtr &Request) {
   auto Time = this->Loop.now();
   if (Request->Deadline <= Time) {
@@ -246,7 +182,8 @@
   }
   if (this->endIfCrashing(Request))
     return;
-  auto Node = this->selectNode(Request);
+  auto Node =
+      this->Targets.select({Request->Id, Request->Service, Request->Excluded});
   if (!Node) {
     this->applyStep(Request, Request->Plan.terminalStep(),
                     notRun(Reason::NoTarget, NoTargetRetryAfter));
@@ -270,13 +207,7 @@
 }
 
 void Forwarder::resendToSameNode(const RequestPtr &Request) {
-  auto Candidates = this->candidates(Request->Service).best();
-  Candidates.erase(std::remove_if(Candidates.begin(), Candidates.end(),
-                                  [&](const auto &Candidate) {
-                                    return Candidate.Node != Request->Node;
-                                  }),
-                   Candidates.end());
-  if (this->NodePlacement.pick(Candidates, {}, this->Loop.now()))
+  if (this->Targets.selectAgain(Request->Node, Request->Service))
     this->sendTo(Request, NodeId(Request->Node));
   else
     this->send(Request); // the target has left in the meantime
@@ -306,7 +237,7 @@
   Request->Plan.onSent();
   auto AttemptNumber = Request->Plan.attempts();
   Request->Excluded.push_back(Node);
-  const auto *Target = this->targetAt(Node);
+  const auto *Target = this->Targets.target(Node);
   // A node that is not linked yet tells its target when it is.
   auto Attempt =
       this->makeAttempt(*Request, Target == nullptr ? TargetRecord() : *Target);
@@ -327,8 +258,7 @@
 
 void Forwarder::endAttempt(const RequestPtr &Request, CallResult Result) {
   Request->Call = 0;
-  auto Time = this->Loop.now();
-  this->NodePlacement.end(Request->Node, Result, Time);
+  this->Targets.end(Request->Node, Result);
 }
 
 void Forwarder::onResult(const RequestPtr &Request, std::uint64_t AttemptNumber,
@@ -400,23 +330,13 @@
              : RepeatBudget::RouteKind::Inner;
 }
 
-bool Forwarder::hasUntriedNode(const ForwardedRequest &Request) const {
-  auto Linked = this->candidates(Request.Service).best();
-  return std::any_of(Linked.begin(), Linked.end(),
-                     [&](const auto &Candidate) {
-                       return std::find(Request.Excluded.begin(),
-                                        Request.Excluded.end(),
-                                        Candidate.Node) ==
-                              Request.Excluded.end();
-                     }) ||
-         this->Config.FindUnlinkedNode(Request.Service, Request.Excluded);
-}
-
 RetryPlan::Context Forwarder::retryContext(const RequestPtr &Request) const {
   auto TimeLeft = std::chrono::duration_cast<Milliseconds>(Request->Deadline -
                                                            this->Loop.now());
-  return {TimeLeft,
-          [this, Request]() { return this->hasUntriedNode(*Request); }};
+  return {TimeLeft, [this, Request]() {
+            return this->Targets.hasUntriedNode(
+                {Request->Id, Request->Service, Request->Excluded});
+          }};
 }
 
 bool Forwarder::takeRepeat(const RequestPtr &Request, RetryPlan::Step Step,
--- a/lib/daemon/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -1,11 +1,10 @@
-#include "limpetdrum/daemon/LocalTarget.h"
+#include "limpetdrum/daemon/calls/LocalTarget.h"
 
+#include "limpetdrum/daemon/calls/TargetAnswer.h"
 #include "limpetdrum/process/Error.h"
 #include "limpetdrum/request/RequestFingerprint.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 
 namespace limpetdrum {
 
@@ -13,11 +12,6 @@
 
 /// Longer than any deadline, so that a late copy of an attempt does not run.
 constexpr std::chrono::seconds AttemptRetention{30};
-/// Statuses that tell a client that its request did not run. From a target, a
-/// status alone proves this only if it is 421; the others need the header
-/// NotExecuted, and are not passed on without it.
-constexpr std::array<int, 4> NotRunStatuses = {408, 421, 429, 503};
-constexpr int MisdirectedRequest = 421;
 /// Targets slow down when their last slots are in use.
 constexpr double UsableSlotShare = 0.95;
 constexpr Milliseconds MinRetryAfter{300};
@@ -31,20 +25,6 @@
 /// may have to be crashed more often until the cause is known.
 constexpr std::size_t MaxReportsPerCrash = 1024;
 
-/// Returns a number of requests per second.
-/// \throws ValueError unless \p Text is a decimal number from 0.
-double parseRequestRate(const std::string &Text) {
-  double Value = -1;
-  const auto *End = Text.data() + Text.size();
-  auto Parsed =
-      std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
-  if (Parsed.ec != std::errc() || Parsed.ptr != End || !(Value >= 0) ||
-      !std::isfinite(Value))
-    throw ValueError("'" + Text + "' is not a valid request rate",
-                     "name requests per second as a decimal number from 0");
-  return Value;
-}
-
 Slots usableSlots(Slots AnnouncedSlots) {
   auto Count = static_cast<double>(AnnouncedSlots.value()) * UsableSlotShare;
   return Slots(static_cast<std::uint16_t>(std::max(1.0, Count)));
@@ -93,31 +73,12 @@
     this->OnChange();
 }
 
-bool LocalTarget::hasDeparted(const TargetRecord &Value) const {
-  // A later process with the same id is a different target.
-  auto Found = this->DepartedTargets.find(Value.Id);
-  return Found != this->DepartedTargets.end() && Value.Started <= Found->second;
-}
-
 bool LocalTarget::onReport(const Report &Value) {
-  const auto &NewRecord = Value.Target;
-  if (NewRecord.Id != this->Record.Id && this->hasDeparted(NewRecord))
-    return false;
-  if (isLater(NewRecord, this->Record)) {
-    auto Accepted = NewRecord;
-    bool IsSameTarget = NewRecord.Id == this->Record.Id &&
-                        NewRecord.Started == this->Record.Started;
-    // A target that is leaving stays so, whatever state it reports later.
-    if (IsSameTarget && this->Record.State > NewRecord.State)
-      Accepted.State = this->Record.State;
-    this->setRecord(Accepted, Value.WarmUp);
-    return true;
-  }
-  // An older report of the same process is in force if its state is not later
-  // than the recorded one.
-  return NewRecord.Id == this->Record.Id &&
-         NewRecord.Started == this->Record.Started &&
-         NewRecord.State <= this->Record.State;
+  auto Verdict = this->Identity.judge(Value.Target, this->Record);
+  if (Verdict == TargetIdentity::Verdict::Newer)
+    this->setRecord(TargetIdentity::merge(Value.Target, this->Record),
+                    Value.WarmUp);
+  return Verdict != TargetIdentity::Verdict::Outdated;
 }
 
 void LocalTarget::onRecordFromPeer(const TargetRecord &PeerRecord) {
@@ -137,9 +98,7 @@
 }
 
 bool LocalTarget::onLeave(const std::string &Id) {
-  // Stored for unknown targets as well: nodes that have not been notified of
-  // the leave may still send the target's record as ready.
-  this->DepartedTargets.try_emplace(Id, this->Config.UnixMillis());
+  this->Identity.onLeave(Id, this->Config.UnixMillis());
   if (Id != this->Record.Id)
     return true;
   auto Leaving = this->Record;
@@ -158,7 +117,7 @@
   NewRecord.Service = Service;
   NewRecord.Slots = AnnouncedSlots;
   NewRecord.State = TargetState::Ready;
-  if (!this->hasDeparted(NewRecord))
+  if (!this->Identity.hasDeparted(NewRecord))
     this->setRecord(NewRecord, Milliseconds(0));
 }
 
@@ -320,43 +279,11 @@
                                  });
 }
 
-Reply LocalTarget::toReply(HttpResponse &Answer) {
-  switch (Answer.Outcome) {
-  case HttpOutcome::NotConnected:
-    return notRun(Reason::TargetFailed, MinRetryAfter);
-  case HttpOutcome::Broken:
-    return unknownOutcome(Reason::TargetFailed, MinRetryAfter);
-  case HttpOutcome::TimedOut:
-    return unknownOutcome(Reason::TimedOut, MinRetryAfter);
-  case HttpOutcome::Answered:
-    break;
-  }
-  if (Answer.Status == MisdirectedRequest)
-    return notRun(Reason::WrongTarget, MinRetryAfter);
-  if (findHeader(Answer.Headers, this->Names.NotExecuted) != nullptr)
-    return notRun(Reason::RefusedByTarget, this->retryAfter());
-  bool HasNotRunStatus = std::find(NotRunStatuses.begin(), NotRunStatuses.end(),
-                                   Answer.Status) != NotRunStatuses.end();
-  if (HasNotRunStatus)
-    return unknownOutcome(Reason::TargetFailed, MinRetryAfter);
-  Reply Value;
-  Value.Outcome = Outcome::Answered;
-  Value.Status = static_cast<std::uint16_t>(Answer.Status);
-  removeConnectionHeaders(Answer.Headers);
-  Value.Headers = std::move(Answer.Headers);
-  Value.Body = std::move(Answer.Body);
-  return Value;
-}
-
 void LocalTarget::readNotices(const HttpResponse &Answer) {
-  // Another target may have sent a misdirected answer, and one that was cut may
-  // lack headers.
-  if (Answer.Outcome != HttpOutcome::Answered ||
-      Answer.Status == MisdirectedRequest)
+  if (!hasNotices(Answer))
     return;
   this->readRequestRate(Answer);
-  const auto *Leaving = findHeader(Answer.Headers, this->Names.TargetLeaving);
-  if (Leaving == nullptr || *Leaving != "1" ||
+  if (!saysLeaving(Answer, this->Names) ||
       this->Record.State >= TargetState::Draining)
     return;
   auto LeavingRecord = this->Record;
@@ -367,8 +294,7 @@
 void LocalTarget::readRequestRate(const HttpResponse &Answer) {
   std::optional<double> NewRate;
   try {
-    if (const auto *Text = findHeader(Answer.Headers, this->Names.RequestRate))
-      NewRate = parseRequestRate(*Text);
+    NewRate = limpetdrum::readRequestRate(Answer, this->Names);
   } catch (const ValueError &E) {
     this->Counters.count("target_rates_malformed");
     this->Log.request("target_rate_malformed",
@@ -423,7 +349,7 @@
   }
   if (IsCurrentTarget)
     this->readNotices(Answer);
-  auto Value = this->toReply(Answer);
+  auto Value = toReply(Answer, this->Names, MinRetryAfter, this->retryAfter());
   if (Found->second.CallFailed && Value.Status >= 500)
     Value.Reason = Reason::CallFailed;
   if (Value.Outcome == Outcome::Answered && Value.Status < 500)
--- a/lib/daemon/ContactRegistry.cpp
+++ b/lib/daemon/fleet/ContactRegistry.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/ContactRegistry.h"
+#include "limpetdrum/daemon/fleet/ContactRegistry.h"
 
 #include "limpetdrum/process/Error.h"
 
--- a/lib/daemon/FleetView.cpp
+++ b/lib/daemon/fleet/FleetView.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/FleetView.h"
+#include "limpetdrum/daemon/fleet/FleetView.h"
 
 #include "limpetdrum/daemon/Codec.h"
 #include "limpetdrum/process/Duties.h"
--- a/lib/daemon/IncomingLinks.cpp
+++ b/lib/daemon/fleet/IncomingLinks.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/IncomingLinks.h"
+#include "limpetdrum/daemon/fleet/IncomingLinks.h"
 
 #include "limpetdrum/process/Error.h"
 
--- a/lib/daemon/LinkKeeper.cpp
+++ b/lib/daemon/fleet/LinkKeeper.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/LinkKeeper.h"
+#include "limpetdrum/daemon/fleet/LinkKeeper.h"
 
 #include "limpetdrum/process/Duties.h"
 #include "limpetdrum/process/Rendezvous.h"
--- a/lib/daemon/MeshCodec.cpp
+++ b/lib/daemon/fleet/MeshCodec.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/MeshCodec.h"
+#include "limpetdrum/daemon/fleet/MeshCodec.h"
 
 #include "limpetdrum/process/Error.h"
 #include "limpetdrum/request/Position.h"
--- a/unittests/CrashArchiveTest.cpp
+++ b/unittests/CrashArchiveTest.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/CrashArchive.h"
+#include "limpetdrum/daemon/fleet/CrashArchive.h"
 #include "MockStore.h"
 
 #include <fcntl.h>
--- a/unittests/DrainModelTest.cpp
+++ b/unittests/DrainModelTest.cpp
@@ -1,5 +1,5 @@
 #include "FakeClock.h"
-#include "limpetdrum/daemon/LocalTarget.h"
+#include "limpetdrum/daemon/calls/LocalTarget.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
--- a/unittests/LinkKeeperTest.cpp
+++ b/unittests/LinkKeeperTest.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/LinkKeeper.h"
+#include "limpetdrum/daemon/fleet/LinkKeeper.h"
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
--- a/unittests/LocalTargetFixture.h
+++ b/unittests/LocalTargetFixture.h
@@ -3,7 +3,7 @@
 
 #include "FakeClock.h"
 #include "MockPorts.h"
-#include "limpetdrum/daemon/LocalTarget.h"
+#include "limpetdrum/daemon/calls/LocalTarget.h"
 
 #include <fcntl.h>
 
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/Mesh.h"
+#include "limpetdrum/daemon/fleet/Mesh.h"
 #include "RawClient.h"
 
 #include <catch2/catch.hpp>
--- a/unittests/MockPorts.h
+++ b/unittests/MockPorts.h
@@ -1,7 +1,7 @@
 #ifndef LIMPETDRUM_UNITTESTS_MOCKPORTS_H
 #define LIMPETDRUM_UNITTESTS_MOCKPORTS_H
 
-#include "limpetdrum/daemon/Ports.h"
+#include "limpetdrum/daemon/calls/Ports.h"
 
 // trompeloeil reports violations through the macros of Catch2, so Catch2 comes
 // first.
--- a/unittests/PendingCallsTest.cpp
+++ b/unittests/PendingCallsTest.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/PendingCalls.h"
+#include "limpetdrum/daemon/fleet/PendingCalls.h"
 #include "FakeClock.h"
 
 #include <catch2/catch.hpp>
--- a/unittests/PolicyFeedTest.cpp
+++ b/unittests/PolicyFeedTest.cpp
@@ -1,4 +1,4 @@
-#include "limpetdrum/daemon/PolicyFeed.h"
+#include "limpetdrum/daemon/policy/PolicyFeed.h"
 #include "Adapter.h"
 #include "MockStore.h"
 
