--- a/include/limpetdrum/daemon/calls/HeaderNames.h
+++ b/include/limpetdrum/daemon/calls/HeaderNames.h
@@ -14,12 +14,16 @@
   std::string ExpectedTarget = "limpetdrum-expected-target";
   /// Service of the node at which a request entered the mesh.
   std::string CallerService = "limpetdrum-caller-service";
+  /// Key of the organisation whose request it is; not passed on to targets.
+  std::string OrganisationKey = "limpetdrum-key";
+  /// Name of the organisation whose request it is, for the target.
+  std::string Organisation = "limpetdrum-organisation";
   /// Marks an answer of a target that did not run the request.
   std::string NotExecuted = "limpetdrum-not-executed";
   /// Id of the answering target.
   std::string TargetId = "limpetdrum-target-id";
   /// Running requests, waiting requests and slots of a target, separated by
-  /// commas.
+  /// commas; then, if the target says it, its pace as in NodeStatus.
   std::string TargetLoad = "limpetdrum-target-load";
   /// Requests per second that the answering target accepts from all nodes
   /// together, for as long as its answers say so.
--- a/include/limpetdrum/daemon/fleet/IncomingLinks.h
+++ b/include/limpetdrum/daemon/fleet/IncomingLinks.h
@@ -27,6 +27,7 @@
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnCancel;
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnAcknowledged;
     std::function<void(MeshUsage)> OnUsage;
+    std::function<void(const MeshOrganisationUsage &)> OnOrganisationUsage;
     std::function<void(const std::string &Text)> OnPolicy;
     std::function<void(const CrashNews &)> OnCrashNews;
     /// Returns the status of this node.
--- a/include/limpetdrum/daemon/fleet/Mesh.h
+++ b/include/limpetdrum/daemon/fleet/Mesh.h
@@ -46,6 +46,7 @@
     /// Called when the link to a node has been closed for good.
     std::function<void(const NodeId &Node)> OnRemoved;
     std::function<void(MeshUsage)> OnUsage;
+    std::function<void(const MeshOrganisationUsage &)> OnOrganisationUsage;
     std::function<void(const std::string &Text)> OnPolicy;
     std::function<void(const CrashNews &)> OnCrashNews;
     /// Returns what a newly linked node has to know of crashing requests.
@@ -108,6 +109,14 @@
   /// \brief Sends observed route usage to the nodes of a failure domain that
   ///   are linked to this one.
   void sendUsage(const FailureDomain &Domain, const MeshUsage &Value);
+  /// \brief Sends observed usage of organisations to a node that this one is
+  ///   linked to.
+  void sendOrganisationUsage(const NodeId &Node,
+                             const MeshOrganisationUsage &Value);
+  /// \brief Sends observed usage of organisations to the nodes of a failure
+  ///   domain that are linked to this one.
+  void sendOrganisationUsage(const FailureDomain &Domain,
+                             const MeshOrganisationUsage &Value);
   /// \brief Sends what is new about crashing requests to a node that this one
   ///   is linked to.
   void sendCrashNews(const NodeId &Node, const CrashNews &Value);
--- a/include/limpetdrum/daemon/fleet/MeshCodec.h
+++ b/include/limpetdrum/daemon/fleet/MeshCodec.h
@@ -6,6 +6,7 @@
 #include "limpetdrum/process/NodeStatus.h"
 #include "limpetdrum/request/CallLearner.h"
 #include "limpetdrum/request/CrashHistory.h"
+#include "limpetdrum/request/OrganisationUse.h"
 #include "limpetdrum/request/Reply.h"
 
 namespace limpetdrum {
@@ -27,6 +28,10 @@
   std::string Route;
   /// Targets that ended while they ran the request, as far as the caller knows.
   std::uint8_t TargetsEnded = 0;
+  /// Whose request it is; empty if it is nobody's.
+  limpetdrum::Organisation Organisation;
+  /// Time left in which the answer meets the route's latency target.
+  Milliseconds AimLeft{0};
 };
 
 /// \brief First message that two nodes exchange on a new link.
@@ -36,19 +41,31 @@
   TargetRecord ReceiverTarget;
 };
 
+/// \brief What a usage report covers.
+enum class UsageScope : std::uint8_t {
+  Node,          ///< observed by one node
+  FailureDomain, ///< summed over the nodes of a failure domain
+  Fleet,         ///< summed over all nodes
+};
+
 /// \brief Route usage observed by one node, or summed over several.
 struct MeshUsage {
-  enum class Scope : std::uint8_t {
-    Node,          ///< observed by one node
-    FailureDomain, ///< summed over the nodes of a failure domain
-    Fleet,         ///< summed over all nodes
-  };
-  MeshUsage::Scope Scope = Scope::Node;
+  UsageScope Scope = UsageScope::Node;
   limpetdrum::NodeId Node;                 ///< the observer; empty for a sum
   limpetdrum::FailureDomain FailureDomain; ///< summed over; otherwise empty
   UsageSummary Usage;
 };
 
+/// \brief Requests of organisations observed by one node, or summed over
+///   several.
+struct MeshOrganisationUsage {
+  UsageScope Scope = UsageScope::Node;
+  limpetdrum::NodeId Node;                 ///< the observer; empty for a sum
+  limpetdrum::FailureDomain FailureDomain; ///< summed over; otherwise empty
+  std::uint32_t Nodes = 1;                 ///< number of nodes in the sum
+  std::vector<OrganisationUse> Organisations;
+};
+
 namespace codec {
 
 [[nodiscard]] std::string encodeHello(const MeshHello &Value);
@@ -67,6 +84,8 @@
 /// \brief Encodes a request for an immediate load message.
 [[nodiscard]] std::string encodeLoadRequest();
 [[nodiscard]] std::string encodeUsage(const MeshUsage &Value);
+[[nodiscard]] std::string
+encodeOrganisationUsage(const MeshOrganisationUsage &Value);
 [[nodiscard]] std::string encodeCrashNews(const CrashNews &Value);
 [[nodiscard]] std::string encodeCancel(std::uint64_t Call);
 [[nodiscard]] std::string encodePolicy(const std::string &Text);
@@ -82,6 +101,8 @@
 void decode(mesh::Load::Reader Reader, NodeStatus &Status);
 [[nodiscard]] MeshAttempt decode(mesh::Attempt::Reader Reader);
 [[nodiscard]] MeshUsage decode(mesh::Usage::Reader Reader);
+[[nodiscard]] MeshOrganisationUsage
+decode(mesh::OrganisationUsage::Reader Reader);
 [[nodiscard]] CrashNews decode(mesh::Crashes::Reader Reader);
 [[nodiscard]] Reply decode(mesh::Reply::Reader Reader);
 
--- a/include/limpetdrum/process/NodeStatus.h
+++ b/include/limpetdrum/process/NodeStatus.h
@@ -55,6 +55,9 @@
   std::uint32_t Limit = 0;     ///< concurrent requests allowed at the target
   float Threshold = 0;         ///< positions below are admitted
   Microseconds ServiceTime{0}; ///< typical time of a request at the target
+  /// Time that work takes on the target's instance now, in percent of the usual
+  /// time; 0 if the target does not say it.
+  std::uint16_t Pace = 0;
 };
 
 } // namespace limpetdrum
--- a/include/limpetdrum/request/CallContext.h
+++ b/include/limpetdrum/request/CallContext.h
@@ -19,6 +19,7 @@
   std::string Route; ///< of the request that makes the call
   ClassRank Rank;
   float Cohort = 0;
+  limpetdrum::Organisation Organisation; ///< empty if it is nobody's
 };
 
 } // namespace limpetdrum
--- a/include/limpetdrum/version/TrafficPolicy.h
+++ b/include/limpetdrum/version/TrafficPolicy.h
@@ -2,6 +2,7 @@
 #define LIMPETDRUM_VERSION_TRAFFICPOLICY_H
 
 #include "limpetdrum/process/Types.h"
+#include "limpetdrum/version/Organisations.h"
 
 #include <map>
 #include <string>
@@ -29,6 +30,7 @@
   /// Number of targets that one request may be sent to.
   std::uint32_t MaxAttempts = 1;
   std::vector<WeightedService> Services; ///< at least one, weights above 0
+  bool IsOpen = false;                   ///< needs no key
 };
 
 /// \brief The operator's settings for a service.
@@ -52,10 +54,15 @@
   /// \throws ValueError if a route has no service.
   TrafficPolicy(Revision Version, std::vector<TrafficRoute> Routes,
                 std::map<ServiceName, ServicePolicy> Services,
-                ClientLimits Limits, std::string Text);
+                ClientLimits Limits, std::string Text,
+                limpetdrum::Organisations Organisations = {});
 
   [[nodiscard]] Revision version() const noexcept { return this->Version; }
   [[nodiscard]] const std::string &text() const noexcept { return this->Text; }
+  [[nodiscard]] const limpetdrum::Organisations &
+  organisations() const noexcept {
+    return this->KeyHolders;
+  }
   [[nodiscard]] const ClientLimits &limits() const noexcept {
     return this->Limits;
   }
@@ -75,6 +82,7 @@
   std::map<ServiceName, ServicePolicy> Services;
   ClientLimits Limits;
   std::string Text;
+  limpetdrum::Organisations KeyHolders;
   /// Indexes into Routes, by host and then by prefix.
   std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
       ByHost;
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -518,7 +518,8 @@
   if (Found == this->RunningByRequestId.end())
     return std::nullopt;
   const auto &Attempt = this->Active.at(Found->second).Attempt;
-  return CallContext{Attempt.Route, Attempt.Rank, Attempt.Cohort};
+  return CallContext{Attempt.Route, Attempt.Rank, Attempt.Cohort,
+                     Attempt.Organisation};
 }
 
 void LocalTarget::onCallFailed(const std::string &RequestId) {
--- a/lib/daemon/fleet/IncomingLinks.cpp
+++ b/lib/daemon/fleet/IncomingLinks.cpp
@@ -100,6 +100,10 @@
   case mesh::Frame::USAGE:
     this->Callbacks.OnUsage(codec::decode(Frame.getUsage()));
     break;
+  case mesh::Frame::ORGANISATIONS:
+    this->Callbacks.OnOrganisationUsage(
+        codec::decode(Frame.getOrganisations()));
+    break;
   case mesh::Frame::ASK_POLICY:
     Source.Link->send(codec::encodePolicy(this->Callbacks.PolicyText()));
     break;
--- a/lib/daemon/fleet/Mesh.cpp
+++ b/lib/daemon/fleet/Mesh.cpp
@@ -67,6 +67,7 @@
                         },
                         this->Callbacks.OnAttempt, this->Callbacks.OnCancel,
                         this->Callbacks.OnAcknowledged, this->Callbacks.OnUsage,
+                        this->Callbacks.OnOrganisationUsage,
                         this->Callbacks.OnPolicy, this->Callbacks.OnCrashNews,
                         this->Callbacks.LocalStatus,
                         this->Callbacks.PolicyText},
@@ -251,6 +252,10 @@
     case mesh::Frame::USAGE:
       this->Callbacks.OnUsage(codec::decode(Frame.getUsage()));
       break;
+    case mesh::Frame::ORGANISATIONS:
+      this->Callbacks.OnOrganisationUsage(
+          codec::decode(Frame.getOrganisations()));
+      break;
     case mesh::Frame::POLICY:
       this->Callbacks.OnPolicy(std::string(Frame.getPolicy().cStr()));
       break;
@@ -351,6 +356,8 @@
   Peer.Status->Running = Reply.getRunning();
   Peer.Status->Queued = Reply.getQueued();
   Peer.Status->Limit = Reply.getLimit();
+  Peer.Status->ServiceTime = Microseconds(Reply.getServiceMicros());
+  Peer.Status->Pace = Reply.getPace();
   this->Callbacks.OnStatus(Node);
 }
 
@@ -438,6 +445,16 @@
   this->Incoming.sendToDomain(Domain, codec::encodeUsage(Value));
 }
 
+void Mesh::sendOrganisationUsage(const NodeId &Node,
+                                 const MeshOrganisationUsage &Value) {
+  this->sendTo(Node, codec::encodeOrganisationUsage(Value));
+}
+
+void Mesh::sendOrganisationUsage(const FailureDomain &Domain,
+                                 const MeshOrganisationUsage &Value) {
+  this->Incoming.sendToDomain(Domain, codec::encodeOrganisationUsage(Value));
+}
+
 void Mesh::sendCrashNews(const NodeId &Node, const CrashNews &Value) {
   this->sendTo(Node, codec::encodeCrashNews(Value));
 }
--- a/lib/daemon/fleet/MeshCodec.cpp
+++ b/lib/daemon/fleet/MeshCodec.cpp
@@ -3,6 +3,7 @@
 #include "limpetdrum/process/Error.h"
 #include "limpetdrum/request/Position.h"
 
+#include <algorithm>
 #include <capnp/message.h>
 
 namespace limpetdrum::codec {
@@ -78,6 +79,7 @@
   Builder.setServiceMicros(
       static_cast<std::uint32_t>(Value.ServiceTime.count()));
   Builder.setStoreLost(Value.StoreLost);
+  Builder.setPace(Value.Pace);
 }
 
 template <typename MessageBuilder>
@@ -103,6 +105,15 @@
     Builder.set(I, Calls[I]);
 }
 
+/// \throws ValueError unless \p Value is the number of a scope.
+UsageScope readScope(std::uint8_t Value) {
+  if (Value > static_cast<std::uint8_t>(UsageScope::Fleet))
+    throw ValueError("unknown scope " + std::to_string(Value) +
+                         " of a usage report, expected 0 to 2",
+                     "run the same release on all nodes");
+  return static_cast<UsageScope>(Value);
+}
+
 } // namespace
 
 std::string encodeHello(const MeshHello &Value) {
@@ -129,6 +140,7 @@
   Builder.setServiceMicros(
       static_cast<std::uint32_t>(Value.ServiceTime.count()));
   Builder.setStoreLost(Value.StoreLost);
+  Builder.setPace(Value.Pace);
   return encodeFrame(Message);
 }
 
@@ -151,6 +163,9 @@
   Builder.setCohort(Value.Cohort);
   Builder.setRoute(Value.Route);
   Builder.setTargetsEnded(Value.TargetsEnded);
+  Builder.setOrganisation(Value.Organisation.value());
+  Builder.setAimLeft(static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, Value.AimLeft.count())));
   writeCalls(
       Builder.initAcknowledged(static_cast<unsigned>(Acknowledged.size())),
       Acknowledged);
@@ -171,6 +186,9 @@
   Builder.setRunning(Load.Running);
   Builder.setQueued(Load.Queued);
   Builder.setLimit(Load.Limit);
+  Builder.setServiceMicros(
+      static_cast<std::uint32_t>(Load.ServiceTime.count()));
+  Builder.setPace(Load.Pace);
   return encodeFrame(Message);
 }
 
@@ -205,6 +223,24 @@
   return encodeFrame(Message);
 }
 
+std::string encodeOrganisationUsage(const MeshOrganisationUsage &Value) {
+  capnp::MallocMessageBuilder Message;
+  auto Builder = Message.initRoot<mesh::Frame>().initOrganisations();
+  Builder.setNode(Value.Node.value());
+  Builder.setFailureDomain(Value.FailureDomain.value());
+  Builder.setScope(static_cast<std::uint8_t>(Value.Scope));
+  Builder.setNodes(Value.Nodes);
+  auto Entries = Builder.initOrganisations(
+      static_cast<unsigned>(Value.Organisations.size()));
+  for (unsigned I = 0; I < Entries.size(); ++I) {
+    const auto &Use = Value.Organisations[I];
+    Entries[I].setOrganisation(Use.Organisation.value());
+    Entries[I].setAsked(static_cast<float>(Use.Asked));
+    Entries[I].setGranted(static_cast<float>(Use.Granted));
+  }
+  return encodeFrame(Message);
+}
+
 std::string encodeCrashNews(const CrashNews &Value) {
   capnp::MallocMessageBuilder Message;
   auto Builder = Message.initRoot<mesh::Frame>().initCrashes();
@@ -270,6 +306,7 @@
   Value.Threshold = Reader.getThreshold();
   Value.ServiceTime = Microseconds(Reader.getServiceMicros());
   Value.StoreLost = Reader.getStoreLost();
+  Value.Pace = Reader.getPace();
   if (!(Value.Threshold >= 0))
     throw ValueError("invalid admission threshold " +
                          std::to_string(Value.Threshold) +
@@ -285,6 +322,7 @@
   Status.Limit = Reader.getLimit();
   Status.ServiceTime = Microseconds(Reader.getServiceMicros());
   Status.StoreLost = Reader.getStoreLost();
+  Status.Pace = Reader.getPace();
 }
 
 MeshAttempt decode(mesh::Attempt::Reader Reader) {
@@ -313,6 +351,8 @@
   Value.Cohort = Reader.getCohort();
   Value.Route = text(Reader.getRoute());
   Value.TargetsEnded = Reader.getTargetsEnded();
+  Value.Organisation = Organisation(text(Reader.getOrganisation()));
+  Value.AimLeft = Milliseconds(Reader.getAimLeft());
   return Value;
 }
 
@@ -327,15 +367,29 @@
   return Value;
 }
 
+MeshOrganisationUsage decode(mesh::OrganisationUsage::Reader Reader) {
+  MeshOrganisationUsage Value;
+  Value.Node = NodeId(text(Reader.getNode()));
+  Value.FailureDomain = FailureDomain(text(Reader.getFailureDomain()));
+  Value.Scope = readScope(Reader.getScope());
+  Value.Nodes = Reader.getNodes();
+  for (auto Entry : Reader.getOrganisations()) {
+    if (!(Entry.getAsked() >= 0) || !(Entry.getGranted() >= 0))
+      throw ValueError("invalid usage of organisation '" +
+                           text(Entry.getOrganisation()) +
+                           "': rates must be at least 0",
+                       "run the same release on all nodes");
+    Value.Organisations.push_back({Organisation(text(Entry.getOrganisation())),
+                                   Entry.getAsked(), Entry.getGranted()});
+  }
+  return Value;
+}
+
 MeshUsage decode(mesh::Usage::Reader Reader) {
   MeshUsage Value;
   Value.Node = NodeId(text(Reader.getNode()));
   Value.FailureDomain = FailureDomain(text(Reader.getFailureDomain()));
-  if (Reader.getScope() > static_cast<std::uint8_t>(MeshUsage::Scope::Fleet))
-    throw ValueError("unknown scope " + std::to_string(Reader.getScope()) +
-                         " of a usage report, expected 0 to 2",
-                     "run the same release on all nodes");
-  Value.Scope = static_cast<enum MeshUsage::Scope>(Reader.getScope());
+  Value.Scope = readScope(Reader.getScope());
   Value.Usage.Service = ServiceName(text(Reader.getService()));
   Value.Usage.Nodes = Reader.getNodes();
   if (Value.Usage.Nodes == 0)
--- a/lib/daemon/fleet/UsageExchange.cpp
+++ b/lib/daemon/fleet/UsageExchange.cpp
@@ -6,7 +6,7 @@
 
 /// Sends each sum with \p Send.
 template <typename Function>
-void sendSums(enum MeshUsage::Scope Scope, const FailureDomain &SummedOver,
+void sendSums(UsageScope Scope, const FailureDomain &SummedOver,
               std::vector<UsageSummary> Sums, const Function &Send) {
   for (auto &Sum : Sums) {
     MeshUsage Message;
@@ -36,13 +36,13 @@
 void UsageExchange::shareSums(TimePoint Now) {
   const auto &Domain = this->Self.FailureDomain;
   auto &Demand = this->Overload.demand();
-  sendSums(MeshUsage::Scope::FailureDomain, Domain, Demand.summaries(Now),
+  sendSums(UsageScope::FailureDomain, Domain, Demand.summaries(Now),
            [this](const MeshUsage &Sum) {
              for (const auto &Other : this->Links.otherDomains())
                for (const auto &Holder : this->Links.dutyHolders(Other))
                  this->Peers.sendUsage(Holder, Sum);
            });
-  sendSums(MeshUsage::Scope::Fleet, {}, Demand.fleetSummaries(Now),
+  sendSums(UsageScope::Fleet, {}, Demand.fleetSummaries(Now),
            [this, &Domain](const MeshUsage &Sum) {
              this->Peers.sendUsage(Domain, Sum);
            });
@@ -51,13 +51,13 @@
 void UsageExchange::onUsage(MeshUsage Report, TimePoint Now) {
   auto &Demand = this->Overload.demand();
   switch (Report.Scope) {
-  case MeshUsage::Scope::Node:
+  case UsageScope::Node:
     Demand.record(Report.Node, std::move(Report.Usage), Now);
     return;
-  case MeshUsage::Scope::FailureDomain:
+  case UsageScope::FailureDomain:
     Demand.recordDomain(Report.FailureDomain, std::move(Report.Usage), Now);
     return;
-  case MeshUsage::Scope::Fleet:
+  case UsageScope::Fleet:
     // A duty holder makes the sums itself, from fresher reports.
     if (!this->Links.holdsDuties())
       Demand.recordFleet(std::move(Report.Usage), Now);
--- a/lib/rpc/Mesh.capnp
+++ b/lib/rpc/Mesh.capnp
@@ -34,6 +34,7 @@
   threshold @9 :Float32;   # admission threshold
   serviceMicros @10 :UInt32; # typical service time, microseconds
   storeLost @11 :Bool;     # the last call to the store failed
+  pace @12 :UInt16;        # percent of the usual time that work takes; 0: unknown
 }
 
 struct Header { name @0 :Text; value @1 :Text; }
@@ -55,6 +56,8 @@
   route @13 :Text;
   waitLimit @14 :UInt32;   # longest time in the queue, milliseconds
   targetsEnded @15 :UInt8; # targets that ended while they ran the request
+  organisation @16 :Text;  # whose request it is; empty: nobody's
+  aimLeft @17 :UInt32;     # milliseconds until the answer is late; 0: it is
 }
 
 struct Reply {
@@ -68,6 +71,8 @@
   running @7 :UInt32;      # load of the target as in Status
   queued @8 :UInt32;
   limit @9 :UInt32;
+  serviceMicros @10 :UInt32;
+  pace @11 :UInt16;
 }
 
 struct RouteCalls {        # calls made by one run of a route
@@ -99,6 +104,21 @@
   limit @3 :UInt32;
   serviceMicros @4 :UInt32;
   storeLost @5 :Bool;
+  pace @6 :UInt16;
+}
+
+struct OrganisationUse {
+  organisation @0 :Text;
+  asked @1 :Float32;       # requests per second that arrived
+  granted @2 :Float32;     # requests per second that were let through
+}
+
+struct OrganisationUsage { # usage of one node, or a sum
+  node @0 :Text;           # empty for a sum
+  failureDomain @1 :Text;  # set for the sum of a failure domain, else empty
+  scope @2 :UInt8;         # as in Usage
+  nodes @3 :UInt32;        # number of nodes in the sum
+  organisations @4 :List(OrganisationUse);
 }
 
 struct Hello {
@@ -132,5 +152,6 @@
     ask @9 :Void;          # requests an immediate Load message
     askPolicy @10 :Void;   # requests the text of the policy in force
     crashes @11 :Crashes;
+    organisations @12 :OrganisationUsage;
   }
 }
--- a/lib/rpc/Mesh.capnp.h
+++ b/lib/rpc/Mesh.capnp.h
@@ -26,6 +26,8 @@
 CAPNP_DECLARE_SCHEMA(abb8f5f1a9abb0cf);
 CAPNP_DECLARE_SCHEMA(857ead72a9212591);
 CAPNP_DECLARE_SCHEMA(9396cedb4177a953);
+CAPNP_DECLARE_SCHEMA(e04760d4b672b676);
+CAPNP_DECLARE_SCHEMA(f23528ea5f47cece);
 CAPNP_DECLARE_SCHEMA(bd2d1ae1e954a18c);
 CAPNP_DECLARE_SCHEMA(d39b9f6b20fdc1f0);
 CAPNP_DECLARE_SCHEMA(a3209e220744ece8);
@@ -105,7 +107,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(84e62fc5a627bb1c, 4, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(84e62fc5a627bb1c, 5, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -120,7 +122,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e814535c9cc51e2d, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e814535c9cc51e2d, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -187,6 +189,36 @@
   };
 };
 
+struct OrganisationUse {
+  OrganisationUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e04760d4b672b676, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrganisationUsage {
+  OrganisationUsage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f23528ea5f47cece, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Hello {
   Hello() = delete;
 
@@ -251,6 +283,7 @@
     ASK,
     ASK_POLICY,
     CRASHES,
+    ORGANISATIONS,
   };
 
   struct _capnpPrivate {
@@ -523,6 +556,8 @@
 
   inline bool getStoreLost() const;
 
+  inline  ::uint16_t getPace() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -595,6 +630,9 @@
   inline bool getStoreLost();
   inline void setStoreLost(bool value);
 
+  inline  ::uint16_t getPace();
+  inline void setPace( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -772,6 +810,11 @@
 
   inline  ::uint8_t getTargetsEnded() const;
 
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline  ::uint32_t getAimLeft() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -885,6 +928,16 @@
   inline  ::uint8_t getTargetsEnded();
   inline void setTargetsEnded( ::uint8_t value);
 
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline  ::uint32_t getAimLeft();
+  inline void setAimLeft( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -950,6 +1003,10 @@
 
   inline  ::uint32_t getLimit() const;
 
+  inline  ::uint32_t getServiceMicros() const;
+
+  inline  ::uint16_t getPace() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1016,6 +1073,12 @@
   inline  ::uint32_t getLimit();
   inline void setLimit( ::uint32_t value);
 
+  inline  ::uint32_t getServiceMicros();
+  inline void setServiceMicros( ::uint32_t value);
+
+  inline  ::uint16_t getPace();
+  inline void setPace( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1384,6 +1447,8 @@
 
   inline bool getStoreLost() const;
 
+  inline  ::uint16_t getPace() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1430,6 +1495,9 @@
   inline bool getStoreLost();
   inline void setStoreLost(bool value);
 
+  inline  ::uint16_t getPace();
+  inline void setPace( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1456,6 +1524,208 @@
 };
 #endif  // !CAPNP_LITE
 
+class OrganisationUse::Reader {
+public:
+  typedef OrganisationUse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline float getAsked() const;
+
+  inline float getGranted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OrganisationUse::Builder {
+public:
+  typedef OrganisationUse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline float getAsked();
+  inline void setAsked(float value);
+
+  inline float getGranted();
+  inline void setGranted(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OrganisationUse::Pipeline {
+public:
+  typedef OrganisationUse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class OrganisationUsage::Reader {
+public:
+  typedef OrganisationUsage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline  ::uint8_t getScope() const;
+
+  inline  ::uint32_t getNodes() const;
+
+  inline bool hasOrganisations() const;
+  inline  ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>::Reader getOrganisations() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OrganisationUsage::Builder {
+public:
+  typedef OrganisationUsage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline  ::uint8_t getScope();
+  inline void setScope( ::uint8_t value);
+
+  inline  ::uint32_t getNodes();
+  inline void setNodes( ::uint32_t value);
+
+  inline bool hasOrganisations();
+  inline  ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>::Builder getOrganisations();
+  inline void setOrganisations( ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>::Builder initOrganisations(unsigned int size);
+  inline void adoptOrganisations(::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>> disownOrganisations();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OrganisationUsage::Pipeline {
+public:
+  typedef OrganisationUsage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Hello::Reader {
 public:
   typedef Hello Reads;
@@ -1795,6 +2065,10 @@
   inline bool hasCrashes() const;
   inline  ::limpetdrum::mesh::Crashes::Reader getCrashes() const;
 
+  inline bool isOrganisations() const;
+  inline bool hasOrganisations() const;
+  inline  ::limpetdrum::mesh::OrganisationUsage::Reader getOrganisations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1909,6 +2183,14 @@
   inline void adoptCrashes(::capnp::Orphan< ::limpetdrum::mesh::Crashes>&& value);
   inline ::capnp::Orphan< ::limpetdrum::mesh::Crashes> disownCrashes();
 
+  inline bool isOrganisations();
+  inline bool hasOrganisations();
+  inline  ::limpetdrum::mesh::OrganisationUsage::Builder getOrganisations();
+  inline void setOrganisations( ::limpetdrum::mesh::OrganisationUsage::Reader value);
+  inline  ::limpetdrum::mesh::OrganisationUsage::Builder initOrganisations();
+  inline void adoptOrganisations(::capnp::Orphan< ::limpetdrum::mesh::OrganisationUsage>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::mesh::OrganisationUsage> disownOrganisations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2389,6 +2671,20 @@
       ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Status::Reader::getPace() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Status::Builder::getPace() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setPace( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2865,6 +3161,54 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Attempt::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Attempt::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Attempt::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Attempt::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Attempt::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Attempt::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Attempt::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Attempt::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Attempt::Reader::getAimLeft() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Attempt::Builder::getAimLeft() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Attempt::Builder::setAimLeft( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Reply::Reader::getCall() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3045,6 +3389,34 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Reply::Reader::getServiceMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Reply::Builder::getServiceMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Reply::Builder::setServiceMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Reply::Reader::getPace() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Reply::Builder::getPace() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Reply::Builder::setPace( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RouteCalls::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3451,6 +3823,212 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Load::Reader::getPace() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getPace() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setPace( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrganisationUse::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrganisationUse::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OrganisationUse::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OrganisationUse::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OrganisationUse::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OrganisationUse::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OrganisationUse::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OrganisationUse::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float OrganisationUse::Reader::getAsked() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float OrganisationUse::Builder::getAsked() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Builder::setAsked(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float OrganisationUse::Reader::getGranted() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float OrganisationUse::Builder::getGranted() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Builder::setGranted(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrganisationUsage::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrganisationUsage::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OrganisationUsage::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OrganisationUsage::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OrganisationUsage::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OrganisationUsage::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OrganisationUsage::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OrganisationUsage::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OrganisationUsage::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrganisationUsage::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OrganisationUsage::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OrganisationUsage::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OrganisationUsage::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OrganisationUsage::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OrganisationUsage::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OrganisationUsage::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t OrganisationUsage::Reader::getScope() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t OrganisationUsage::Builder::getScope() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUsage::Builder::setScope( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t OrganisationUsage::Reader::getNodes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t OrganisationUsage::Builder::getNodes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUsage::Builder::setNodes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrganisationUsage::Reader::hasOrganisations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrganisationUsage::Builder::hasOrganisations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>::Reader OrganisationUsage::Reader::getOrganisations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>::Builder OrganisationUsage::Builder::getOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void OrganisationUsage::Builder::setOrganisations( ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>::Builder OrganisationUsage::Builder::initOrganisations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void OrganisationUsage::Builder::adoptOrganisations(
+    ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>> OrganisationUsage::Builder::disownOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetdrum::mesh::OrganisationUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Hello::Reader::hasStatus() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4236,6 +4814,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isOrganisations() const {
+  return which() == Frame::ORGANISATIONS;
+}
+inline bool Frame::Builder::isOrganisations() {
+  return which() == Frame::ORGANISATIONS;
+}
+inline bool Frame::Reader::hasOrganisations() const {
+  if (which() != Frame::ORGANISATIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasOrganisations() {
+  if (which() != Frame::ORGANISATIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::limpetdrum::mesh::OrganisationUsage::Reader Frame::Reader::getOrganisations() const {
+  KJ_IREQUIRE((which() == Frame::ORGANISATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::OrganisationUsage>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::limpetdrum::mesh::OrganisationUsage::Builder Frame::Builder::getOrganisations() {
+  KJ_IREQUIRE((which() == Frame::ORGANISATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::OrganisationUsage>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setOrganisations( ::limpetdrum::mesh::OrganisationUsage::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ORGANISATIONS);
+  ::capnp::_::PointerHelpers< ::limpetdrum::mesh::OrganisationUsage>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::limpetdrum::mesh::OrganisationUsage::Builder Frame::Builder::initOrganisations() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ORGANISATIONS);
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::OrganisationUsage>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptOrganisations(
+    ::capnp::Orphan< ::limpetdrum::mesh::OrganisationUsage>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::ORGANISATIONS);
+  ::capnp::_::PointerHelpers< ::limpetdrum::mesh::OrganisationUsage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::limpetdrum::mesh::OrganisationUsage> Frame::Builder::disownOrganisations() {
+  KJ_IREQUIRE((which() == Frame::ORGANISATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::OrganisationUsage>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/lib/version/TrafficPolicy.cpp
+++ b/lib/version/TrafficPolicy.cpp
@@ -22,9 +22,11 @@
 
 TrafficPolicy::TrafficPolicy(Revision Version, std::vector<TrafficRoute> Routes,
                              std::map<ServiceName, ServicePolicy> Services,
-                             ClientLimits Limits, std::string Text)
+                             ClientLimits Limits, std::string Text,
+                             limpetdrum::Organisations Organisations)
     : Version(Version), Routes(std::move(Routes)),
-      Services(std::move(Services)), Limits(Limits), Text(std::move(Text)) {
+      Services(std::move(Services)), Limits(Limits), Text(std::move(Text)),
+      KeyHolders(std::move(Organisations)) {
   for (std::size_t I = 0; I < this->Routes.size(); ++I) {
     const auto &Route = this->Routes[I];
     if (Route.Services.empty())
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -332,7 +332,7 @@
   A.Links.add(contact("c", PortC));
   waitUntil(Loop, [&]() { return reaches(A, "b") && reaches(A, "c"); });
   MeshUsage Sum;
-  Sum.Scope = MeshUsage::Scope::FailureDomain;
+  Sum.Scope = UsageScope::FailureDomain;
   Sum.FailureDomain = FailureDomain("x");
   Sum.Usage = {ServiceName("front"),
                4,
