Keep the age of a crash from before the instance started

Cause: CrashHistory kept the later of a crash's time and the origin of the steady clock. On an instance that has been up for less than the crash's age, the crash counted as one at boot time, so a proven request was refused for longer than ten minutes. Change: the first crash of an entry sets its time. The new test sets the clock to one minute; it failed before (verdict kept, 10 minutes in place of 1) and passes now.

--- a/lib/request/CrashHistory.cpp
+++ b/lib/request/CrashHistory.cpp
@@ -70,13 +70,16 @@
   // Evidence of an earlier period does not count any more.
   if (Now - Known.LastAt >= CrashRetention)
     Known = Entry();
+  bool IsFirst = Known.Targets.empty();
   if (!IsKnownTarget) {
     if (Known.Targets.size() >= MaxTargets)
       Known.Targets.erase(Known.Targets.begin());
     Known.Targets.push_back(Report.Target);
   }
+  // The steady clock starts with the instance, so a crash may be older than its
+  // origin, which LastAt has at first.
+  Known.LastAt = IsFirst ? At : std::max(Known.LastAt, At);
   Known.Alone = Known.Alone || Report.Alone;
-  Known.LastAt = std::max(Known.LastAt, At);
   return true;
 }
 
--- a/unittests/CrashHistoryTest.cpp
+++ b/unittests/CrashHistoryTest.cpp
@@ -139,3 +139,13 @@
   CHECK(Trials.end(Id(9)) == Id(4));
   CHECK_FALSE(Trials.end(Id(9)));
 }
+
+TEST_CASE("CrashHistory keeps the age of a crash from before its instance "
+          "started") {
+  CrashHistory History;
+  // The steady clock begins with the instance.
+  TimePoint Now = TimePoint{} + std::chrono::minutes(1);
+  (void)History.merge({{{Culprit, 1, true, std::chrono::minutes(9)}}, {}}, Now);
+  CHECK(History.verdict(Culprit, Now) == Verdict::Crashing);
+  CHECK(History.retryAfter(Culprit, Now) == std::chrono::minutes(1));
+}
