Accept a fraction of a repeat as slack

Ruled out: rounding in the template, which knows no arithmetic. Change: the slack is a number from 0 to 1,000,000, read as the ratio is. The budget of a node always was a fraction. The new test failed before (whole number expected); negative, larger and divided numbers are refused as before.

--- a/include/limpetdrum/process/SidecarSettings.h
+++ b/include/limpetdrum/process/SidecarSettings.h
@@ -25,9 +25,9 @@
   Endpoint Store;          ///< HTTP, the platform's object store
   /// From the acknowledgement of a leave to the last request.
   Milliseconds DrainTimeout{2000};
-  Milliseconds ExitLimit{6000};  ///< from SIGTERM to the end of the process
-  double RepeatRatio = 0.2;      ///< repeats per request, over all nodes
-  std::uint32_t RepeatSlack = 0; ///< additional repeats per window
+  Milliseconds ExitLimit{6000}; ///< from SIGTERM to the end of the process
+  double RepeatRatio = 0.2;     ///< repeats per request, over all nodes
+  double RepeatSlack = 0;       ///< additional repeats per window
   Milliseconds RepeatWindow{10'000};
 };
 
--- a/lib/process/SidecarSettings.cpp
+++ b/lib/process/SidecarSettings.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-double readRatio(YamlMap &Map, const std::string &Key, double Default) {
+/// Returns a number from 0 to \p Max, which may have a fraction.
+double readNumber(YamlMap &Map, const std::string &Key, unsigned Max,
+                  double Default) {
   auto Text = Map.text(Key, std::to_string(Default));
   std::size_t Parsed = 0;
   double Value = -1;
@@ -16,10 +18,11 @@
   } catch (const std::logic_error &) {
     Parsed = 0;
   }
-  if (Parsed == 0 || Parsed != Text.size() || !(Value >= 0 && Value <= 1))
+  if (Parsed == 0 || Parsed != Text.size() || !(Value >= 0 && Value <= Max))
     throw SourceError(Map.location(Key),
                       "'" + Text + "' is not a valid '" + Key +
-                          "': expected a number from 0 to 1",
+                          "': expected a number from 0 to " +
+                          std::to_string(Max),
                       "write a number such as 0.2");
   return Value;
 }
@@ -37,10 +40,10 @@
 }
 
 void readRepeats(SidecarSettings &Result, YamlMap Repeats) {
-  constexpr std::uint64_t MaxSlack = 1'000'000;
-  Result.RepeatRatio = readRatio(Repeats, "ratio", Result.RepeatRatio);
-  Result.RepeatSlack = static_cast<std::uint32_t>(
-      Repeats.number("slack", 0, MaxSlack, Result.RepeatSlack));
+  constexpr unsigned MaxSlack = 1'000'000;
+  Result.RepeatRatio = readNumber(Repeats, "ratio", 1, Result.RepeatRatio);
+  Result.RepeatSlack =
+      readNumber(Repeats, "slack", MaxSlack, Result.RepeatSlack);
   Result.RepeatWindow = Repeats.duration("window", Result.RepeatWindow);
   Repeats.rejectUnknownKeys();
   if (Result.RepeatWindow <= Milliseconds(0))
--- a/unittests/SidecarSettingsTest.cpp
+++ b/unittests/SidecarSettingsTest.cpp
@@ -46,11 +46,20 @@
   CHECK(Forwarded.Link == parseEndpoint("10.0.0.7:7620"));
 }
 
+TEST_CASE("SidecarSettings accept a fraction of a repeat as slack") {
+  CHECK(parseSidecarSettings(replaced("slack: 48", "slack: 22.142857142857142"),
+                             "s.yaml")
+            .RepeatSlack == Approx(22.142857));
+}
+
 TEST_CASE("SidecarSettings errors contain file and line") {
   using Case = std::pair<std::string, std::string>;
   auto Invalid =
       GENERATE(Case{replaced("ratio: 0.1", "ratio: 1.5"), "s.yaml:13"},
                Case{replaced("ratio: 0.1", "ratio: often"), "s.yaml:13"},
+               Case{replaced("slack: 48", "slack: -1"), "s.yaml:13"},
+               Case{replaced("slack: 48", "slack: 1000001"), "s.yaml:13"},
+               Case{replaced("slack: 48", "slack: 4 8"), "s.yaml:13"},
                Case{replaced("window: 10s", "window: 0s"), "s.yaml:13"},
                Case{replaced("10.0.0.7:8304", "10.0.0.7"), "s.yaml:7"},
                Case{replaced("store:", "shop:"), "s.yaml"},
