Read organisations and identify each request by its key

Cause: the sidecar read no organisations, so every request of the shifted deployment ran without its organisation's name, and with the key. Ruled out: keys cached with a connection, as a removed key would live on; a service that checks keys, one more hop and one more thing to fail; asking a call for a key, as targets get none. Change: Adapter reads organisations and open routes, and refuses a policy with a malformed one as a whole, without quoting keys. Identification decides whose a request is: by its key in the policy in force, or for a call by the run that makes it. Forwarder does so between finding the route and admission, answers an unknown key with 401 (log line 'unauthorized'), and removes the key and any name that was sent before the request is hashed, logged or passed on. LocalTarget sets the name. RankOrder puts the rank of an organisation before that of a route within the ranks that there are; without ranked organisations nothing changes. The tests were not yet run with the mechanism taken out.

--- a/include/limpetdrum/daemon/calls/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -41,9 +41,15 @@
   struct ForwardedRequest;
   using RequestPtr = std::shared_ptr<ForwardedRequest>;
 
+  /// Finds the organisation of the request, and removes its key and the name
+  /// that it was sent with. Answers the request if its key is unknown.
+  /// \returns false if it was answered.
+  [[nodiscard]] bool identify(const RequestPtr &Request);
   /// Assigns rank and cohort: those of the request whose run makes this call,
-  /// or else the rank of the route and a random cohort.
-  void assignRankAndCohort(const RequestPtr &Request);
+  /// or else the rank of the organisation and the route, and a random cohort.
+  /// \param Run the run, if it is known.
+  void assignRankAndCohort(const RequestPtr &Request,
+                           const std::optional<CallContext> &Run);
   void admit(const RequestPtr &Request);
   void send(const RequestPtr &Request);
   /// Ends a request that is proven to crash targets.
--- a/include/limpetdrum/version/TrafficPolicy.h
+++ b/include/limpetdrum/version/TrafficPolicy.h
@@ -3,6 +3,7 @@
 
 #include "limpetdrum/process/Types.h"
 #include "limpetdrum/version/Organisations.h"
+#include "limpetdrum/version/RankOrder.h"
 
 #include <map>
 #include <string>
@@ -73,6 +74,12 @@
   /// \returns nullptr if no route matches.
   [[nodiscard]] const TrafficRoute *find(const std::string &Host,
                                          const std::string &Path) const;
+  /// \brief Returns the rank of an organisation's requests on a route.
+  /// \param Owner nullptr if the request is nobody's.
+  [[nodiscard]] ClassRank rank(const TrafficRoute &Route,
+                               const OrganisationPolicy *Owner) const noexcept {
+    return this->Ranks.combine(Owner, Route.Rank);
+  }
   /// \returns nullptr if the policy has no settings for the service.
   [[nodiscard]] const ServicePolicy *service(const ServiceName &Name) const;
 
@@ -83,6 +90,7 @@
   ClientLimits Limits;
   std::string Text;
   limpetdrum::Organisations KeyHolders;
+  RankOrder Ranks;
   /// Indexes into Routes, by host and then by prefix.
   std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
       ByHost;
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include "limpetdrum/daemon/calls/Forwarder.h"
 
+#include "limpetdrum/request/Identification.h"
 #include "limpetdrum/request/Position.h"
 #include "limpetdrum/request/RequestFingerprint.h"
 
@@ -31,6 +32,18 @@
   return Milliseconds(Value);
 }
 
+/// Returns the key that a request shows.
+Credentials readKey(const HttpHeaders &Headers, const std::string &Name) {
+  Credentials Shown;
+  for (const auto &[Key, Value] : Headers) {
+    if (strcasecmp(Key.c_str(), Name.c_str()) != 0)
+      continue;
+    Shown.IsRepeated = Shown.Key != nullptr;
+    Shown.Key = &Value;
+  }
+  return Shown;
+}
+
 /// Formats a time span in seconds with three decimal places.
 std::string formatSeconds(Milliseconds Span) {
   auto Text = std::to_string(static_cast<double>(Span.count()) / 1000);
@@ -53,6 +66,10 @@
   std::shared_ptr<HttpExchange> Exchange;
   std::shared_ptr<const TrafficPolicy> Policy;
   const TrafficRoute *Route = nullptr; ///< owned by Policy; null: no match
+  /// Its organisation; owned by Policy, null if it is nobody's.
+  const OrganisationPolicy *Owner = nullptr;
+  /// Empty if it is nobody's; set also if Policy no longer has it.
+  limpetdrum::Organisation Organisation;
   ServiceName Service;
   std::string Id;
   HttpRequest Message; ///< as forwarded
@@ -64,6 +81,8 @@
   /// it is unknown or the request is not a call.
   std::string ParentId;
   std::string ParentRoute;
+  /// True if its id is that of a call, whether its parent is known or not.
+  bool IsCall = false;
   std::vector<NodeId> Excluded; ///< nodes that it was sent to
   NodeId Node;                  ///< of the current attempt
   std::uint64_t Call = 0;       ///< of the current attempt; 0: none
@@ -108,13 +127,14 @@
     this->answer(Request, 404, {}, "no route matches\n", "no-route");
     return;
   }
+  if (!this->identify(Request))
+    return;
   auto Limit = readTimeLeft(Request->Exchange->header(this->Names.TimeLeft),
                             Request->Route->Timeout);
   Request->Deadline = Request->Message.Started + Limit;
   Request->Service = this->Splits.choose(*Request->Route);
   Request->Plan =
       RetryPlan(Request->Route->Idempotent, Request->Route->MaxAttempts);
-  this->assignRankAndCohort(Request);
   removeConnectionHeaders(Request->Message.Headers);
   for (const auto *Name : {&this->Names.TimeLeft, &this->Names.ExpectedTarget,
                            &this->Names.CallerService})
@@ -136,17 +156,45 @@
   this->admit(Request);
 }
 
-void Forwarder::assignRankAndCohort(const RequestPtr &Request) {
+bool Forwarder::identify(const RequestPtr &Request) {
   auto Parent = this->Config.ParentRequestId(Request->Id);
-  auto Context = Parent ? this->LocalTarget.callContext(*Parent) : std::nullopt;
-  if (Context) {
+  auto Run = Parent ? this->LocalTarget.callContext(*Parent) : std::nullopt;
+  Request->IsCall = Parent.has_value();
+  if (Run)
     Request->ParentId = std::move(*Parent);
-    Request->ParentRoute = Context->Route;
-    Request->Rank = Context->Rank;
-    Request->Cohort = Context->Cohort;
+  auto Shown = readKey(Request->Message.Headers, this->Names.OrganisationKey);
+  Shown.IsCall = Request->IsCall;
+  Shown.Run = Run ? &*Run : nullptr;
+  auto Result = limpetdrum::identify(*Request->Policy, *Request->Route, Shown);
+  bool HasKey = Shown.Key != nullptr;
+  // Without organisations the header is the application's.
+  if (!Request->Policy->organisations().empty())
+    removeHeader(Request->Message.Headers, this->Names.OrganisationKey);
+  removeHeader(Request->Message.Headers, this->Names.Organisation);
+  if (!Result.IsAccepted) {
+    this->Log.request("unauthorized",
+                      {{"id", Request->Id},
+                       {"route", Request->Route->Name},
+                       {"has_key", HasKey},
+                       {"policy", Request->Policy->version().value()}});
+    this->answer(Request, 401, {}, "unknown key\n", "unauthorized");
+    return false;
+  }
+  Request->Owner = Result.Owner;
+  Request->Organisation = std::move(Result.Name);
+  this->assignRankAndCohort(Request, Run);
+  return true;
+}
+
+void Forwarder::assignRankAndCohort(const RequestPtr &Request,
+                                    const std::optional<CallContext> &Run) {
+  if (Run) {
+    Request->ParentRoute = Run->Route;
+    Request->Rank = Run->Rank;
+    Request->Cohort = Run->Cohort;
     return;
   }
-  Request->Rank = Request->Route->Rank;
+  Request->Rank = Request->Policy->rank(*Request->Route, Request->Owner);
   Request->Cohort = static_cast<float>(this->Random() % 65536) / 65536;
 }
 
@@ -229,6 +277,7 @@
   Attempt.Cohort = Request.Cohort;
   Attempt.Route = Request.Route->Name;
   Attempt.TargetsEnded = Request.TargetsEnded;
+  Attempt.Organisation = Request.Organisation;
   return Attempt;
 }
 
@@ -496,7 +545,7 @@
       this->Loop.now() - Request->Message.Started);
   if (Status < 400)
     this->Overload.onServed(Request->Route->Name, Latency);
-  this->Counters.request(Organisation(""),
+  this->Counters.request(Request->Organisation,
                          Request->Route ? Request->Route->Name : "none",
                          Outcome, Latency);
   Request->Exchange->reply(Status, Headers, Body);
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -244,6 +244,9 @@
   Call.Headers.emplace_back(this->Names.ExpectedTarget, this->Record.Id);
   Call.Headers.emplace_back(this->Names.CallerService,
                             Run.Attempt.CallerService.value());
+  if (!Run.Attempt.Organisation.value().empty())
+    Call.Headers.emplace_back(this->Names.Organisation,
+                              Run.Attempt.Organisation.value());
   return Call;
 }
 
--- a/lib/version/TrafficPolicy.cpp
+++ b/lib/version/TrafficPolicy.cpp
@@ -35,6 +35,10 @@
                        "name one service, or several with weights above 0");
     this->ByHost[normalizedHost(Route.Host)][Route.Prefix] = I;
   }
+  std::vector<ClassRank> RouteRanks;
+  for (const auto &Route : this->Routes)
+    RouteRanks.push_back(Route.Rank);
+  this->Ranks = RankOrder(this->KeyHolders, RouteRanks);
 }
 
 const TrafficRoute *TrafficPolicy::find(const std::string &Host,
--- a/unittests/PlatformAdapterTest.cpp
+++ b/unittests/PlatformAdapterTest.cpp
@@ -103,6 +103,105 @@
                   ValueError);
 }
 
+TEST_CASE("Adapter decodes the organisations of a policy") {
+  auto Body = policyBody();
+  Body["tenants"] = nlohmann::json::parse(R"({
+    "acme": {"api-keys": ["k-1", "k-2"], "priority": 1, "rate-per-s": 31.5,
+             "burst": 40, "unknown": {"to": "us"}},
+    "plain": {"api-keys": []},
+    "last": {"api-keys": ["k-3"], "priority": 99, "rate-per-s": 0}})");
+  Body["routes"]["r-1"]["public"] = true;
+  Body["routes"]["r-2"]["public"] = false;
+  auto Policy = platform::Adapter().decodePolicy(Body.dump());
+  const auto &Owners = Policy->organisations();
+  REQUIRE(Owners.entries().size() == 3);
+  const auto *Acme = Owners.findByKey("k-2");
+  REQUIRE(Acme != nullptr);
+  CHECK(Acme == Owners.findByKey("k-1"));
+  CHECK(Acme->Name == Organisation("acme"));
+  CHECK(Acme->Rank == ClassRank(1));
+  CHECK(Acme->RatePerSecond == 31.5);
+  CHECK(Acme->Burst == 40);
+  const auto *Plain = Owners.find(Organisation("plain"));
+  REQUIRE(Plain != nullptr);
+  CHECK_FALSE(Plain->Rank);
+  CHECK(Plain->RatePerSecond == 0);
+  CHECK(Plain->Burst == 0);
+  CHECK(Owners.findByKey("k-3")->Rank == ClassRank(MaxRanks - 1));
+  CHECK(Owners.findByKey("k-4") == nullptr);
+  CHECK(Policy->find("a.example", "/x/1")->IsOpen);
+  CHECK_FALSE(Policy->find("b.example", "/y/1")->IsOpen);
+}
+
+TEST_CASE("Adapter decodes a policy without organisations") {
+  auto Body = policyBody();
+  CHECK(platform::Adapter().decodePolicy(Body.dump())->organisations().empty());
+  Body["tenants"] = nlohmann::json::object();
+  CHECK(platform::Adapter().decodePolicy(Body.dump())->organisations().empty());
+}
+
+TEST_CASE("Adapter refuses a policy with a malformed organisation") {
+  auto Body = policyBody();
+  Body["tenants"] = nlohmann::json::parse(R"({
+    "acme": {"api-keys": ["secret-1"], "rate-per-s": 5, "burst": 5},
+    "other": {"api-keys": ["secret-2"]}})");
+  CHECK_NOTHROW(platform::Adapter().decodePolicy(Body.dump()));
+  auto Modify = GENERATE(
+      as<Modification>{},
+      [](nlohmann::json &B) { B["tenants"] = {B["tenants"]["acme"]}; },
+      [](nlohmann::json &B) { B["tenants"] = nullptr; },
+      [](nlohmann::json &B) { B["tenants"]["acme"] = "secret-1"; },
+      [](nlohmann::json &B) { B["tenants"]["acme"].erase("api-keys"); },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["api-keys"] = "secret-1"; },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["api-keys"] = {1}; },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["api-keys"] = {""}; },
+      [](nlohmann::json &B) {
+        B["tenants"]["acme"]["api-keys"] = {{"secret-1", 1}};
+      },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["priority"] = "1"; },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["priority"] = -1; },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["rate-per-s"] = -0.5; },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["rate-per-s"] = "5"; },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["burst"] = nullptr; },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["burst"] = true; },
+      [](nlohmann::json &B) { B["tenants"]["acme"]["burst"] = -1; },
+      [](nlohmann::json &B) {
+        B["tenants"]["other"]["api-keys"].push_back("secret-1");
+      },
+      [](nlohmann::json &B) { B["tenants"][""] = B["tenants"]["acme"]; },
+      [](nlohmann::json &B) {
+        B["tenants"]["a\r\nSet-Cookie: b"] = B["tenants"]["acme"];
+        B["tenants"].erase("acme");
+      },
+      [](nlohmann::json &B) {
+        B["tenants"][std::string(200, 'a')] = {{"api-keys", {"k-1"}}};
+      },
+      [](nlohmann::json &B) { B["routes"]["r-1"]["public"] = "yes"; });
+  Modify(Body);
+  try {
+    (void)platform::Adapter().decodePolicy(Body.dump());
+    FAIL("accepted " << Body["tenants"].dump());
+  } catch (const ValueError &E) {
+    CHECK(std::string(E.what()).find("secret") == std::string::npos);
+  }
+}
+
+TEST_CASE("Adapter's messages do not quote a policy that is not JSON") {
+  auto Text = GENERATE(
+      as<std::string>{},
+      R"({"tenants": {"acme": {"api-keys": ["secret-1\x"]}}})",
+      "{\"tenants\": {\"acme\": {\"api-keys\": [\"secret-\xff\"]}}}",
+      R"({"tenants": {"acme": {"api-keys": ["secret-1)",
+      R"({"tenants": {"acme": {"api-keys": secret-1}}})",
+      R"({"tenants": {"acme": {"burst": 1e999, "api-keys": ["secret-1"]}}})");
+  try {
+    (void)platform::Adapter().decodePolicy(Text);
+    FAIL("accepted");
+  } catch (const ValueError &E) {
+    CHECK(std::string(E.what()).find("secret") == std::string::npos);
+  }
+}
+
 TEST_CASE("Adapter decodes the reports and the leave of a target") {
   auto Message = decode("PUT", "/-/instances/i-7", reportBody().dump());
   REQUIRE(Message.Kind == TargetMessage::Kind::Report);
--- a/unittests/PolicyFeedTest.cpp
+++ b/unittests/PolicyFeedTest.cpp
@@ -96,6 +96,21 @@
   CHECK(F.version() == 2);
 }
 
+TEST_CASE("PolicyFeed keeps its policy if an organisation is malformed") {
+  EventLoop Loop;
+  FeedFixture F(Loop);
+  F.Feed.offer(policy(3), "peer");
+  auto Malformed = nlohmann::json::parse(policy(4));
+  Malformed["tenants"] = {{"acme", {{"api-keys", {"k-1"}}}},
+                          {"other", {{"api-keys", {"k-1"}}}}};
+  F.Feed.offer(Malformed.dump(), "peer");
+  CHECK(F.version() == 3);
+  CHECK(F.Counters.counter("policies_malformed") == 1);
+  Malformed["tenants"].erase("other");
+  F.Feed.offer(Malformed.dump(), "peer");
+  CHECK(F.version() == 4);
+}
+
 TEST_CASE("PolicyFeed of a watching node keeps a watch and reports its loss") {
   EventLoop Loop;
   FeedFixture F(Loop);
