Exchange the demand of organisations, and ask the allowance before the gate

Cause: the decision needs the demand of the other nodes, and nothing asks it. Ruled out: the usage of routes as a carrier (its averages are too slow, and it has no organisations); asking after the entry gate (over-asking would take slots before it is refused). Change: AllowanceExchange reports to the duty holders, sums between domains and hands the sums out, every 500 ms, or after 100 ms where demand has jumped at a node that presses on its part. The forwarder asks the allowance before it counts the request for the gate and the repeats, answers 429 with Retry-After, and gives back what was refused later without a run.

--- a/include/limpetdrum/daemon/calls/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -2,6 +2,7 @@
 #define LIMPETDRUM_DAEMON_CALLS_FORWARDER_H
 
 #include "limpetdrum/daemon/calls/TargetSelector.h"
+#include "limpetdrum/request/Allowances.h"
 #include "limpetdrum/request/LeavePlan.h"
 #include "limpetdrum/request/OverloadControl.h"
 #include "limpetdrum/request/RepeatBudget.h"
@@ -32,8 +33,9 @@
   Forwarder(Options Config, HeaderNames Names, EventLoop &Loop, Mesh &Peers,
             limpetdrum::LocalTarget &LocalTarget, TargetSelector &Targets,
             RepeatBudget &Repeats, const CrashHistory &Crashes,
-            OverloadControl &Overload, const LeavePlan &Leaving,
-            PolicyInForce Policy, EventLog &Log, Metrics &Counters);
+            OverloadControl &Overload, Allowances &AllowanceParts,
+            const LeavePlan &Leaving, PolicyInForce Policy, EventLog &Log,
+            Metrics &Counters);
 
   void onRequest(std::shared_ptr<HttpExchange> Exchange);
 
@@ -44,6 +46,12 @@
   /// Assigns rank and cohort: those of the request whose run makes this call,
   /// or else the rank of the route and a random cohort.
   void assignRankAndCohort(const RequestPtr &Request);
+  /// Takes a client's request out of the allowance of its organisation. Answers
+  /// it if the allowance has no room.
+  /// \returns false if it was answered.
+  [[nodiscard]] bool takeAllowance(const RequestPtr &Request);
+  /// Gives back what takeAllowance() took, for a request that has not run.
+  void giveAllowanceBack(ForwardedRequest &Request);
   void admit(const RequestPtr &Request);
   void send(const RequestPtr &Request);
   /// Ends a request that is proven to crash targets.
@@ -94,6 +102,7 @@
   RepeatBudget &Repeats;
   const CrashHistory &Crashes;
   OverloadControl &Overload;
+  Allowances &AllowanceParts;
   const LeavePlan &Leaving;
   PolicyInForce Policy;
   EventLog &Log;
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "limpetdrum/daemon/calls/Forwarder.h"
 #include "limpetdrum/daemon/calls/TargetCheck.h"
+#include "limpetdrum/daemon/fleet/AllowanceExchange.h"
 #include "limpetdrum/daemon/fleet/CrashExchange.h"
 #include "limpetdrum/daemon/fleet/FleetView.h"
 #include "limpetdrum/daemon/fleet/UsageExchange.h"
@@ -18,6 +19,7 @@
 /// The duty holders of the failure domains delay usage by up to two further
 /// periods before it reaches all nodes.
 constexpr Milliseconds UsagePeriod{500};
+constexpr Milliseconds AllowanceTickPeriod{100};
 constexpr Milliseconds GateUpdatePeriod{200};
 constexpr Milliseconds LinkUpdatePeriod{100};
 /// Time without any contact after which a node assumes that it is alone.
@@ -94,6 +96,8 @@
   RepeatBudget Repeats;
   OverloadControl Overload;
   UsageExchange Usage;
+  Allowances AllowanceParts;
+  AllowanceExchange AllowanceNews;
   LeavePlan Leaving;
   PolicyFeed Policies;
   TargetSelector Targets;
@@ -133,6 +137,9 @@
         Overload(this->Seed + 4),
         Usage({Settings.Node, Settings.FailureDomain, Settings.Service},
               this->Overload, this->Links, this->Peers),
+        AllowanceParts(this->Seed + 7),
+        AllowanceNews({Settings.Node, Settings.FailureDomain},
+                      this->AllowanceParts, this->Links, this->Peers, Log),
         Leaving(Settings.ExitLimit),
         Policies(Loop, Store, Adapter, Log, Counters, this->Seed + 1),
         Targets({Settings.Node, Settings.FailureDomain, this->Seed + 6,
@@ -149,8 +156,8 @@
              }},
             Adapter.headers(), Loop, this->Peers, this->LocalTarget,
             this->Targets, this->Repeats, this->Crashes, this->Overload,
-            this->Leaving, [this]() { return this->Policies.current(); }, Log,
-            Counters) {}
+            this->AllowanceParts, this->Leaving,
+            [this]() { return this->Policies.current(); }, Log, Counters) {}
 
   [[nodiscard]] Contact contact() const {
     return {this->Settings.Node, this->Settings.AdvertisedLink,
@@ -267,6 +274,9 @@
   Handlers.OnUsage = [this](MeshUsage Report) {
     this->Usage.onUsage(std::move(Report), this->Loop.now());
   };
+  Handlers.OnOrganisationUsage = [this](const MeshOrganisationUsage &Report) {
+    this->AllowanceNews.onUsage(Report, this->Loop.now());
+  };
   return Handlers;
 }
 
@@ -307,6 +317,9 @@
       AdmissionTickPeriod, [this]() { this->LocalTarget.tick(); }));
   this->Timers.push_back(this->Loop.every(
       UsagePeriod, [this]() { this->Usage.share(this->Loop.now()); }));
+  this->Timers.push_back(this->Loop.every(AllowanceTickPeriod, [this]() {
+    this->AllowanceNews.tick(this->Loop.now());
+  }));
   this->Timers.push_back(
       this->Loop.every(GateUpdatePeriod, [this]() { this->updateGate(); }));
   this->Timers.push_back(this->Loop.every(
@@ -342,6 +355,7 @@
   if (!KnowsFleet)
     return;
   this->updateSlack();
+  this->AllowanceParts.setFleetSize(this->Fleet.members().others().size() + 1);
   this->Policies.setFleetSize(this->Fleet.members().others().size() + 1);
 }
 
@@ -361,6 +375,11 @@
   this->Counters.gauge("members", static_cast<double>(Present + 1));
   this->Counters.gauge("links",
                        static_cast<double>(this->Peers.peers().size()));
+  this->Counters.gauge("allowances_held",
+                       static_cast<double>(this->AllowanceParts.size()));
+  this->Counters.gauge(
+      "allowances_binding",
+      static_cast<double>(this->AllowanceParts.bindingCount()));
   this->Counters.gauge("holds_duties", this->Links.holdsDuties() ? 1 : 0);
 }
 
@@ -389,6 +408,7 @@
   Options.RequestTimeout = Limits.HeaderTimeout * 4;
   Options.IdleTimeout = Limits.IdleTimeout;
   this->Outbound->setOptions(Options);
+  this->AllowanceNews.setPolicy(this->Policies.current(), this->Loop.now());
   // Tells the linked nodes, which then ask for the policy.
   this->Peers.broadcastLoad();
   // After a restart of the process the target may already be running.
@@ -481,6 +501,7 @@
     return;
   this->HasLeft = true;
   this->Leaving.end();
+  this->AllowanceNews.leave();
   this->Outbound->stopListening();
   this->Log.state("left", {{"open", this->Outbound->openRequests()},
                            {"running", this->LocalTarget.outstanding()}});
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -53,6 +53,8 @@
   std::shared_ptr<HttpExchange> Exchange;
   std::shared_ptr<const TrafficPolicy> Policy;
   const TrafficRoute *Route = nullptr; ///< owned by Policy; null: no match
+  /// Its organisation; owned by Policy, null if it is nobody's.
+  const OrganisationPolicy *Owner = nullptr;
   ServiceName Service;
   std::string Id;
   HttpRequest Message; ///< as forwarded
@@ -64,6 +66,8 @@
   /// it is unknown or the request is not a call.
   std::string ParentId;
   std::string ParentRoute;
+  /// True if its id is that of a call, whether its parent is known or not.
+  bool IsCall = false;
   std::vector<NodeId> Excluded; ///< nodes that it was sent to
   NodeId Node;                  ///< of the current attempt
   std::uint64_t Call = 0;       ///< of the current attempt; 0: none
@@ -72,6 +76,8 @@
   /// Part of the repeat budget that the current attempt was taken out of; none
   /// if it is not a repeat.
   std::optional<RepeatBudget::RouteKind> RepeatKind;
+  /// It was taken out of the allowance of its organisation.
+  bool HoldsAllowance = false;
   bool Ended = false;
 };
 
@@ -79,12 +85,12 @@
                      Mesh &Peers, limpetdrum::LocalTarget &LocalTarget,
                      TargetSelector &Targets, RepeatBudget &Repeats,
                      const CrashHistory &Crashes, OverloadControl &Overload,
-                     const LeavePlan &Leaving, PolicyInForce Policy,
-                     EventLog &Log, Metrics &Counters)
+                     Allowances &AllowanceParts, const LeavePlan &Leaving,
+                     PolicyInForce Policy, EventLog &Log, Metrics &Counters)
     : Config(Config), Names(std::move(Names)), Loop(Loop), Peers(Peers),
       LocalTarget(LocalTarget), Targets(Targets), Repeats(Repeats),
-      Crashes(Crashes), Overload(Overload), Leaving(Leaving),
-      Policy(std::move(Policy)), Log(Log), Counters(Counters),
+      Crashes(Crashes), Overload(Overload), AllowanceParts(AllowanceParts),
+      Leaving(Leaving), Policy(std::move(Policy)), Log(Log), Counters(Counters),
       Random(Config.Seed) {}
 
 void Forwarder::onRequest(std::shared_ptr<HttpExchange> Exchange) {
@@ -131,6 +137,9 @@
         if (auto Request = Weak.lock())
           this->onClientDisconnect(Request);
       });
+  // What goes beyond an allowance takes no slot and earns no repeat.
+  if (!this->takeAllowance(Request))
+    return;
   this->Repeats.onRequest(Request->Service, this->routeKind(*Request),
                           this->Loop.now());
   this->admit(Request);
@@ -150,6 +159,41 @@
   Request->Cohort = static_cast<float>(this->Random() % 65536) / 65536;
 }
 
+bool Forwarder::takeAllowance(const RequestPtr &Request) {
+  const auto *Owner = Request->Owner;
+  if (Owner == nullptr || Request->IsCall || Owner->RatePerSecond <= 0)
+    return true;
+  auto Time = this->Loop.now();
+  auto RetryAfter = this->AllowanceParts.take(*Owner, Time);
+  Request->HoldsAllowance = !RetryAfter;
+  if (!RetryAfter)
+    return true;
+  auto View = this->AllowanceParts.view(Owner->Name, Time);
+  this->Log.request(
+      "over_allowance",
+      {{"id", Request->Id},
+       {"route", Request->Route->Name},
+       {"organisation", Owner->Name.value()},
+       {"rate", Owner->RatePerSecond},
+       {"burst", Owner->Burst},
+       {"level", View->Level},
+       {"part", View->Part},
+       {"fleet_asked", View->FleetAsked},
+       {"binding", View->IsBinding},
+       {"news_age_ms", View->NewsAge ? View->NewsAge->count() : -1},
+       {"retry_after_ms", RetryAfter->count()},
+       {"policy", Request->Policy->version().value()}});
+  this->Counters.count("allowance_refusals");
+  this->answer(Request, 429, {{"Retry-After", formatSeconds(*RetryAfter)}},
+               "not run: over the allowance\n", "over-allowance");
+  return false;
+}
+
+void Forwarder::giveAllowanceBack(ForwardedRequest &Request) {
+  if (std::exchange(Request.HoldsAllowance, false))
+    this->AllowanceParts.giveBack(Request.Owner->Name, this->Loop.now());
+}
+
 void Forwarder::admit(const RequestPtr &Request) {
   auto Time = this->Loop.now();
   this->Overload.learner().onRequest(Request->Route->Name, Time,
@@ -430,6 +474,8 @@
                                     {"node", Request->Node.value()},
                                     {"sent", Request->Call != 0},
                                     {"turns", Request->Plan.attempts()}});
+  if (Request->Plan.attempts() == 0)
+    this->giveAllowanceBack(*Request);
   this->cancelAttempt(Request);
 }
 
@@ -451,6 +497,7 @@
 
 void Forwarder::refuse(const RequestPtr &Request, Reason Cause,
                        Milliseconds RetryAfter) {
+  this->giveAllowanceBack(*Request);
   this->reportCallFailure(*Request);
   this->Log.request(
       "refused",
