--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -91,6 +91,8 @@
   /// Part of the repeat budget that the current attempt was taken out of; none
   /// if it is not a repeat.
   std::optional<RepeatBudget::RouteKind> RepeatKind;
+  /// It was taken out of the allowance of its organisation.
+  bool HoldsAllowance = false;
   bool Ended = false;
 };
 
@@ -98,12 +100,12 @@
                      Mesh &Peers, limpetdrum::LocalTarget &LocalTarget,
                      TargetSelector &Targets, RepeatBudget &Repeats,
                      const CrashHistory &Crashes, OverloadControl &Overload,
-                     const LeavePlan &Leaving, PolicyInForce Policy,
-                     EventLog &Log, Metrics &Counters)
+                     Allowances &AllowanceParts, const LeavePlan &Leaving,
+                     PolicyInForce Policy, EventLog &Log, Metrics &Counters)
     : Config(Config), Names(std::move(Names)), Loop(Loop), Peers(Peers),
       LocalTarget(LocalTarget), Targets(Targets), Repeats(Repeats),
-      Crashes(Crashes), Overload(Overload), Leaving(Leaving),
-      Policy(std::move(Policy)), Log(Log), Counters(Counters),
+      Crashes(Crashes), Overload(Overload), AllowanceParts(AllowanceParts),
+      Leaving(Leaving), Policy(std::move(Policy)), Log(Log), Counters(Counters),
       Random(Config.Seed) {}
 
 void Forwarder::onRequest(std::shared_ptr<HttpExchange> Exchange) {
@@ -151,22 +153,28 @@
         if (auto Request = Weak.lock())
           this->onClientDisconnect(Request);
       });
+  // What goes beyond an allowance takes no slot and earns no repeat.
+  if (!this->takeAllowance(Request))
+    return;
   this->Repeats.onRequest(Request->Service, this->routeKind(*Request),
                           this->Loop.now());
   this->admit(Request);
 }
 
 bool Forwarder::identify(const RequestPtr &Request) {
+  auto Shown = readKey(Request->Message.Headers, this->Names.OrganisationKey);
+  bool HasKey = Shown.Key != nullptr;
   auto Parent = this->Config.ParentRequestId(Request->Id);
+  // Targets get no keys, so whoever sends one is a client, whatever its id.
+  if (HasKey && !Request->Policy->organisations().empty())
+    Parent.reset();
   auto Run = Parent ? this->LocalTarget.callContext(*Parent) : std::nullopt;
   Request->IsCall = Parent.has_value();
   if (Run)
     Request->ParentId = std::move(*Parent);
-  auto Shown = readKey(Request->Message.Headers, this->Names.OrganisationKey);
   Shown.IsCall = Request->IsCall;
   Shown.Run = Run ? &*Run : nullptr;
   auto Result = limpetdrum::identify(*Request->Policy, *Request->Route, Shown);
-  bool HasKey = Shown.Key != nullptr;
   // Without organisations the header is the application's.
   if (!Request->Policy->organisations().empty())
     removeHeader(Request->Message.Headers, this->Names.OrganisationKey);
@@ -198,6 +206,41 @@
   Request->Cohort = static_cast<float>(this->Random() % 65536) / 65536;
 }
 
+bool Forwarder::takeAllowance(const RequestPtr &Request) {
+  const auto *Owner = Request->Owner;
+  if (Owner == nullptr || Request->IsCall || Owner->RatePerSecond <= 0)
+    return true;
+  auto Time = this->Loop.now();
+  auto RetryAfter = this->AllowanceParts.take(*Owner, Time);
+  Request->HoldsAllowance = !RetryAfter;
+  if (!RetryAfter)
+    return true;
+  auto View = this->AllowanceParts.view(Owner->Name, Time);
+  this->Log.request(
+      "over_allowance",
+      {{"id", Request->Id},
+       {"route", Request->Route->Name},
+       {"organisation", Owner->Name.value()},
+       {"rate", Owner->RatePerSecond},
+       {"burst", Owner->Burst},
+       {"level", View->Level},
+       {"part", View->Part},
+       {"fleet_asked", View->FleetAsked},
+       {"binding", View->IsBinding},
+       {"news_age_ms", View->NewsAge ? View->NewsAge->count() : -1},
+       {"retry_after_ms", RetryAfter->count()},
+       {"policy", Request->Policy->version().value()}});
+  this->Counters.count("allowance_refusals");
+  this->answer(Request, 429, {{"Retry-After", formatSeconds(*RetryAfter)}},
+               "not run: over the allowance\n", "over-allowance");
+  return false;
+}
+
+void Forwarder::giveAllowanceBack(ForwardedRequest &Request) {
+  if (std::exchange(Request.HoldsAllowance, false))
+    this->AllowanceParts.giveBack(Request.Owner->Name, this->Loop.now());
+}
+
 void Forwarder::admit(const RequestPtr &Request) {
   auto Time = this->Loop.now();
   this->Overload.learner().onRequest(Request->Route->Name, Time,
@@ -479,6 +522,8 @@
                                     {"node", Request->Node.value()},
                                     {"sent", Request->Call != 0},
                                     {"turns", Request->Plan.attempts()}});
+  if (Request->Plan.attempts() == 0)
+    this->giveAllowanceBack(*Request);
   this->cancelAttempt(Request);
 }
 
@@ -500,6 +545,7 @@
 
 void Forwarder::refuse(const RequestPtr &Request, Reason Cause,
                        Milliseconds RetryAfter) {
+  this->giveAllowanceBack(*Request);
   this->reportCallFailure(*Request);
   this->Log.request(
       "refused",
