--- a/unittests/ForwarderFixture.h
+++ b/unittests/ForwarderFixture.h
@@ -31,6 +31,7 @@
                          this->Counters};
   RepeatBudget Repeats{0.2, Milliseconds(10'000), 1};
   OverloadControl Overload{1};
+  Allowances AllowanceParts{1};
   LeavePlan Leaving{Milliseconds(6000)};
   std::shared_ptr<const TrafficPolicy> Policy;
   Forwarder Entry{{NodeId("n1"), Incarnation(7), ServiceName("ordering"), 1,
@@ -48,6 +49,7 @@
                   this->Repeats,
                   this->Local.Crashes,
                   this->Overload,
+                  this->AllowanceParts,
                   this->Leaving,
                   [this]() { return this->Policy; },
                   this->Log,
