Read a target's load header strictly, and its pace

Cause: the status check after a restart took the last figure of the load header for the slots, so a node beside a target that states its pace admitted 100 requests where 46 were meant. The pace itself decided nothing: requests queued at a slowed instance until a tick refused them, and a slow phase looked to the concurrency limit like queueing inside the target.

Ruled out: taking the third figure of whatever comes (a longer or malformed header must move nothing); scaling the limit by the pace (a slow instance has the same slots); scaling the typical latency by the change of a mean pace (it reacts half, as no run has ended at the new pace yet).

Change: TargetLoad parses three or four figures, else throws; a malformed or repeated header is counted (target_loads_malformed) and logged once a second at most. TargetPace keeps one reading and a mean over the time of a request, for a second. Admission expects the usual latency times the pace now for waits and deadlines; trials of the limit compare latencies at the usual pace. The status tells the mean pace. The wait limit of an attempt is a latest start of its own instead of an earlier deadline, which depended on the latency at its arrival.

--- a/include/limpetdrum/daemon/calls/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -13,6 +13,7 @@
 #include "limpetdrum/request/DrainGate.h"
 #include "limpetdrum/request/SuspectTrials.h"
 #include "limpetdrum/request/TargetIdentity.h"
+#include "limpetdrum/request/TargetLoad.h"
 
 #include <functional>
 #include <memory>
@@ -70,6 +71,10 @@
   void onStatusCheck(const std::string &Id, const ServiceName &Service,
                      Slots AnnouncedSlots);
 
+  /// \brief Returns the load that the target states in an answer; none if it
+  ///   states none or a malformed one, which is counted.
+  [[nodiscard]] std::optional<TargetLoad> readLoad(const HttpResponse &Answer);
+
   /// \brief Runs an attempt, or attaches to it if it is known.
   /// \param OnReply called once with the reply. It is not called if the caller
   ///   cancels the running attempt, or if the same attempt is executed again
@@ -184,7 +189,9 @@
   std::unordered_map<AttemptId, Entry> Active;
   std::unordered_map<std::string, AttemptId> RunningByRequestId;
   std::size_t CancelledCount = 0; ///< entries of Active with CancelAt
-  bool HasAnswered = false;       ///< the target, since it was recorded here
+  /// Time of the last log line about a malformed load.
+  std::optional<TimePoint> LoadErrorLoggedAt;
+  bool HasAnswered = false; ///< the target, since it was recorded here
   SuspectTrials Trials;
   /// Runs whose connections broke, while it is found out whether the target's
   /// process has ended.
--- a/include/limpetdrum/daemon/calls/TargetAnswer.h
+++ b/include/limpetdrum/daemon/calls/TargetAnswer.h
@@ -4,6 +4,7 @@
 #include "limpetdrum/connection/Http.h"
 #include "limpetdrum/daemon/calls/HeaderNames.h"
 #include "limpetdrum/request/Reply.h"
+#include "limpetdrum/request/TargetLoad.h"
 
 #include <optional>
 
@@ -17,6 +18,10 @@
 /// \throws ValueError if the notice is malformed.
 [[nodiscard]] std::optional<double> readRequestRate(const HttpResponse &Answer,
                                                     const HeaderNames &Names);
+/// \brief Returns the load that the target states; none if the answer has none.
+/// \throws ValueError if it is malformed or stated more than once.
+[[nodiscard]] std::optional<TargetLoad>
+readTargetLoad(const HttpResponse &Answer, const HeaderNames &Names);
 /// \brief Returns true if the target says that it is leaving.
 [[nodiscard]] bool saysLeaving(const HttpResponse &Answer,
                                const HeaderNames &Names);
--- a/include/limpetdrum/request/Admission.h
+++ b/include/limpetdrum/request/Admission.h
@@ -5,6 +5,7 @@
 #include "limpetdrum/request/ConcurrencyLimit.h"
 #include "limpetdrum/request/RateLimit.h"
 #include "limpetdrum/request/Reply.h"
+#include "limpetdrum/request/TargetLoad.h"
 
 #include <set>
 #include <tuple>
@@ -20,6 +21,9 @@
   float Cohort = 0;
   limpetdrum::Organisation Organisation;
   TimePoint Deadline;
+  /// Time from which its answer would come too late to be of much use; none if
+  /// it is useful until the deadline.
+  std::optional<TimePoint> LatestStart;
   /// True if the request may be cancelled while it runs.
   bool Cancellable = false;
 };
@@ -74,6 +78,21 @@
     this->Rate.set(PerSecond, Now);
   }
 
+  /// \brief Records the pace that the target stated in an answer.
+  ///
+  /// The limit stays as it is, since a slow instance has the same slots. What
+  /// is queued waits longer for them, so requests that would miss their
+  /// deadlines are refused at once, while another target can still serve them.
+  /// \param Percent time that work takes now, in percent of the usual time.
+  void setPace(std::uint16_t Percent, TimePoint Now) noexcept {
+    this->Pace.onReading(Percent, this->typicalLatency(), Now);
+  }
+  /// \brief Returns the mean pace over the time of a request in percent; 0 if
+  ///   the target has not stated it recently.
+  [[nodiscard]] std::uint16_t pace(TimePoint Now) const noexcept {
+    return this->Pace.percent(Now);
+  }
+
   /// \brief Queues a request, then dispatches and refuses as capacity requires.
   [[nodiscard]] AdmissionDecisions submit(const Arrival &Request,
                                           TimePoint Now);
@@ -108,6 +127,9 @@
   [[nodiscard]] Microseconds typicalLatency() const noexcept {
     return this->Limit.typicalLatency();
   }
+  /// \brief Returns the expected latency of a request that starts at \p Now, by
+  ///   the latency of those before and the pace of the target.
+  [[nodiscard]] Microseconds expectedLatency(TimePoint Now) const noexcept;
   /// \brief Returns the expected wait of a request that joins the end of the
   ///   queue now.
   [[nodiscard]] Microseconds expectedWait(TimePoint Now) const noexcept;
@@ -158,6 +180,9 @@
   bool cancelLowerClass(const OrderKey &Key, AdmissionDecisions &Decisions);
   /// Returns true if the request rate, not the slots, holds requests back.
   [[nodiscard]] bool isRateReached(TimePoint Now) const noexcept;
+  /// Returns true if a request that starts at \p Start is of no use.
+  [[nodiscard]] bool isTooLate(const Arrival &Request, TimePoint Start,
+                               TimePoint Now) const noexcept;
   [[nodiscard]] bool wouldMissDeadline(const QueuedRequest &Entry,
                                        TimePoint Now) const;
   void enforceCapacity(AttemptId NewestId, TimePoint Now,
@@ -167,6 +192,7 @@
   AdmissionOptions Options;
   ConcurrencyLimit Limit;
   RateLimit Rate;
+  TargetPace Pace;
   AdmissionLevel Level;
   std::set<QueuedRequest> Queue;
   std::unordered_map<AttemptId, OrderKey> QueuedKeys;
--- a/include/limpetdrum/request/ConcurrencyLimit.h
+++ b/include/limpetdrum/request/ConcurrencyLimit.h
@@ -31,8 +31,11 @@
   /// \brief Records the end of a request at the target.
   /// \param Shed true if the target refused the request for load.
   /// \param Saturated true if the limit was reached when the request ended.
+  /// \param SlowDown ratio of the target's times to its usual times meanwhile,
+  ///   as it states it. A slow target is not one that queues, so trials compare
+  ///   latencies without it.
   void onCompletion(Microseconds Latency, bool Shed, bool Saturated,
-                    TimePoint Now);
+                    TimePoint Now, double SlowDown = 1);
 
   /// \brief Returns the limit at \p Now, at least 1.
   [[nodiscard]] std::size_t limit(TimePoint Now) const noexcept;
@@ -40,6 +43,10 @@
   [[nodiscard]] Microseconds typicalLatency() const noexcept {
     return this->TypicalLatency;
   }
+  /// \brief Returns the same at the target's usual pace.
+  [[nodiscard]] Microseconds usualLatency() const noexcept {
+    return this->UsualLatency;
+  }
 
 private:
   struct Window {
@@ -47,7 +54,7 @@
     std::size_t Completions = 0;
     std::size_t Sheds = 0;
     std::size_t Saturated = 0;
-    double LatencySum = 0; ///< microseconds
+    double LatencySum = 0; ///< microseconds, at the usual pace
   };
   struct Trial {
     double PreviousLimit = 0;
@@ -65,6 +72,7 @@
   TimePoint WarmUpStart{};
   Milliseconds WarmUp{0};
   Microseconds TypicalLatency{0};
+  Microseconds UsualLatency{0};
   double BestLatency = 0; ///< lowest mean of a window, in microseconds
   Window Current;
   std::optional<Trial> ActiveTrial;
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -24,6 +24,8 @@
 /// Requests that are reported of one crash. A target with more slots than this
 /// may have to be crashed more often until the cause is known.
 constexpr std::size_t MaxReportsPerCrash = 1024;
+/// A target that states a malformed load does so in all answers.
+constexpr Milliseconds LoadErrorLogPeriod{1000};
 
 Slots usableSlots(Slots AnnouncedSlots) {
   auto Count = static_cast<double>(AnnouncedSlots.value()) * UsableSlotShare;
@@ -173,12 +175,8 @@
   Submission.Rank = Attempt.Rank;
   Submission.Cohort = Attempt.Cohort;
   Submission.Deadline = Waiting.Deadline;
-  // The queue refuses requests that could not end by their deadline, so an
-  // earlier deadline enforces the wait limit.
   if (Attempt.WaitLimit > Milliseconds(0))
-    Submission.Deadline =
-        std::min(Submission.Deadline, Waiting.ArrivedAt + Attempt.WaitLimit +
-                                          this->Queue.typicalLatency());
+    Submission.LatestStart = Waiting.ArrivedAt + Attempt.WaitLimit;
   this->applyDecisions(this->Queue.submit(Submission, this->Now()));
 }
 
@@ -283,6 +281,8 @@
   if (!hasNotices(Answer))
     return;
   this->readRequestRate(Answer);
+  if (auto Load = this->readLoad(Answer); Load && Load->Pace)
+    this->Queue.setPace(*Load->Pace, this->Now());
   if (!saysLeaving(Answer, this->Names) ||
       this->Record.State >= TargetState::Draining)
     return;
@@ -291,6 +291,22 @@
   this->setRecord(LeavingRecord, Milliseconds(0));
 }
 
+std::optional<TargetLoad> LocalTarget::readLoad(const HttpResponse &Answer) {
+  try {
+    return readTargetLoad(Answer, this->Names);
+  } catch (const ValueError &E) {
+    this->Counters.count("target_loads_malformed");
+    auto Time = this->Now();
+    if (!this->LoadErrorLoggedAt ||
+        Time - *this->LoadErrorLoggedAt >= LoadErrorLogPeriod) {
+      this->LoadErrorLoggedAt = Time;
+      this->Log.state("target_load_malformed",
+                      {{"target", this->Record.Id}, {"error", E.what()}});
+    }
+    return std::nullopt;
+  }
+}
+
 void LocalTarget::readRequestRate(const HttpResponse &Answer) {
   std::optional<double> NewRate;
   try {
@@ -561,6 +577,7 @@
   Status.Limit = static_cast<std::uint32_t>(this->Queue.limit(this->Now()));
   Status.Threshold = this->Queue.threshold();
   Status.ServiceTime = this->Queue.typicalLatency();
+  Status.Pace = this->Queue.pace(this->Now());
 }
 
 } // namespace limpetdrum
--- a/lib/daemon/calls/TargetAnswer.cpp
+++ b/lib/daemon/calls/TargetAnswer.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <strings.h>
 
 namespace limpetdrum {
 
@@ -48,6 +49,20 @@
   return parseRequestRate(*Text);
 }
 
+std::optional<TargetLoad> readTargetLoad(const HttpResponse &Answer,
+                                         const HeaderNames &Names) {
+  std::optional<TargetLoad> Load;
+  for (const auto &[Name, Text] : Answer.Headers) {
+    if (strcasecmp(Name.c_str(), Names.TargetLoad.c_str()) != 0)
+      continue;
+    if (Load)
+      throw ValueError("the load is stated more than once",
+                       "state it in one header");
+    Load = parseTargetLoad(Text);
+  }
+  return Load;
+}
+
 bool saysLeaving(const HttpResponse &Answer, const HeaderNames &Names) {
   const auto *Leaving = findHeader(Answer.Headers, Names.TargetLeaving);
   return Leaving != nullptr && *Leaving == "1";
--- a/lib/daemon/calls/TargetCheck.cpp
+++ b/lib/daemon/calls/TargetCheck.cpp
@@ -1,12 +1,12 @@
 #include "limpetdrum/daemon/calls/TargetCheck.h"
 
-#include <algorithm>
-
 namespace limpetdrum {
 
 namespace {
 
 constexpr Milliseconds AnswerTimeout{500};
+/// A target that does not state its slots reports them within seconds.
+constexpr Slots UnstatedSlots{1};
 
 } // namespace
 
@@ -37,14 +37,9 @@
       {{"status", Answer.Status}, {"target", Id}, {"healthy", IsHealthy}});
   if (!IsHealthy)
     return;
-  auto Load = Answer.header(this->Names.TargetLoad);
-  auto Slots = std::strtoul(
-      Load.substr(std::min(Load.size(), Load.rfind(',') + 1)).c_str(), nullptr,
-      10);
-  constexpr unsigned long MaxSlots = 65'535;
+  auto Load = this->Target.readLoad(Answer);
   this->Target.onStatusCheck(Id, this->Service,
-                             limpetdrum::Slots(static_cast<std::uint16_t>(
-                                 std::clamp(Slots, 1UL, MaxSlots))));
+                             Load ? Load->Slots : UnstatedSlots);
 }
 
 } // namespace limpetdrum
--- a/lib/request/Admission.cpp
+++ b/lib/request/Admission.cpp
@@ -23,6 +23,7 @@
 
 void Admission::announce(Slots Announced, Milliseconds WarmUp, TimePoint Now) {
   this->Limit.announce(Announced, WarmUp, Now);
+  this->Pace.reset();
 }
 
 std::size_t Admission::limit(TimePoint Now) const noexcept {
@@ -65,11 +66,19 @@
   auto ByRate = this->Rate.wait(Ahead, Now);
   if (this->Running.size() < this->Limit.limit(Now))
     return ByRate;
-  auto PerSlot = this->Limit.typicalLatency() /
+  auto PerSlot = this->expectedLatency(Now) /
                  static_cast<std::int64_t>(this->Limit.limit(Now));
   return std::max(ByRate, PerSlot * static_cast<std::int64_t>(Ahead + 1));
 }
 
+Microseconds Admission::expectedLatency(TimePoint Now) const noexcept {
+  auto Ratio = this->Pace.current(Now);
+  if (!Ratio)
+    return this->typicalLatency();
+  auto Usual = static_cast<double>(this->Limit.usualLatency().count());
+  return Microseconds(static_cast<std::int64_t>(Usual * *Ratio));
+}
+
 Microseconds Admission::expectedWait(TimePoint Now) const noexcept {
   return this->expectedWaitBehind(this->Queue.size(), Now);
 }
@@ -86,19 +95,25 @@
   return Decisions;
 }
 
+bool Admission::isTooLate(const Arrival &Request, TimePoint Start,
+                          TimePoint Now) const noexcept {
+  return Start + this->expectedLatency(Now) > Request.Deadline ||
+         (Request.LatestStart && Start > *Request.LatestStart);
+}
+
 bool Admission::wouldMissDeadline(const QueuedRequest &Entry,
                                   TimePoint Now) const {
-  auto EndsBy = [&](std::size_t Ahead) {
-    return Now + this->expectedWaitBehind(Ahead, Now) +
-           this->Limit.typicalLatency();
+  auto MissesBehind = [&](std::size_t Ahead) {
+    return this->isTooLate(Entry.Request,
+                           Now + this->expectedWaitBehind(Ahead, Now), Now);
   };
   // Counting the requests ahead is linear in the queue's length, so it is done
   // only if the wait behind the whole queue is too long.
-  if (EndsBy(this->Queue.size()) <= Entry.Request.Deadline)
+  if (!MissesBehind(this->Queue.size()))
     return false;
   auto Ahead = static_cast<std::size_t>(
       std::distance(this->Queue.begin(), this->Queue.find(Entry)));
-  return EndsBy(Ahead) > Entry.Request.Deadline;
+  return MissesBehind(Ahead);
 }
 
 bool Admission::isRateReached(TimePoint Now) const noexcept {
@@ -204,7 +219,7 @@
   else if (Result != Completion::Abandoned)
     this->Limit.onCompletion(
         std::chrono::duration_cast<Microseconds>(Now - Finished.Start),
-        Result == Completion::Shed, Saturated, Now);
+        Result == Completion::Shed, Saturated, Now, this->Pace.factor(Now));
   this->releaseOrganisation(Finished.Organisation);
   this->Running.erase(Found);
   this->dispatchQueued(Now, Decisions);
@@ -223,8 +238,10 @@
   AdmissionDecisions Decisions;
   this->dispatchQueued(Now, Decisions);
   std::vector<QueuedRequest> LateRequests;
+  auto LatestEnd = Now + this->expectedLatency(Now);
   for (const auto &Entry : this->Queue)
-    if (Entry.Request.Deadline <= Now + this->Limit.typicalLatency())
+    if (Entry.Request.Deadline <= LatestEnd ||
+        (Entry.Request.LatestStart && *Entry.Request.LatestStart <= Now))
       LateRequests.push_back(Entry);
   // A pending cancellation frees a slot for one late request, which stays
   // queued until its deadline.
--- a/lib/request/ConcurrencyLimit.cpp
+++ b/lib/request/ConcurrencyLimit.cpp
@@ -24,6 +24,13 @@
 constexpr double LatencyWeight = 0.1; ///< of one request, in the mean
 constexpr double ColdShare = 0.1; ///< of the limit, at the start of a warm-up
 
+Microseconds smooth(Microseconds Mean, Microseconds Sample) {
+  auto Old = static_cast<double>(Mean.count());
+  auto New = static_cast<double>(Sample.count());
+  auto Smoothed = Old == 0 ? New : Old + LatencyWeight * (New - Old);
+  return Microseconds(static_cast<std::int64_t>(Smoothed));
+}
+
 } // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(Slots Announced, std::uint64_t Seed)
@@ -45,16 +52,17 @@
 }
 
 void ConcurrencyLimit::onCompletion(Microseconds Latency, bool Shed,
-                                    bool Saturated, TimePoint Now) {
+                                    bool Saturated, TimePoint Now,
+                                    double SlowDown) {
   if (Shed) {
     ++this->Current.Sheds;
   } else {
     ++this->Current.Completions;
-    this->Current.LatencySum += static_cast<double>(Latency.count());
-    auto Old = static_cast<double>(this->TypicalLatency.count());
-    auto New = static_cast<double>(Latency.count());
-    auto Smoothed = Old == 0 ? New : Old + LatencyWeight * (New - Old);
-    this->TypicalLatency = Microseconds(static_cast<std::int64_t>(Smoothed));
+    auto Usual = Microseconds(static_cast<std::int64_t>(
+        static_cast<double>(Latency.count()) / SlowDown));
+    this->Current.LatencySum += static_cast<double>(Usual.count());
+    this->TypicalLatency = smooth(this->TypicalLatency, Latency);
+    this->UsualLatency = smooth(this->UsualLatency, Usual);
   }
   this->Current.Saturated += Saturated ? 1 : 0;
   bool Complete = this->Current.Completions >= MinWindowCompletions ||
--- a/unittests/AdmissionTest.cpp
+++ b/unittests/AdmissionTest.cpp
@@ -220,3 +220,63 @@
   CHECK(B.RefusedBrowses > 900);
   CHECK(Orders > 80);
 }
+
+// Guards against requests that wait at a slowed target while others could still
+// serve them.
+TEST_CASE("Admission refuses at once what a slowed target cannot serve in "
+          "time",
+          "[admission]") {
+  Bench B(11);
+  std::uint64_t Number = 0;
+  auto Latency = Milliseconds(100);
+  std::multimap<TimePoint, AttemptId> Due;
+  auto Begin = [&]() {
+    for (const auto &Id : std::exchange(B.Running, {}))
+      Due.emplace(B.Clock.now() + Latency, Id);
+  };
+  auto Play = [&](int Steps, std::uint16_t Percent) {
+    for (int Step = 0; Step < Steps; ++Step) {
+      B.Clock.advance(Milliseconds(10));
+      B.Gate.setPace(Percent, B.Clock.now());
+      for (; !Due.empty() && Due.begin()->first <= B.Clock.now();
+           Due.erase(Due.begin())) {
+        B.complete(Due.begin()->second);
+        Begin();
+      }
+      B.arrive(request(++Number, Order, B.Clock, Milliseconds(250)));
+      Begin();
+      B.tick();
+    }
+  };
+  Play(100, 100); // uses ten of the slots
+  auto Limit = B.Gate.limit(B.Clock.now());
+  CHECK(B.RefusedOrders == 0);
+  REQUIRE(B.Gate.running() >= Limit - 1);
+  Latency = Milliseconds(250);
+  Play(20, 250);
+  // No request has ended at the new pace yet.
+  CHECK(B.RefusedOrders >= 5);
+  CHECK(B.Gate.queued() < 5);
+  CHECK(B.Gate.limit(B.Clock.now()) == Limit);
+  // At the usual pace again, it queues again.
+  Latency = Milliseconds(100);
+  Play(40, 100);
+  auto Refused = B.RefusedOrders;
+  Play(50, 100);
+  CHECK(B.RefusedOrders == Refused);
+}
+
+TEST_CASE("Admission refuses a request once its latest start has passed",
+          "[admission]") {
+  Bench B(1);
+  B.arrive(request(1, Order, B.Clock));
+  auto Waiting = request(2, Order, B.Clock);
+  Waiting.LatestStart = B.Clock.now() + Milliseconds(100);
+  B.arrive(Waiting);
+  B.Clock.advance(Milliseconds(90));
+  B.tick();
+  CHECK(B.RefusedOrders == 0);
+  B.Clock.advance(Milliseconds(10));
+  B.tick();
+  CHECK(B.RefusedOrders == 1);
+}
--- a/unittests/ConcurrencyLimitTest.cpp
+++ b/unittests/ConcurrencyLimitTest.cpp
@@ -119,3 +119,28 @@
   Clock.advance(Milliseconds(500));
   CHECK(L.limit(Clock.now()) == 100);
 }
+
+// Guards against a slow phase of the instance that looks like queueing in the
+// target: the limit would fall when it is needed most.
+TEST_CASE("ConcurrencyLimit is not lowered by the pace that a target states",
+          "[limit]") {
+  auto Lowest = [](bool States) {
+    FakeClock Clock;
+    ConcurrencyLimit L(Slots(40));
+    L.announce(Slots(40), Milliseconds(0), Clock.now());
+    std::mt19937_64 Random(1);
+    std::size_t Result = 40;
+    bool IsSlow = false;
+    for (int I = 0; I < 30000; ++I) {
+      if (I % 60 == 0)
+        IsSlow = Random() % 4 == 0;
+      Clock.advance(Milliseconds(10));
+      L.onCompletion(Milliseconds(IsSlow ? 250 : 100), false, true, Clock.now(),
+                     States && IsSlow ? 2.5 : 1);
+      Result = std::min(Result, L.limit(Clock.now()));
+    }
+    return Result;
+  };
+  CHECK(Lowest(true) == 40);
+  CHECK(Lowest(false) < 40);
+}
