--- a/soak/Target.cpp
+++ b/soak/Target.cpp
@@ -14,6 +14,10 @@
 /// A target exits after this time even if its leave is not acknowledged.
 constexpr Milliseconds UnacknowledgedExit{5000};
 constexpr Milliseconds CallTimeout{1500};
+/// Time for which a target's pace lasts, and the pace of one span in six.
+constexpr Milliseconds PaceSpan{150};
+constexpr unsigned SlowPace = 250;
+constexpr unsigned UsualPace = 100;
 
 std::int64_t unixMillis() {
   return std::chrono::duration_cast<Milliseconds>(
@@ -72,8 +76,18 @@
       this->Loop.after(Delay, [this]() { this->leave(false); }));
 }
 
+unsigned Target::pace() const {
+  auto Span = this->Loop.now().time_since_epoch() / PaceSpan;
+  return stableHash(this->Id, static_cast<std::uint64_t>(Span)) % 6 == 0
+             ? SlowPace
+             : UsualPace;
+}
+
 HttpHeaders Target::notices(const std::string &RequestId) {
-  HttpHeaders Headers;
+  HttpHeaders Headers = {
+      {wire::TargetLoad, std::to_string(this->Running.size()) + ",0," +
+                             std::to_string(SlotCount) + ',' +
+                             std::to_string(this->pace())}};
   auto Add = [&](std::optional<std::size_t> Index, const std::string &Name) {
     if (!Index)
       return;
@@ -206,6 +220,7 @@
   std::exponential_distribution<double> Duration(1 / MeanMillis);
   // One request in six runs long enough to overlap a fault on its node.
   double Factor = this->Random() % 6 == 0 ? 15 : 1;
+  Factor *= static_cast<double>(this->pace()) / UsualPace;
   auto Span = Milliseconds(static_cast<std::int64_t>(
       std::min(Duration(this->Random) * Factor, 1500.0)));
   constexpr Milliseconds StalledSpan{4000};
--- a/soak/Target.h
+++ b/soak/Target.h
@@ -20,6 +20,7 @@
 inline const std::string NotExecuted = "X-Limpetdrum-Not-Executed";
 inline const std::string Receipt = "X-Limpetdrum-Response-Signature";
 inline const std::string RequestRate = "Server-Limit";
+inline const std::string TargetLoad = "X-Limpetdrum-Server-Load";
 inline const std::string TargetLeaving = "Server-Leaving";
 inline const std::string Instance = "X-Limpetdrum-Instance-Id";
 inline const std::string Host = "soak.example";
@@ -84,6 +85,8 @@
   void report();
   void withdraw();
   void onLeaveAcknowledged();
+  /// Returns the time that work takes now, in percent of the usual time.
+  [[nodiscard]] unsigned pace() const;
   /// Returns the headers in which the target says something about itself, and
   /// records that the entry node of the request is told.
   [[nodiscard]] HttpHeaders notices(const std::string &RequestId);
