Spread requests in turn, corrected by the age of the news

Cause: Placement took the target with the smallest known load. All nodes do, so the target that looked empty is overrun while others idle.

Change: each node spreads its requests in turn, in proportion to what each target serves (limit by service time and pace), starting at a different one. News corrects the proportion, with a weight that falls over two typical runs. The share that leaves the own failure domain rises from a load of 0.85 to 1.05, as far as load elsewhere is lower. The local target's load is read, so own calls there count once.

--- a/include/limpetdrum/request/Placement.h
+++ b/include/limpetdrum/request/Placement.h
@@ -11,19 +11,31 @@
   limpetdrum::FailureDomain FailureDomain;
   std::uint32_t Outstanding = 0; ///< running and queued requests, as reported
   std::uint32_t Limit = 1;       ///< requests that it runs concurrently
+  Microseconds ServiceTime{0};   ///< typical time of a run; 0 if unknown
+  std::uint16_t Pace = 0; ///< percent of the usual time of work; 0 if unknown
+  /// The load was read at this moment, not reported: that of the local target.
+  bool IsCurrent = false;
 };
 
 /// \brief Selects a target's node for a request.
 ///
-/// Handles load that is uneven between failure domains and targets that differ
-/// in speed. Targets in this node's failure domain are preferred while they
-/// have capacity, because traffic between domains is expensive; beyond that the
-/// least loaded target is used. A target that fails more often than its
-/// siblings counts as more loaded, whatever its health check reports. This
-/// penalty decays, so that the target receives requests again gradually.
+/// Handles load that is uneven because what is known of it is old and many
+/// nodes choose at the same moment. Each node spreads its own requests over
+/// the targets in turn, in proportion to what they serve: by limit, service
+/// time and pace. As each node starts elsewhere, the sum is even, whatever the
+/// news. News corrects the proportion: a target that reported more load than
+/// the mean gets as much less as it has too much, and the weight of the report
+/// falls with its age, at the rate at which the reported requests end.
+///
+/// Targets in this node's failure domain are preferred while they have
+/// capacity, because traffic between domains is expensive; beyond that, the
+/// share that goes elsewhere rises with the load of the domain and with what
+/// callers gain. A target that fails more often than its siblings gets fewer
+/// requests, whatever its health check reports. This decays, so that the target
+/// receives requests again gradually.
 class Placement {
 public:
-  /// \param Seed seed for the random choice among equal candidates.
+  /// \param Seed seed of the targets at which this node starts.
   Placement(FailureDomain LocalDomain, std::uint64_t Seed);
 
   /// \brief Selects a node and counts a call to it as begun.
@@ -35,7 +47,7 @@
   void end(const NodeId &Node, CallResult Result, TimePoint Now);
   /// \brief Records that a node has reported its load, which includes the calls
   ///   in flight from this node.
-  void onReport(const NodeId &Node);
+  void onReport(const NodeId &Node, TimePoint Now);
   /// \brief Removes the statistics of a node.
   void remove(const NodeId &Node);
 
@@ -43,16 +55,43 @@
   struct Stats {
     std::size_t InFlight = 0;
     std::size_t InFlightAtReport = 0;
+    TimePoint ReportedAt{};
     double FailureShare = 0; ///< of calls, decays with calls and with time
     TimePoint LastEndedAt{};
+    std::chrono::duration<double> ServiceTime{0}; ///< smoothed; 0 if unknown
+    TimePoint ServiceTimeAt{};
+    /// Requests that are due to the target: rises by its chance with each
+    /// request, and falls by one with each that it gets.
+    double Credit = 0;
+  };
+  /// A candidate with what follows from its state.
+  struct Option {
+    const PlacementCandidate *Candidate = nullptr;
+    Stats Known; ///< after the choice, without the call to be counted
+    double Limit = 1;
+    double Load = 0; ///< requests as a share of the limit
+    Microseconds Age{0};
+    double FailureShare = 0;
+    double Soundness = 1; ///< share of requests in spite of its failures
+    double Chance = 0;    ///< share of this node's requests
   };
-  [[nodiscard]] double load(const PlacementCandidate &Candidate);
-  /// \brief Returns the failure share, decayed to the given time.
+  /// Returns a candidate's state, without its chance.
+  [[nodiscard]] Option option(const PlacementCandidate &Candidate,
+                              TimePoint Now) const;
+  /// Computes the chances of all candidates that are not excluded.
+  void weigh(const std::vector<PlacementCandidate> &Candidates,
+             const std::vector<NodeId> &Excluded, TimePoint Now,
+             std::vector<Option> &Options) const;
+  /// Returns the option to which a request is due; null if there is none.
+  [[nodiscard]] static const Option *
+  choose(const std::vector<Option> &Options) noexcept;
+  /// Returns the failure share, decayed to the given time.
   [[nodiscard]] double failureShare(const Stats &S, TimePoint Now) const;
 
   FailureDomain LocalDomain;
-  std::mt19937_64 Random;
+  std::uint64_t Seed;
   std::unordered_map<NodeId, Stats> StatsByNode;
+  std::vector<Option> Options; ///< of one choice; kept to allocate once
 };
 
 } // namespace limpetdrum
--- a/lib/request/Placement.cpp
+++ b/lib/request/Placement.cpp
@@ -1,79 +1,213 @@
 #include "limpetdrum/request/Placement.h"
 
+#include "limpetdrum/process/Rendezvous.h"
+
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace limpetdrum {
 
 namespace {
 
-/// A target whose load is below this share of its limit answers without
-/// queueing.
-constexpr double MaxUnqueuedLoad = 0.9;
-/// Added to the load of targets in other failure domains, for the round trip
-/// between domains.
-constexpr double OtherDomainPenalty = 0.05;
-/// Upper bound of the noise added to each cost, as a share of a target's limit.
-/// Costs that differ by less count as equal, so that the callers do not all
-/// switch to the same target at once.
-constexpr double MaxNoise = 0.1;
+using Seconds = std::chrono::duration<double>;
+
+/// Targets of the own failure domain get all requests below this load. Above
+/// it, some of them begin to queue.
+constexpr double MaxUnqueuedLoad = 0.85;
+/// At this load of the own failure domain, all requests wait there, and it is
+/// no longer preferred.
+constexpr double MaxPreferredLoad = 1.05;
+/// Difference in load at which a caller gains by another failure domain; less
+/// is not worth the bytes between domains.
+constexpr double WorthwhileGain = 0.2;
+/// Below this load nobody waits, and differences between targets say little.
+constexpr double MinMeanLoad = 0.3;
+/// A report counts for this many typical runs: the requests that it names have
+/// ended then.
+constexpr double RunsUntilOutdated = 2;
+/// Part of an excess over the mean load that a target gets less in the time of
+/// a typical run. Twice the excess, as part of the news comes late or is lost.
+constexpr double CorrectionGain = 2;
+/// Service times of candidates differ by less than this factor; a report
+/// beyond it is about a few requests of one kind.
+constexpr double MaxServiceFactor = 4;
+/// Time over which reported service times are smoothed: a target runs requests
+/// of different kinds, and reports what it ran last.
+constexpr Seconds ServiceTimeSmoothing{2};
+/// Assumed while no candidate has reported its own.
+constexpr Microseconds DefaultServiceTime{100000};
 constexpr double FailureWeight = 0.05; ///< of one call in the failure share
-constexpr double FailurePenalty = 4;   ///< added load at a failure share of 1
+/// A target that fails this much more often than its siblings gets no request.
+constexpr double MaxExcessFailures = 0.1;
 constexpr Milliseconds FailureHalfLife{3000};
+/// Bound of a credit, in requests, for targets that were not chosen for long.
+constexpr double MaxCredit = 2;
+
+/// Load of the targets on one side of the border of the failure domain.
+struct Side {
+  double Requests = 0;
+  double Limit = 0;
+  [[nodiscard]] double load() const noexcept {
+    return this->Limit > 0 ? this->Requests / this->Limit
+                           : std::numeric_limits<double>::infinity();
+  }
+};
+
+/// Returns the share of their capacity that targets elsewhere contribute. Rises
+/// smoothly, so that not all nodes of a domain leave it at once.
+double shareElsewhere(const Side &Own, const Side &Other) noexcept {
+  if (Own.Limit <= 0 || Other.Limit <= 0)
+    return 1;
+  auto WithThis = (Own.Requests + 1) / Own.Limit;
+  auto Need =
+      (WithThis - MaxUnqueuedLoad) / (MaxPreferredLoad - MaxUnqueuedLoad);
+  auto Gain = (Own.load() - Other.load()) / WorthwhileGain;
+  return std::clamp(Need, 0.0, 1.0) * std::clamp(Gain, 0.0, 1.0);
+}
 
 } // namespace
 
 Placement::Placement(FailureDomain LocalDomain, std::uint64_t Seed)
-    : LocalDomain(std::move(LocalDomain)), Random(Seed) {}
-
-double Placement::load(const PlacementCandidate &Candidate) {
-  const auto &S = this->StatsByNode[Candidate.Node];
-  auto Requests = static_cast<double>(Candidate.Outstanding);
-  if (S.InFlight > S.InFlightAtReport)
-    Requests += static_cast<double>(S.InFlight - S.InFlightAtReport);
-  return (Requests + 1) / static_cast<double>(std::max(1U, Candidate.Limit));
-}
+    : LocalDomain(std::move(LocalDomain)), Seed(Seed) {}
 
 double Placement::failureShare(const Stats &S, TimePoint Now) const {
-  auto HalfLives = std::chrono::duration<double>(Now - S.LastEndedAt) /
-                   std::chrono::duration<double>(FailureHalfLife);
+  auto HalfLives = Seconds(Now - S.LastEndedAt) / Seconds(FailureHalfLife);
   return S.FailureShare * std::exp2(-HalfLives);
 }
 
-std::optional<NodeId>
-Placement::pick(const std::vector<PlacementCandidate> &Candidates,
-                const std::vector<NodeId> &Excluded, TimePoint Now) {
-  const PlacementCandidate *Best = nullptr;
-  double BestCost = 0;
+Placement::Option Placement::option(const PlacementCandidate &Candidate,
+                                    TimePoint Now) const {
+  Option Result;
+  Result.Candidate = &Candidate;
+  auto Found = this->StatsByNode.find(Candidate.Node);
+  if (Found != this->StatsByNode.end())
+    Result.Known = Found->second;
+  else
+    // Nodes start at different targets.
+    Result.Known.Credit =
+        static_cast<double>(rendezvousWeight(this->Seed, Candidate.Node)) /
+            static_cast<double>(std::numeric_limits<std::uint64_t>::max()) -
+        0.5;
+  auto &S = Result.Known;
+  Result.FailureShare = this->failureShare(S, Now);
+  Result.Limit = std::max(1.0, static_cast<double>(Candidate.Limit));
+  auto Requests = static_cast<double>(Candidate.Outstanding);
+  if (!Candidate.IsCurrent) {
+    if (S.InFlight > S.InFlightAtReport)
+      Requests += static_cast<double>(S.InFlight - S.InFlightAtReport);
+    if (S.ReportedAt != TimePoint{})
+      Result.Age = Now - S.ReportedAt;
+  }
+  Result.Load = Requests / Result.Limit;
+  if (Candidate.ServiceTime.count() > 0) {
+    Seconds Reported(Candidate.ServiceTime);
+    auto Weight = S.ServiceTime.count() > 0
+                      ? 1 - std::exp(-(Seconds(Now - S.ServiceTimeAt) /
+                                       ServiceTimeSmoothing))
+                      : 1;
+    S.ServiceTime += Weight * (Reported - S.ServiceTime);
+    S.ServiceTimeAt = Now;
+  }
+  return Result;
+}
+
+void Placement::weigh(const std::vector<PlacementCandidate> &Candidates,
+                      const std::vector<NodeId> &Excluded, TimePoint Now,
+                      std::vector<Option> &Options) const {
+  Options.clear();
   double LowestFailureShare = 1;
-  for (const auto &Candidate : Candidates)
-    LowestFailureShare =
-        std::min(LowestFailureShare,
-                 this->failureShare(this->StatsByNode[Candidate.Node], Now));
-  std::uniform_real_distribution<double> Noise(0, MaxNoise);
   for (const auto &Candidate : Candidates) {
-    if (std::find(Excluded.begin(), Excluded.end(), Candidate.Node) !=
+    auto Each = this->option(Candidate, Now);
+    LowestFailureShare = std::min(LowestFailureShare, Each.FailureShare);
+    if (std::find(Excluded.begin(), Excluded.end(), Candidate.Node) ==
         Excluded.end())
-      continue;
-    auto Cost =
-        this->load(Candidate) +
-        FailurePenalty *
-            (this->failureShare(this->StatsByNode[Candidate.Node], Now) -
-             LowestFailureShare);
-    if (Candidate.FailureDomain != this->LocalDomain)
-      Cost += OtherDomainPenalty;
-    else if (Cost < MaxUnqueuedLoad)
-      Cost -= 1; // preferred to any target in another failure domain
-    Cost += Noise(this->Random);
-    if (Best != nullptr && Cost >= BestCost)
-      continue;
-    Best = &Candidate;
-    BestCost = Cost;
+      Options.push_back(Each);
+  }
+  Side Own;
+  Side Other;
+  Seconds ServiceTimeSum{0};
+  std::size_t ServiceTimes = 0;
+  for (auto &Each : Options) {
+    Each.Soundness = std::max(
+        0.0, 1 - (Each.FailureShare - LowestFailureShare) / MaxExcessFailures);
+    auto &Its =
+        Each.Candidate->FailureDomain == this->LocalDomain ? Own : Other;
+    Its.Requests += Each.Soundness * Each.Load * Each.Limit;
+    Its.Limit += Each.Soundness * Each.Limit;
+    ServiceTimeSum += Each.Known.ServiceTime;
+    ServiceTimes += Each.Known.ServiceTime.count() > 0 ? 1 : 0;
   }
+  auto Elsewhere = shareElsewhere(Own, Other);
+  Side Used{Own.Requests + Elsewhere * Other.Requests,
+            Own.Limit + Elsewhere * Other.Limit};
+  auto MeanLoad = Used.Limit > 0 ? Used.load() : 0;
+  auto MeanServiceTime =
+      ServiceTimes > 0 ? ServiceTimeSum / static_cast<double>(ServiceTimes)
+                       : Seconds(DefaultServiceTime);
+  double Total = 0;
+  for (auto &Each : Options) {
+    auto ServiceTime = Each.Known.ServiceTime.count() > 0
+                           ? std::clamp(Each.Known.ServiceTime,
+                                        MeanServiceTime / MaxServiceFactor,
+                                        MeanServiceTime * MaxServiceFactor)
+                           : MeanServiceTime;
+    // The requests that a report counts have ended after a typical run; the
+    // others that came since are what all nodes send on average.
+    auto NewsWeight =
+        std::exp(-(Seconds(Each.Age) / (RunsUntilOutdated * ServiceTime)));
+    auto Pace = Each.Candidate->Pace > 0 ? Each.Candidate->Pace / 100.0 : 1.0;
+    auto Served =
+        Each.Limit / ServiceTime.count() / (1 + NewsWeight * (Pace - 1));
+    auto Correction = 1 + CorrectionGain * NewsWeight * (MeanLoad - Each.Load) /
+                              std::max(MeanLoad, MinMeanLoad);
+    Each.Chance = Each.Soundness * Served * std::max(0.0, Correction);
+    if (Each.Candidate->FailureDomain != this->LocalDomain)
+      Each.Chance *= Elsewhere;
+    Total += Each.Chance;
+  }
+  for (auto &Each : Options) {
+    if (Total > 0)
+      Each.Chance /= Total;
+    Each.Known.Credit = std::min(MaxCredit, Each.Known.Credit + Each.Chance);
+  }
+}
+
+const Placement::Option *
+Placement::choose(const std::vector<Option> &Options) noexcept {
+  const Option *Best = nullptr;
+  for (const auto &Each : Options)
+    if (Each.Chance > 0 &&
+        (Best == nullptr || Each.Known.Credit > Best->Known.Credit))
+      Best = &Each;
+  if (Best != nullptr)
+    return Best;
+  // All are full or fail: the one that is nearest to room.
+  auto Cost = [](const Option &Each) {
+    return Each.Load + Each.FailureShare / MaxExcessFailures;
+  };
+  for (const auto &Each : Options)
+    if (Best == nullptr || Cost(Each) < Cost(*Best))
+      Best = &Each;
+  return Best;
+}
+
+std::optional<NodeId>
+Placement::pick(const std::vector<PlacementCandidate> &Candidates,
+                const std::vector<NodeId> &Excluded, TimePoint Now) {
+  this->weigh(Candidates, Excluded, Now, this->Options);
+  const auto *Best = choose(this->Options);
   if (Best == nullptr)
     return std::nullopt;
-  ++this->StatsByNode[Best->Node].InFlight;
-  return Best->Node;
+  for (const auto &Each : this->Options) {
+    auto &S = this->StatsByNode[Each.Candidate->Node];
+    S = Each.Known;
+    if (&Each != Best)
+      continue;
+    S.Credit = std::max(-MaxCredit, S.Credit - 1);
+    ++S.InFlight;
+  }
+  return Best->Candidate->Node;
 }
 
 void Placement::end(const NodeId &Node, CallResult Result, TimePoint Now) {
@@ -89,9 +223,10 @@
   S.LastEndedAt = Now;
 }
 
-void Placement::onReport(const NodeId &Node) {
+void Placement::onReport(const NodeId &Node, TimePoint Now) {
   auto &S = this->StatsByNode[Node];
   S.InFlightAtReport = S.InFlight;
+  S.ReportedAt = Now;
 }
 
 void Placement::remove(const NodeId &Node) { this->StatsByNode.erase(Node); }
