Give the tests that listen an address of their own process

Cause: eight tests failed in one run, 'cannot listen on 127.0.0.1:20998', while the tests of other build folders ran beside it; their ports are fixed. Change: the tests listen at a loopback address that follows from the number of their process.

--- a/unittests/DeflateTest.cpp
+++ b/unittests/DeflateTest.cpp
@@ -1,4 +1,5 @@
 #include "limpetdrum/connection/Deflate.h"
+#include "OwnAddress.h"
 #include "limpetdrum/connection/PeerLink.h"
 
 #include <catch2/catch.hpp>
@@ -64,7 +65,7 @@
 
 TEST_CASE("PeerLink delivers messages in order in both formats", "[rpc]") {
   auto Format = GENERATE(PeerLink::Format::Plain, PeerLink::Format::Compressed);
-  constexpr Endpoint Address{0x7f000001, 20984};
+  const Endpoint Address{test::ownAddress(), 20984};
   EventLoop Loop;
   std::unique_ptr<PeerLink> Accepted;
   PeerListener Listener(Loop, Address, [&](int Socket) {
--- a/unittests/EndlessAnswerTest.cpp
+++ b/unittests/EndlessAnswerTest.cpp
@@ -1,3 +1,4 @@
+#include "OwnAddress.h"
 #include "limpetdrum/connection/Http.h"
 #include "limpetdrum/connection/SocketAddress.h"
 
@@ -10,7 +11,7 @@
 
 namespace {
 
-constexpr Endpoint ServerAddress{0x7f000001, 20998};
+const Endpoint ServerAddress{test::ownAddress(), 20998};
 
 /// Server that sends a beginning and then repeats a piece until the client
 /// closes the connection.
--- a/unittests/HttpObjectStoreTest.cpp
+++ b/unittests/HttpObjectStoreTest.cpp
@@ -1,4 +1,5 @@
 #include "HttpObjectStore.h"
+#include "OwnAddress.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -9,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr Endpoint Address{0x7f000001, 20995};
+const Endpoint Address{test::ownAddress(), 20995};
 
 /// Store that answers each call with the next of the prepared answers.
 struct StoreFixture {
--- a/unittests/HttpPipelineTest.cpp
+++ b/unittests/HttpPipelineTest.cpp
@@ -1,3 +1,4 @@
+#include "OwnAddress.h"
 #include "limpetdrum/connection/Http.h"
 #include "limpetdrum/connection/SocketAddress.h"
 
@@ -15,7 +16,7 @@
 
 namespace {
 
-constexpr Endpoint ServerAddress{0x7f000001, 20997};
+const Endpoint ServerAddress{test::ownAddress(), 20997};
 
 /// Connection whose bytes are written and read by the test.
 struct RawConnection {
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -1,4 +1,5 @@
 #include "limpetdrum/connection/Http.h"
+#include "OwnAddress.h"
 #include "RawClient.h"
 #include "limpetdrum/Config.h"
 
@@ -16,7 +17,7 @@
 
 namespace {
 
-constexpr Endpoint ServerAddress{0x7f000001, 20998};
+const Endpoint ServerAddress{test::ownAddress(), 20998};
 
 /// Server that sends a fixed response to any input and closes the connection
 /// 20 ms later.
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -1,4 +1,5 @@
 #include "limpetdrum/daemon/fleet/Mesh.h"
+#include "OwnAddress.h"
 #include "RawClient.h"
 
 #include <catch2/catch.hpp>
@@ -11,7 +12,7 @@
 
 namespace {
 
-Endpoint local(std::uint16_t Port) { return {0x7f000001, Port}; }
+Endpoint local(std::uint16_t Port) { return {test::ownAddress(), Port}; }
 
 Contact contact(const std::string &Name, std::uint16_t Port) {
   return {NodeId(Name), local(Port), FailureDomain("a")};
--- a/unittests/RpcTest.cpp
+++ b/unittests/RpcTest.cpp
@@ -1,3 +1,4 @@
+#include "OwnAddress.h"
 #include "RawClient.h"
 #include "limpetdrum/connection/RpcClient.h"
 #include "limpetdrum/daemon/PeerPool.h"
@@ -10,7 +11,7 @@
 
 namespace {
 
-constexpr Endpoint ServerEndpoint{0x7f000001, 20999};
+const Endpoint ServerEndpoint{test::ownAddress(), 20999};
 
 /// Service that implements only probes.
 class ProbeService final : public rpc::Node::Server {
