Answer calls of ended runs with 503, so that no client poses as a target

Cause: a call has no key, and one whose run is unknown was passed on as nobody's. So a client without a key needed only an id of a call's form. Ruled out: 401, which a call must not get; passing them on by the learned kind of a route, which a restarted fleet does not know. Change: such a call is passed on if its route is open, or for the longest timeout of a route after the start of the process, since only then may its run go on. Else it gets 503, not run, with the log line 'call_of_unknown_run'. The line of a policy in force names its numbers of open routes and organisations.

--- a/include/limpetdrum/daemon/calls/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -45,6 +45,10 @@
   /// that it was sent with. Answers the request if its key is unknown.
   /// \returns false if it was answered.
   [[nodiscard]] bool identify(const RequestPtr &Request);
+  /// Logs a call whose run is unknown, and answers it if it isn't accepted.
+  void onUnknownRun(const RequestPtr &Request, bool IsAccepted);
+  /// Returns true while a run may go on that began before this process did.
+  [[nodiscard]] bool mayPrecedeProcess(const TrafficPolicy &Policy) const;
   /// Assigns rank and cohort: those of the request whose run makes this call,
   /// or else the rank of the organisation and the route, and a random cohort.
   /// \param Run the run, if it is known.
@@ -104,6 +108,7 @@
   PolicyInForce Policy;
   EventLog &Log;
   Metrics &Counters;
+  TimePoint Started; ///< when this process began
   SplitChooser Splits;
   std::mt19937_64 Random;
   std::uint64_t LastLocalCall = 0;
--- a/include/limpetdrum/request/Identification.h
+++ b/include/limpetdrum/request/Identification.h
@@ -14,11 +14,22 @@
   bool IsCall = false;
   /// Run of the local target that makes the call; nullptr if it is unknown.
   const CallContext *Run = nullptr;
+  /// True while a run may go on that began before this process did.
+  bool MayPrecedeProcess = false;
+};
+
+/// \brief Whether a request may go on to admission.
+enum class IdentityVerdict : std::uint8_t {
+  Accepted,
+  UnknownKey, ///< the route needs a known key
+  /// A call of a run that has ended, or a client's request that poses as a
+  /// call.
+  UnknownRun,
 };
 
 /// \brief Organisation that a request belongs to.
 struct Identification {
-  bool IsAccepted = true; ///< false if the route needs a key that is known
+  IdentityVerdict Verdict = IdentityVerdict::Accepted;
   /// Entry of the organisation in the policy; nullptr if the request is
   /// nobody's, or if the policy no longer has the organisation.
   const OrganisationPolicy *Owner = nullptr;
@@ -28,10 +39,11 @@
 /// \brief Decides which organisation a request belongs to.
 ///
 /// A request of a client belongs to the organisation of its key. A call has no
-/// key and belongs to the organisation of the run that makes it; if that run is
-/// unknown, because this process started after it, the call is nobody's. Each
-/// request is looked up in the policy in force, so a key that was taken away
-/// stops on open connections too.
+/// key and belongs to the organisation of the run that makes it. While runs may
+/// go on that began before this process did, a call of an unknown run is
+/// nobody's; later it is accepted on open routes only, or else clients without
+/// a key could pose as targets. Each request is looked up in the policy in
+/// force, so a key that was taken away stops on open connections too.
 /// \param Policy the policy in force, which owns the result's entry.
 /// \param Route of the request; nobody's requests are accepted if it is open.
 [[nodiscard]] Identification identify(const TrafficPolicy &Policy,
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -104,7 +104,7 @@
       LocalTarget(LocalTarget), Targets(Targets), Repeats(Repeats),
       Crashes(Crashes), Overload(Overload), Leaving(Leaving),
       Policy(std::move(Policy)), Log(Log), Counters(Counters),
-      Random(Config.Seed) {}
+      Started(Loop.now()), Random(Config.Seed) {}
 
 void Forwarder::onRequest(std::shared_ptr<HttpExchange> Exchange) {
   auto Request = std::make_shared<ForwardedRequest>();
@@ -165,25 +165,51 @@
   auto Shown = readKey(Request->Message.Headers, this->Names.OrganisationKey);
   Shown.IsCall = Request->IsCall;
   Shown.Run = Run ? &*Run : nullptr;
-  auto Result = limpetdrum::identify(*Request->Policy, *Request->Route, Shown);
+  bool HasOrganisations = !Request->Policy->organisations().empty();
   bool HasKey = Shown.Key != nullptr;
+  bool IsOfUnknownRun = HasOrganisations && Parent && !Run && !HasKey;
+  Shown.MayPrecedeProcess =
+      IsOfUnknownRun && this->mayPrecedeProcess(*Request->Policy);
+  auto Result = limpetdrum::identify(*Request->Policy, *Request->Route, Shown);
   // Without organisations the header is the application's.
-  if (!Request->Policy->organisations().empty())
+  if (HasOrganisations)
     removeHeader(Request->Message.Headers, this->Names.OrganisationKey);
   removeHeader(Request->Message.Headers, this->Names.Organisation);
-  if (!Result.IsAccepted) {
+  Request->Owner = Result.Owner;
+  Request->Organisation = std::move(Result.Name);
+  bool IsAccepted = Result.Verdict == IdentityVerdict::Accepted;
+  if (IsOfUnknownRun)
+    this->onUnknownRun(Request, IsAccepted);
+  else if (!IsAccepted) {
     this->Log.request("unauthorized",
                       {{"id", Request->Id},
                        {"route", Request->Route->Name},
                        {"has_key", HasKey},
                        {"policy", Request->Policy->version().value()}});
     this->answer(Request, 401, {}, "unknown key\n", "unauthorized");
-    return false;
   }
-  Request->Owner = Result.Owner;
-  Request->Organisation = std::move(Result.Name);
-  this->assignRankAndCohort(Request, Run);
-  return true;
+  if (IsAccepted)
+    this->assignRankAndCohort(Request, Run);
+  return IsAccepted;
+}
+
+void Forwarder::onUnknownRun(const RequestPtr &Request, bool IsAccepted) {
+  this->Counters.count("calls_of_unknown_runs", "accepted",
+                       IsAccepted ? "yes" : "no");
+  this->Log.request("call_of_unknown_run",
+                    {{"id", Request->Id},
+                     {"route", Request->Route->Name},
+                     {"accepted", IsAccepted},
+                     {"policy", Request->Policy->version().value()}});
+  if (!IsAccepted)
+    this->refuse(Request, Reason::Cancelled, NoTargetRetryAfter);
+}
+
+bool Forwarder::mayPrecedeProcess(const TrafficPolicy &Policy) const {
+  auto Age = this->Loop.now() - this->Started;
+  return std::any_of(
+      Policy.routes().begin(), Policy.routes().end(),
+      [Age](const TrafficRoute &Route) { return Age < Route.Timeout; });
 }
 
 void Forwarder::assignRankAndCohort(const RequestPtr &Request,
--- a/lib/daemon/policy/PolicyFeed.cpp
+++ b/lib/daemon/policy/PolicyFeed.cpp
@@ -76,7 +76,11 @@
       {{"version", Policy->version().value()},
        {"previous", this->Current ? this->Current->version().value() : 0},
        {"source", Source},
-       {"routes", Policy->routes().size()}});
+       {"routes", Policy->routes().size()},
+       {"open_routes",
+        std::count_if(Policy->routes().begin(), Policy->routes().end(),
+                      [](const auto &Route) { return Route.IsOpen; })},
+       {"organisations", Policy->organisations().entries().size()}});
   this->Counters.count("policies", "source", Source);
   this->Current = std::move(Policy);
   this->Callbacks.OnPolicyChange(*this->Current);
--- a/lib/request/Identification.cpp
+++ b/lib/request/Identification.cpp
@@ -9,7 +9,8 @@
   if (Run.Organisation.value().empty())
     return {};
   // The run goes on if its organisation is taken away, and so do its calls.
-  return {true, Owners.find(Run.Organisation), Run.Organisation};
+  return {IdentityVerdict::Accepted, Owners.find(Run.Organisation),
+          Run.Organisation};
 }
 
 } // namespace
@@ -23,11 +24,14 @@
     return ownerOfRun(Owners, *Shown.Run);
   if (Shown.Key != nullptr && !Shown.IsRepeated)
     if (const auto *Owner = Owners.findByKey(*Shown.Key))
-      return {true, Owner, Owner->Name};
+      return {IdentityVerdict::Accepted, Owner, Owner->Name};
   bool IsCallOfUnknownRun = Shown.IsCall && Shown.Key == nullptr;
-  if (Route.IsOpen || IsCallOfUnknownRun)
+  if (Route.IsOpen || (IsCallOfUnknownRun && Shown.MayPrecedeProcess))
     return {};
-  return {false, nullptr, {}};
+  return {IsCallOfUnknownRun ? IdentityVerdict::UnknownRun
+                             : IdentityVerdict::UnknownKey,
+          nullptr,
+          {}};
 }
 
 } // namespace limpetdrum
--- a/unittests/ForwarderFixture.h
+++ b/unittests/ForwarderFixture.h
@@ -77,10 +77,14 @@
   }
 
   /// Puts a policy with the routes `orders` and `open` in force.
-  void setPolicy(std::vector<OrganisationPolicy> Owners) {
+  void setPolicy(std::vector<OrganisationPolicy> Owners,
+                 Milliseconds Timeout = Milliseconds(5000)) {
+    auto Closed = route("orders");
+    auto Open = route("open", true);
+    Closed.Timeout = Timeout;
+    Open.Timeout = Timeout;
     this->Policy = std::make_shared<const TrafficPolicy>(
-        Revision(++this->LastVersion),
-        std::vector<TrafficRoute>{route("orders"), route("open", true)},
+        Revision(++this->LastVersion), std::vector<TrafficRoute>{Closed, Open},
         std::map<ServiceName, ServicePolicy>(), ClientLimits(), "",
         Organisations(std::move(Owners)));
   }
--- a/unittests/IdentificationTest.cpp
+++ b/unittests/IdentificationTest.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+using Verdict = IdentityVerdict;
+
 const std::string KnownKey = "k-1";
 const std::string OtherKey = "k-2";
 const std::string UnknownKey = "k-9";
@@ -54,11 +56,11 @@
 TEST_CASE("A request belongs to the organisation of its key") {
   auto IsOpen = GENERATE(false, true);
   auto First = identifyKey(TwoOwners, &KnownKey, IsOpen);
-  CHECK(First.IsAccepted);
+  CHECK(First.Verdict == Verdict::Accepted);
   CHECK(First.Name == Organisation("a"));
   CHECK(First.Owner == TwoOwners.organisations().find(Organisation("a")));
   auto Second = identifyKey(TwoOwners, &OtherKey, IsOpen);
-  CHECK(Second.IsAccepted);
+  CHECK(Second.Verdict == Verdict::Accepted);
   CHECK(Second.Name == Organisation("b"));
 }
 
@@ -68,9 +70,9 @@
   const std::string Empty;
   const auto *Key = GENERATE_REF(values<const std::string *>(
       {nullptr, &UnknownKey, &Prefix, &Padded, &Empty}));
-  CHECK_FALSE(identifyKey(TwoOwners, Key).IsAccepted);
+  CHECK(identifyKey(TwoOwners, Key).Verdict == Verdict::UnknownKey);
   auto OnOpenRoute = identifyKey(TwoOwners, Key, true);
-  CHECK(OnOpenRoute.IsAccepted);
+  CHECK(OnOpenRoute.Verdict == Verdict::Accepted);
   CHECK(OnOpenRoute.Owner == nullptr);
   CHECK(OnOpenRoute.Name == Organisation(""));
 }
@@ -79,7 +81,8 @@
   Credentials Shown;
   Shown.Key = &KnownKey;
   Shown.IsRepeated = true;
-  CHECK_FALSE(identify(TwoOwners, route(false), Shown).IsAccepted);
+  CHECK(identify(TwoOwners, route(false), Shown).Verdict ==
+        Verdict::UnknownKey);
   CHECK(identify(TwoOwners, route(true), Shown).Name == Organisation(""));
 }
 
@@ -88,7 +91,7 @@
   const auto *Key =
       GENERATE(values<const std::string *>({nullptr, &UnknownKey}));
   auto Result = identifyKey(Policy, Key);
-  CHECK(Result.IsAccepted);
+  CHECK(Result.Verdict == Verdict::Accepted);
   CHECK(Result.Owner == nullptr);
   auto Run = runOf("a");
   CHECK(identify(Policy, route(false), {nullptr, false, true, &Run}).Name ==
@@ -98,7 +101,7 @@
 TEST_CASE("A call belongs to the organisation of its run") {
   auto Run = runOf("b");
   auto Result = identify(TwoOwners, route(false), {nullptr, false, true, &Run});
-  CHECK(Result.IsAccepted);
+  CHECK(Result.Verdict == Verdict::Accepted);
   CHECK(Result.Name == Organisation("b"));
   CHECK(Result.Owner == TwoOwners.organisations().find(Organisation("b")));
   // A target might send a key of its own, or of another organisation.
@@ -110,7 +113,7 @@
 TEST_CASE("A call of nobody's run is nobody's, and accepted") {
   auto Run = runOf("");
   auto Result = identify(TwoOwners, route(false), {nullptr, false, true, &Run});
-  CHECK(Result.IsAccepted);
+  CHECK(Result.Verdict == Verdict::Accepted);
   CHECK(Result.Owner == nullptr);
   CHECK(Result.Name == Organisation(""));
 }
@@ -118,26 +121,32 @@
 TEST_CASE("A call goes on if its organisation was taken away during the run") {
   auto Run = runOf("c");
   auto Result = identify(TwoOwners, route(false), {nullptr, false, true, &Run});
-  CHECK(Result.IsAccepted);
+  CHECK(Result.Verdict == Verdict::Accepted);
   CHECK(Result.Owner == nullptr);
   CHECK(Result.Name == Organisation("c"));
 }
 
-TEST_CASE("A call of an unknown run is nobody's") {
-  auto Result =
-      identify(TwoOwners, route(false), {nullptr, false, true, nullptr});
-  CHECK(Result.IsAccepted);
+TEST_CASE("A call of an unknown run is nobody's while it may have begun before "
+          "this process") {
+  auto MayPrecede = GENERATE(true, false);
+  Credentials Shown{nullptr, false, true, nullptr, MayPrecede};
+  auto Result = identify(TwoOwners, route(false), Shown);
+  CHECK(Result.Verdict ==
+        (MayPrecede ? Verdict::Accepted : Verdict::UnknownRun));
   CHECK(Result.Name == Organisation(""));
+  CHECK(identify(TwoOwners, route(true), Shown).Verdict == Verdict::Accepted);
   // Calls have no key, so this is a client's request.
-  CHECK_FALSE(
-      identify(TwoOwners, route(false), {&UnknownKey, false, true, nullptr})
-          .IsAccepted);
+  Shown.Key = &UnknownKey;
+  CHECK(identify(TwoOwners, route(false), Shown).Verdict ==
+        Verdict::UnknownKey);
+  Shown.Key = &KnownKey;
+  CHECK(identify(TwoOwners, route(false), Shown).Name == Organisation("a"));
 }
 
 TEST_CASE("A key counts by the policy in force") {
   auto Without = policy({owner("b", {OtherKey})});
   auto Moved = policy({owner("b", {OtherKey, KnownKey})});
   CHECK(identifyKey(TwoOwners, &KnownKey).Name == Organisation("a"));
-  CHECK_FALSE(identifyKey(Without, &KnownKey).IsAccepted);
+  CHECK(identifyKey(Without, &KnownKey).Verdict == Verdict::UnknownKey);
   CHECK(identifyKey(Moved, &KnownKey).Name == Organisation("b"));
 }
--- a/unittests/OrganisationKeysTest.cpp
+++ b/unittests/OrganisationKeysTest.cpp
@@ -89,6 +89,7 @@
   F.request("r1/a", "/orders/2", {{Name, "other"}});
   F.request("r1/a/b", "/open/2", {{Key, "secret-2"}});
   F.request("r2/a", "/orders/3");
+  // It may have begun before this process.
   F.request("gone/a", "/orders/4", {{Name, "other"}});
   REQUIRE(F.Local.SentCalls.size() == 6);
   CHECK(F.sent(2, Name) == Values{"acme"});
@@ -98,6 +99,21 @@
   CHECK(F.sent(5, Name).empty());
 }
 
+TEST_CASE("A call of a run that has ended is not run, and nobody poses as a "
+          "target") {
+  ForwarderFixture F;
+  auto IsClosed = GENERATE(true, false);
+  F.setPolicy({owner("acme", {"secret-1"})}, Milliseconds(20));
+  auto Wait = F.Loop.after(Milliseconds(25), [&F]() { F.Loop.stop(); });
+  F.Loop.run();
+  F.request("gone/a", IsClosed ? "/orders/4" : "/open/4");
+  CHECK(F.Local.SentCalls.size() == (IsClosed ? 0 : 1));
+  auto Text = F.logged();
+  CHECK(Text.find("\"call_of_unknown_run\"") != std::string::npos);
+  CHECK((Text.find("\"refused\"") != std::string::npos) == IsClosed);
+  CHECK(Text.find("\"unauthorized\"") == std::string::npos);
+}
+
 TEST_CASE("A repeated request bears its organisation again") {
   ForwarderFixture F;
   F.setPolicy({owner("acme", {"secret-1"})});
