Let the soak know organisations and their keys

Cause: nothing played keys against restarts, cuts and a store that fails. Ruled out: a soak of its own, as the faults are those that there are. Change: the policy has four organisations with two keys each and an open route; a fault replaces three keys in a row and stops a node with them half of the time. Clients send a valid key, one that ever was, one that never was, or none, and all name a false organisation; so do calls, whose ids now derive from their parent's as on the platform. The witness checks that no target gets a key, that it is told the right organisation, that an unknown key runs nothing, that a removed key stops within the bound, and that nothing that the policy allows gets 401. A call may be nobody's only if its parent was in vain.

--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -24,6 +24,9 @@
 constexpr std::uint16_t TargetRelayPort = 8;
 
 const std::vector<std::string> Services = {"a", "b", "c"};
+const std::vector<std::string> Organisations = {"kiosks", "drivers", "growers",
+                                                "stalls"};
+constexpr unsigned KeysPerOrganisation = 2;
 constexpr Milliseconds StartUpPeriod{3000};  ///< before the first fault
 constexpr Milliseconds RecoveryPeriod{8000}; ///< after the last fault
 /// End of the recovery period, in which no new requests are sent.
@@ -46,12 +49,12 @@
   bool Idempotent;
   unsigned TimeoutMillis;
   unsigned Priority;
+  bool IsOpen = false; ///< needs no key
 };
 const std::vector<RouteSpec> Routes = {
-    {"/read/", "a", true, 2000, 2},
-    {"/order/", "b", false, 2500, 0},
-    {"/lookup/", "c", true, 1500, 1},
-    {"/move/", nullptr, true, 2000, 2},
+    {"/read/", "a", true, 2000, 2},       {"/order/", "b", false, 2500, 0},
+    {"/lookup/", "c", true, 1500, 1},     {"/move/", nullptr, true, 2000, 2},
+    {"/view/", "a", true, 2000, 2, true},
 };
 
 std::vector<std::string> servicesOf(unsigned Nodes) {
@@ -95,6 +98,7 @@
     {"stall target", &Soak::stallTarget, 2},
     {"move policy", &Soak::reassignRoute, 3},
     {"storm policy", &Soak::publishPolicyBurst, 1},
+    {"change keys", &Soak::changeKeys, 3},
     {"store mood", &Soak::failStore, 3},
     {"forget history", &Soak::discardHistory, 1},
     {"restore store", &Soak::restoreStore, 2},
@@ -116,6 +120,9 @@
             ? std::set<std::string>{Route.Service}
             : std::set<std::string>(Services.begin(), Services.end());
   this->Observations.ReassignedRoute = "/move/";
+  for (const auto &Name : Organisations)
+    for (unsigned I = 0; I < KeysPerOrganisation; ++I)
+      this->addKey(Name, std::nullopt);
 }
 
 Soak::~Soak() = default;
@@ -315,8 +322,11 @@
         {"target-latency", "1000ms"},
         {"priority", Route.Priority},
         {"service", Service},
-        {"max-attempts", 3}};
+        {"max-attempts", 3},
+        {"public", Route.IsOpen}};
   }
+  for (const auto &[Name, Values] : this->Keys)
+    Policy["tenants"][Name] = {{"api-keys", Values}};
   for (const auto &Service : Services)
     Policy["services"][Service] = {{"health-check-path", "/health"},
                                    {"max-connections", 500}};
@@ -326,6 +336,38 @@
       Services[this->ReassignedService], this->Loop.now());
 }
 
+void Soak::addKey(const std::string &Organisation,
+                  std::optional<TimePoint> Added) {
+  auto Key = "key-" + std::to_string(++this->LastKey);
+  this->Keys[Organisation].push_back(Key);
+  this->Observations.Keys[Key] = {Organisation, Added, std::nullopt};
+}
+
+void Soak::replaceKey(const std::string &Organisation) {
+  auto &Values = this->Keys[Organisation];
+  auto Now = this->Loop.now();
+  this->Observations.Keys[Values.front()].Removed = Now;
+  Values.erase(Values.begin());
+  this->addKey(Organisation, Now);
+}
+
+std::string Soak::chooseKey() {
+  // One client in sixteen each sends no key, one that never existed, or any
+  // that ever did.
+  switch (this->randomBelow(16)) {
+  case 0:
+    return "";
+  case 1:
+    return "no-key";
+  case 2:
+    return "key-" + std::to_string(1 + this->randomBelow(this->LastKey));
+  default:
+    const auto &Values =
+        this->Keys[Organisations[this->randomBelow(Organisations.size())]];
+    return Values[this->randomBelow(Values.size())];
+  }
+}
+
 bool Soak::acceptsRequests() const {
   // New requests stop early so that the open ones can end.
   return !this->FaultsEnded || this->Loop.now() <= *this->FaultsEnded +
@@ -340,7 +382,7 @@
 }
 
 void Soak::send(Node &Entry) {
-  static constexpr std::array<std::size_t, 8> Mix = {0, 0, 0, 1, 1, 1, 3, 3};
+  static constexpr std::array<std::size_t, 9> Mix = {0, 0, 0, 1, 1, 1, 3, 3, 4};
   this->send(Entry, Mix[this->randomBelow(Mix.size())], "", ClientRepeats);
 }
 
@@ -367,6 +409,8 @@
   Record.Idempotent = Route.Idempotent;
   Record.Sent = this->Loop.now();
   Record.Deadline = Record.Sent + Milliseconds(Route.TimeoutMillis);
+  Record.Key = this->chooseKey();
+  Record.IsOpen = Route.IsOpen;
   this->Observations.Requests[Record.Id] = Record;
   HttpCall Call;
   Call.Method = Route.Idempotent ? "GET" : "POST";
@@ -374,7 +418,10 @@
   Call.Body = Route.Idempotent ? "" : Record.Content;
   Call.Headers = {{"Host", wire::Host},
                   {wire::RequestId, Record.Id},
+                  {wire::Organisation, wire::ForgedOrganisation},
                   {wire::TimeLeft, "4000"}};
+  if (!Record.Key.empty())
+    Call.Headers.emplace_back(wire::Key, Record.Key);
   Call.Timeout = Milliseconds(4000);
   auto Ticket =
       Entry.Client->send(Call, [this, RouteIndex, Repeats,
@@ -554,6 +601,17 @@
                    [this]() { this->publishPolicy(true); });
 }
 
+void Soak::changeKeys(Node &N) {
+  for (unsigned I = 0; I < 3; ++I)
+    this->runAfter(this->randomSpan(0, 1500), [this]() {
+      this->replaceKey(Organisations[this->randomBelow(Organisations.size())]);
+      this->publishPolicy(false);
+    });
+  if (this->randomBelow(2) == 0)
+    this->runAfter(this->randomSpan(0, 1500),
+                   [this, &N]() { this->terminate(N); });
+}
+
 void Soak::failStore(Node & /*N*/) {
   static constexpr std::array<Store::FailureMode, 4> Modes = {
       Store::FailureMode::Refusing, Store::FailureMode::Unresponsive,
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -74,6 +74,14 @@
   /// \param Repeats number of times that the client may repeat it.
   void send(Node &Entry, std::size_t Route, std::string Content,
             unsigned Repeats);
+  /// \param Added when it is written; none if the first policy has it.
+  void addKey(const std::string &Organisation, std::optional<TimePoint> Added);
+  /// \brief Gives an organisation a new key in place of one that it has; the
+  ///   next policy says so.
+  void replaceKey(const std::string &Organisation);
+  /// \brief Returns a key to send: mostly a valid one, else one that was
+  ///   removed or never existed, or none.
+  [[nodiscard]] std::string chooseKey();
   /// \brief Sends a request that crashes targets, again and again.
   void sendCrashing(std::size_t Route, const std::string &Content);
   /// \brief Returns true while new requests are sent.
@@ -103,6 +111,7 @@
   void stallTarget(Node &N);
   void reassignRoute(Node &N);
   void publishPolicyBurst(Node &N);
+  void changeKeys(Node &N);
   void failStore(Node &N);
   void discardHistory(Node &N);
   void restoreStore(Node &N);
@@ -128,6 +137,9 @@
   std::uint64_t LastRequest = 0;
   std::uint64_t LastCrashingContent = 0;
   std::uint64_t PolicyVersion = 0;
+  std::uint64_t LastKey = 0;
+  /// Keys in the next policy, by organisation, the oldest first.
+  std::map<std::string, std::vector<std::string>> Keys;
   nlohmann::json LastPolicy;         ///< as the operator wrote it
   std::size_t ReassignedService = 0; ///< index in the list of services
 };
--- a/soak/Target.cpp
+++ b/soak/Target.cpp
@@ -161,6 +161,8 @@
   Run.Target = this->Id;
   Run.Service = this->Settings.Service;
   Run.CallerService = Request->header(wire::Caller);
+  Run.Organisation = Request->header(wire::Organisation);
+  Run.HasKey = findHeader(Request->request().Headers, wire::Key) != nullptr;
   Run.Route = Route;
   Run.Started = this->Loop.now();
   auto Sent = this->Observations.Requests.find(Run.Id);
@@ -235,7 +237,9 @@
 
 void Target::callLookup(const std::shared_ptr<Work> &Parent) {
   RequestRecord Record;
-  Record.Id = this->Id + "-" + std::to_string(++this->LastCall);
+  Record.Parent = this->Observations.Runs[Parent->Run].Id;
+  Record.Id =
+      Record.Parent + "." + this->Id + "-" + std::to_string(++this->LastCall);
   Record.Content = Record.Id;
   Record.Route = "/lookup/";
   Record.Entry = this->Settings.Node;
@@ -247,6 +251,7 @@
   Call.Path = Record.Route + Record.Id;
   Call.Headers = {{"Host", wire::Host},
                   {wire::RequestId, Record.Id},
+                  {wire::Organisation, wire::ForgedOrganisation},
                   {wire::TimeLeft, std::to_string(CallTimeout.count())}};
   Call.Timeout = CallTimeout;
   (void)this->OutboundClient.send(
--- a/soak/Target.h
+++ b/soak/Target.h
@@ -17,6 +17,10 @@
 inline const std::string TimeLeft = "X-Limpetdrum-Deadline-Remaining-Ms";
 inline const std::string Expected = "X-Limpetdrum-Expected-Instance";
 inline const std::string Caller = "X-Limpetdrum-Caller-Service";
+inline const std::string Key = "Api-Key";
+inline const std::string Organisation = "X-Limpetdrum-Tenant";
+/// Sent in place of an organisation's name; nodes must remove it.
+inline const std::string ForgedOrganisation = "forged";
 inline const std::string NotExecuted = "X-Limpetdrum-Not-Executed";
 inline const std::string Receipt = "X-Limpetdrum-Response-Signature";
 inline const std::string RequestRate = "Server-Limit";
--- a/soak/Witness.cpp
+++ b/soak/Witness.cpp
@@ -69,6 +69,8 @@
   this->checkRepeats(Broken);
   this->checkAbandonedRequests(Broken);
   this->checkCrashes(Broken);
+  this->checkOrganisations(Broken);
+  this->checkKeys(Broken);
   return Broken;
 }
 
@@ -441,4 +443,81 @@
                         Id + " for " + Request.Content});
 }
 
+std::string Witness::organisationOf(const RequestRecord &Request) const {
+  if (Request.IsCall) {
+    auto Parent = this->Requests.find(Request.Parent);
+    return Parent == this->Requests.end()
+               ? ""
+               : this->organisationOf(Parent->second);
+  }
+  auto Key = this->Keys.find(Request.Key);
+  return Key == this->Keys.end() ? "" : Key->second.Organisation;
+}
+
+bool Witness::mayBeNobodys(const RequestRecord &Request) const {
+  if (Request.IsCall) {
+    // The node may have forgotten the run only if the run was in vain.
+    auto Parent = this->Requests.find(Request.Parent);
+    return Parent != this->Requests.end() && Parent->second.Status != 200;
+  }
+  // On an open route a key may be unknown.
+  auto Key = this->Keys.find(Request.Key);
+  return Request.IsOpen && Key != this->Keys.end() &&
+         (Key->second.Removed || Key->second.Added);
+}
+
+void Witness::checkOrganisations(Findings &Broken) const {
+  for (const auto &Run : this->Runs) {
+    auto Found = this->Requests.find(Run.Id);
+    if (!Run.Executed || Found == this->Requests.end())
+      continue;
+    if (Run.HasKey)
+      Broken.push_back({"no target gets a key", Run.Id + " at " + Run.Target});
+    auto Expected = this->organisationOf(Found->second);
+    if (Run.Organisation != Expected &&
+        !(Run.Organisation.empty() && this->mayBeNobodys(Found->second)))
+      Broken.push_back({"the organisation is told truly",
+                        Run.Id + " carried '" + Run.Organisation +
+                            "' instead of '" + Expected + "'"});
+  }
+}
+
+void Witness::checkKeys(Findings &Broken) const {
+  if (this->Keys.empty())
+    return; // the policy has no organisations
+  for (const auto &Run : this->Runs) {
+    auto Found = this->Requests.find(Run.Id);
+    if (!Run.Executed || Found == this->Requests.end() ||
+        Found->second.IsCall || Found->second.IsOpen)
+      continue;
+    const auto &Request = Found->second;
+    auto Key = this->Keys.find(Request.Key);
+    if (Key == this->Keys.end()) {
+      Broken.push_back({"an unknown key runs nothing", Run.Id});
+      continue;
+    }
+    const auto &Removed = Key->second.Removed;
+    if (Removed && Request.Sent > *Removed + this->Bounds.ConfigApply &&
+        this->isUndisturbed(Request.Entry, *Removed, Request.Sent, true,
+                            StoreRecovery))
+      Broken.push_back(
+          {"a removed key stops in time",
+           Run.Id + ", " + millis(Request.Sent - *Removed) + " after the ack"});
+  }
+  for (const auto &[Id, Request] : this->Requests) {
+    if (Request.Status != 401)
+      continue;
+    auto Key = this->Keys.find(Request.Key);
+    bool IsKnown = Key != this->Keys.end() && !Key->second.Removed;
+    bool IsInForce =
+        IsKnown &&
+        (!Key->second.Added ||
+         (Request.Sent > *Key->second.Added + this->Bounds.ConfigApply &&
+          this->isUndisturbed(Request.Entry, *Key->second.Added, Request.Sent,
+                              true, StoreRecovery)));
+    if (Request.IsCall || Request.IsOpen || IsInForce)
+      Broken.push_back({"what the policy allows gets no 401", Id});
+  }
+}
+
 } // namespace limpetdrum::soak
--- a/soak/Witness.h
+++ b/soak/Witness.h
@@ -19,6 +19,9 @@
   std::size_t Entry = 0; ///< index of the node that it was sent to
   bool Idempotent = true;
   bool IsCall = false; ///< made by a target
+  std::string Parent;  ///< ID of the request whose run makes a call
+  std::string Key;     ///< sent with it; empty: none
+  bool IsOpen = false; ///< its route needs no key
   TimePoint Sent{};
   TimePoint Deadline{}; ///< by the route's timeout or the client's
   std::optional<TimePoint> Abandoned; ///< when the client disconnected
@@ -38,6 +41,8 @@
   std::string Target;
   std::string Service;
   std::string CallerService;
+  std::string Organisation; ///< as told to the target
+  bool HasKey = false;      ///< the target was sent a key
   std::string Route;
   bool Executed = true; ///< false: the target answered that it did not run it
   bool Intact = true;   ///< path and body are those that the client sent
@@ -58,6 +63,16 @@
   std::map<std::size_t, TimePoint> Told;
 };
 
+/// \brief A key of an organisation, as the operator wrote it.
+struct KeyRecord {
+  std::string Organisation;
+  /// When the store acknowledged the first version with it; none if all
+  /// versions have had it so far.
+  std::optional<TimePoint> Added;
+  /// When the store acknowledged the first version without it.
+  std::optional<TimePoint> Removed;
+};
+
 /// \brief A span of time in which a fault or a planned stop affected nodes.
 struct Disturbance {
   enum class Kind : std::uint8_t { Unplanned, Store, Target, Planned };
@@ -100,6 +115,7 @@
   /// Start times of each node's processes.
   std::map<std::size_t, std::vector<TimePoint>> Starts;
   std::map<std::string, std::set<std::string>> AllowedServices; ///< by route
+  std::map<std::string, KeyRecord> Keys; ///< all that there have been
   std::string ReassignedRoute; ///< its service changes with the policy
 
   struct Finding {
@@ -139,6 +155,14 @@
   /// Checks that a request which crashes targets soon reaches no more of them,
   /// and that no other request is taken for such a one.
   void checkCrashes(Findings &Broken) const;
+  /// \brief Returns the organisation that a request belongs to.
+  [[nodiscard]] std::string organisationOf(const RequestRecord &Request) const;
+  /// \brief Returns true if a target may be told no organisation although the
+  ///   request belongs to one.
+  [[nodiscard]] bool mayBeNobodys(const RequestRecord &Request) const;
+  void checkOrganisations(Findings &Broken) const;
+  /// \brief Checks which keys run requests and which get 401.
+  void checkKeys(Findings &Broken) const;
 
   soak::Bounds Bounds;
   std::vector<std::string> ServiceOfNode;
--- a/unittests/SoakWitnessTest.cpp
+++ b/unittests/SoakWitnessTest.cpp
@@ -337,3 +337,93 @@
   Seen.Observations.Requests["1"].CrashesTargets = true;
   CHECK(Seen.Observations.check(at(9000)).empty());
 }
+
+TEST_CASE("Witness reports a false organisation") {
+  History Scenario;
+  Scenario.Observations.Keys["k1"] = {"acme", {}, {}};
+  auto &Request = Scenario.addRequest("q1", "/order/", 10'000);
+  Request.Key = "k1";
+  auto &Run = Scenario.addRun("q1", 10'010);
+  Run.Organisation = "acme";
+  const Names False{"the organisation is told truly"};
+  SECTION("the organisation is the key's") {
+    CHECK(Scenario.brokenPromises().empty());
+  }
+  SECTION("a target is told another one") {
+    Run.Organisation = "forged";
+    CHECK(Scenario.brokenPromises() == False);
+  }
+  SECTION("a target is told none") {
+    Run.Organisation = "";
+    CHECK(Scenario.brokenPromises() == False);
+  }
+  SECTION("a target gets the key") {
+    Run.HasKey = true;
+    CHECK(Scenario.brokenPromises() == Names{"no target gets a key"});
+  }
+  SECTION("a call bears another organisation than its run") {
+    auto &Call = Scenario.addRequest("q1.1", "/move/", 10'015);
+    Call.IsCall = true;
+    Call.Parent = "q1";
+    auto &CallRun = Scenario.addRun("q1.1", 10'016);
+    CallRun.Service = "a";
+    CallRun.Organisation = "acme";
+    CHECK(Scenario.brokenPromises().empty());
+    CallRun.Organisation = "";
+    CHECK(Scenario.brokenPromises() == False);
+    Scenario.Observations.Requests["q1"].Status = 502;
+    CHECK(Scenario.brokenPromises().empty());
+  }
+}
+
+TEST_CASE("Witness reports keys that count too long or too late") {
+  History Scenario;
+  Scenario.Observations.Keys["k1"] = {"acme", {}, at(10'000)};
+  Scenario.Observations.Keys["k2"] = {"acme", at(10'000), {}};
+  Scenario.Observations.Keys["k3"] = {"acme", {}, {}};
+  auto Send = [&](const char *Key, int Sent, bool Runs) {
+    auto &Request = Scenario.addRequest("q1", "/order/", Sent);
+    Request.Key = Key;
+    if (Runs)
+      Scenario.addRun("q1", Sent + 10).Organisation = "acme";
+    else
+      Request.Status = 401;
+    return Scenario.brokenPromises();
+  };
+  const Names Late{"a removed key stops in time"};
+  const Names Refused{"what the policy allows gets no 401"};
+  SECTION("a removed key, at the bound") {
+    CHECK(Send("k1", 12'000, true).empty());
+  }
+  SECTION("a removed key, after it") {
+    CHECK(Send("k1", 12'001, true) == Late);
+    Scenario.addDisturbance(0, Disturbance::Kind::Unplanned, 11'000, 11'010);
+    CHECK(Scenario.brokenPromises().empty());
+  }
+  SECTION("a removed key gets 401") { CHECK(Send("k1", 9'000, false).empty()); }
+  SECTION("an added key, at the bound") {
+    CHECK(Send("k2", 12'000, false).empty());
+  }
+  SECTION("an added key, after it") {
+    CHECK(Send("k2", 12'001, false) == Refused);
+    Scenario.addDisturbance(0, Disturbance::Kind::Store, 9'000, 9'100);
+    CHECK(Scenario.brokenPromises().empty());
+  }
+  SECTION("a key of all versions gets 401") {
+    Scenario.addDisturbance(0, Disturbance::Kind::Unplanned, 9'990, 10'000);
+    CHECK(Send("k3", 10'000, false) == Refused);
+  }
+  SECTION("a key that never existed") {
+    CHECK(Send("k9", 10'000, false).empty());
+    Scenario.Observations.Requests["q1"].Status = 200;
+    Scenario.addRun("q1", 10'010);
+    CHECK(Scenario.brokenPromises() == Names{"an unknown key runs nothing"});
+    Scenario.Observations.Requests["q1"].IsOpen = true;
+    CHECK(Scenario.brokenPromises().empty());
+  }
+  SECTION("an open route gives 401") {
+    CHECK(Send("k9", 10'000, false).empty());
+    Scenario.Observations.Requests["q1"].IsOpen = true;
+    CHECK(Scenario.brokenPromises() == Refused);
+  }
+}
