Measure the lookup of keys in bench-decisions

Cause: the design promises that a lookup costs the same for 70 and 20,000 keys, and nothing without organisations. Change: identifyByKey, with 0, 70 and 20,000 keys; allocations are counted.

--- a/benchmarks/Decisions.cpp
+++ b/benchmarks/Decisions.cpp
@@ -4,13 +4,32 @@
 #include "limpetdrum/Limpetdrum.h"
 #include "limpetdrum/daemon/Codec.h"
 #include "limpetdrum/daemon/ServiceDirectory.h"
+#include "limpetdrum/request/Identification.h"
 
 #include <benchmark/benchmark.h>
+#include <cstdlib>
 #include <easylogging++.h>
 #include <malloc.h>
+#include <new>
 
 INITIALIZE_EASYLOGGINGPP
 
+namespace {
+std::uint64_t AllocationCount = 0; ///< of the whole process so far
+} // namespace
+
+// These count allocations for the benchmarks that report them.
+void *operator new(std::size_t Size) {
+  ++AllocationCount;
+  if (void *Memory = std::malloc(Size))
+    return Memory;
+  throw std::bad_alloc();
+}
+void operator delete(void *Memory) noexcept { std::free(Memory); }
+void operator delete(void *Memory, std::size_t /*Size*/) noexcept {
+  std::free(Memory);
+}
+
 namespace {
 
 using namespace limpetdrum;
@@ -162,6 +181,41 @@
 }
 BENCHMARK(budget);
 
+TrafficPolicy policyWithKeys(std::int64_t KeyCount) {
+  constexpr std::int64_t KeysPerOrganisation = 2;
+  std::vector<OrganisationPolicy> Owners;
+  for (std::int64_t I = 0; I < KeyCount; ++I) {
+    if (I % KeysPerOrganisation == 0) {
+      Owners.emplace_back();
+      Owners.back().Name = Organisation("customer-" + std::to_string(I));
+    }
+    Owners.back().Keys.push_back("0123456789abcdef-" + std::to_string(I));
+  }
+  TrafficRoute Route;
+  Route.Services = {{ServiceName("service-1"), 1}};
+  return {Revision(1), {Route}, {}, {}, "", Organisations(std::move(Owners))};
+}
+
+/// Identification of a request by its key among the given number of keys; at 0
+/// the policy has no organisations.
+void identifyByKey(benchmark::State &State) {
+  auto Policy = policyWithKeys(State.range(0));
+  std::vector<std::string> Keys = {"unknown"};
+  for (const auto &Owner : Policy.organisations().entries())
+    Keys.insert(Keys.end(), Owner.Keys.begin(), Owner.Keys.end());
+  std::size_t Next = 0;
+  auto Before = AllocationCount;
+  for (auto _ : State) {
+    Credentials Shown;
+    Shown.Key = &Keys[++Next % Keys.size()];
+    benchmark::DoNotOptimize(identify(Policy, Policy.routes().front(), Shown));
+  }
+  State.counters["allocations"] =
+      benchmark::Counter(static_cast<double>(AllocationCount - Before),
+                         benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(identifyByKey)->Arg(0)->Arg(70)->Arg(20000);
+
 Member member(std::int64_t Number) {
   Member M;
   M.Node = NodeId("node-" + std::to_string(Number));
