--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -129,7 +129,8 @@
     this->answer(Request, 404, {}, "no route matches\n", "no-route");
     return;
   }
-  if (!this->identify(Request))
+  // What goes beyond an allowance takes no slot and earns no repeat.
+  if (!this->identify(Request) || !this->takeAllowance(Request))
     return;
   auto Limit = readTimeLeft(Request->Exchange->header(this->Names.TimeLeft),
                             Request->Route->Timeout);
@@ -153,9 +154,6 @@
         if (auto Request = Weak.lock())
           this->onClientDisconnect(Request);
       });
-  // What goes beyond an allowance takes no slot and earns no repeat.
-  if (!this->takeAllowance(Request))
-    return;
   this->Repeats.onRequest(Request->Service, this->routeKind(*Request),
                           this->Loop.now());
   this->admit(Request);
@@ -234,7 +232,9 @@
 
 bool Forwarder::takeAllowance(const RequestPtr &Request) {
   const auto *Owner = Request->Owner;
-  if (Owner == nullptr || Request->IsCall || Owner->RatePerSecond <= 0)
+  // The calls of a run are part of what its request was granted.
+  if (Owner == nullptr || !Request->ParentId.empty() ||
+      Owner->RatePerSecond <= 0)
     return true;
   auto Time = this->Loop.now();
   auto RetryAfter = this->AllowanceParts.take(*Owner, Time);
--- a/unittests/OrganisationKeysTest.cpp
+++ b/unittests/OrganisationKeysTest.cpp
@@ -179,7 +179,7 @@
 
 TEST_CASE("An id in the form of a call's passes no allowance") {
   ForwarderFixture F;
-  F.AllowanceParts.setFleetSize(1);
+  F.Parts.setFleetSize(1);
   auto Acme = owner("acme", {"secret-1"});
   Acme.RatePerSecond = 1;
   Acme.Burst = 2;
