Count and explain how a node places requests

Cause: an operator could not see how uneven a node's targets are, how old the news is that decides, nor why a request went where it did. Ruled out: a series for each target (unbounded), and a copy of the decision for the explanation.

Change: placements_total by age of the news (four values), placements_again_total, placements_other_domain_total, the gauge placement_unevenness.

Test: for a thousand drawn states the explained candidate is the one that pick() takes, also when explained twice. TargetSelector::explain has no test of its own yet.

--- a/include/limpetdrum/daemon/calls/TargetSelector.h
+++ b/include/limpetdrum/daemon/calls/TargetSelector.h
@@ -39,6 +39,12 @@
   /// \returns false if it is not.
   [[nodiscard]] bool selectAgain(const NodeId &Node,
                                  const ServiceName &Service);
+  /// \brief Returns how the nodes of a service would be weighed for a request
+  ///   now, and which one would be taken; changes nothing. Empty if select()
+  ///   would link to a further node, or find none.
+  [[nodiscard]] std::vector<WeighedCandidate>
+  explain(const ServiceName &Service,
+          const std::vector<NodeId> &Excluded) const;
   /// \brief Returns true if a node has not been sent the request yet.
   [[nodiscard]] bool hasUntriedNode(const Query &Request) const;
   /// \brief Records the end of a call.
@@ -62,6 +68,8 @@
       return this->Ready.empty() ? this->Fallback : this->Ready;
     }
   };
+  /// Counts a choice, and the age of the news that it was made from.
+  void countChoice(const Query &Request);
   [[nodiscard]] Candidates candidates(const ServiceName &Service) const;
 
   Options Config;
--- a/include/limpetdrum/request/Placement.h
+++ b/include/limpetdrum/request/Placement.h
@@ -17,6 +17,29 @@
   bool IsCurrent = false;
 };
 
+/// \brief A candidate as a choice weighs it.
+struct WeighedCandidate {
+  PlacementCandidate Candidate;
+  double Load = 0;         ///< requests as a share of the limit
+  Microseconds NewsAge{0}; ///< since the load was reported
+  double FailureShare = 0; ///< of this node's calls
+  double Chance = 0;       ///< share of this node's requests that it gets
+  /// Requests that it should have got by now, more than it has; the candidate
+  /// with the most is taken.
+  double Due = 0;
+  bool IsTaken = false;
+};
+
+/// \brief What an operator sees of a choice.
+struct PlacementSummary {
+  Microseconds NewsAge{0}; ///< of the load of the node that was taken
+  /// Load of the busiest candidate of the own failure domain, as a multiple of
+  /// the mean of the domain; 1 if it is empty or idle.
+  double Unevenness = 1;
+  /// The request left the failure domain although that has candidates.
+  bool LeavesDomain = false;
+};
+
 /// \brief Selects a target's node for a request.
 ///
 /// Handles load that is uneven because what is known of it is old and many
@@ -43,6 +66,16 @@
   [[nodiscard]] std::optional<NodeId>
   pick(const std::vector<PlacementCandidate> &Candidates,
        const std::vector<NodeId> &Excluded, TimePoint Now);
+  /// \brief Returns how pick() would weigh the candidates now, and which one it
+  ///   would take; changes nothing.
+  /// \returns the candidates that are not excluded, in the given order.
+  [[nodiscard]] std::vector<WeighedCandidate>
+  explain(const std::vector<PlacementCandidate> &Candidates,
+          const std::vector<NodeId> &Excluded, TimePoint Now) const;
+  /// \brief Returns what was seen at the last choice.
+  [[nodiscard]] const PlacementSummary &lastChoice() const noexcept {
+    return this->LastChoice;
+  }
   /// \brief Records the end of a call.
   void end(const NodeId &Node, CallResult Result, TimePoint Now);
   /// \brief Records that a node has reported its load, which includes the calls
@@ -88,6 +121,7 @@
   /// Returns the option to which a request is due; null if there is none.
   [[nodiscard]] static const Option *
   choose(const std::vector<Option> &Options) noexcept;
+  [[nodiscard]] PlacementSummary summarize(const Option &Taken) const;
   /// Returns the failure share, decayed to the given time.
   [[nodiscard]] double failureShare(const Stats &S, TimePoint Now) const;
 
@@ -95,6 +129,7 @@
   std::uint64_t Seed;
   std::unordered_map<NodeId, Stats> StatsByNode;
   std::vector<Option> Options; ///< of one choice; kept to allocate once
+  PlacementSummary LastChoice;
 };
 
 } // namespace limpetdrum
--- a/lib/daemon/calls/TargetSelector.cpp
+++ b/lib/daemon/calls/TargetSelector.cpp
@@ -4,6 +4,28 @@
 
 namespace limpetdrum {
 
+namespace {
+
+/// Name of the highest age of news that is counted together.
+struct NewsAge {
+  Milliseconds Below;
+  const char *Name;
+};
+/// Replies come more often than every 100 ms under load, load messages every
+/// 500 ms; older news means that messages were lost or are held up.
+constexpr NewsAge NewsAges[] = {{Milliseconds(100), "100ms"},
+                                {Milliseconds(500), "500ms"},
+                                {Milliseconds(2000), "2s"}};
+
+const char *nameOfAge(Microseconds Age) noexcept {
+  for (const auto &Each : NewsAges)
+    if (Age < Each.Below)
+      return Each.Name;
+  return "older";
+}
+
+} // namespace
+
 TargetSelector::TargetSelector(Options Config, EventLoop &Loop, Mesh &Peers,
                                const LocalTarget &Local, EventLog &Log,
                                Metrics &Counters)
@@ -60,8 +82,10 @@
   auto Linked = this->candidates(Request.Service);
   auto Time = this->Loop.now();
   auto Node = this->NodePlacement.pick(Linked.Ready, Request.Excluded, Time);
-  if (Node)
+  if (Node) {
+    this->countChoice(Request);
     return Node;
+  }
   if (auto Unlinked =
           this->Config.FindUnlinkedNode(Request.Service, Request.Excluded)) {
     this->Counters.count("links_on_demand");
@@ -77,6 +101,28 @@
   return this->NodePlacement.pick(Linked.Fallback, Request.Excluded, Time);
 }
 
+void TargetSelector::countChoice(const Query &Request) {
+  const auto &Last = this->NodePlacement.lastChoice();
+  this->Counters.count("placements", "news", nameOfAge(Last.NewsAge));
+  if (!Request.Excluded.empty())
+    this->Counters.count("placements_again");
+  if (Last.LeavesDomain)
+    this->Counters.count("placements_other_domain");
+  this->Counters.gauge("placement_unevenness", Last.Unevenness);
+}
+
+std::vector<WeighedCandidate>
+TargetSelector::explain(const ServiceName &Service,
+                        const std::vector<NodeId> &Excluded) const {
+  auto Linked = this->candidates(Service);
+  auto Time = this->Loop.now();
+  auto Ready = this->NodePlacement.explain(Linked.Ready, Excluded, Time);
+  if (!Ready.empty() || !Linked.Ready.empty() ||
+      this->Config.FindUnlinkedNode(Service, Excluded))
+    return Ready;
+  return this->NodePlacement.explain(Linked.Fallback, Excluded, Time);
+}
+
 bool TargetSelector::selectAgain(const NodeId &Node,
                                  const ServiceName &Service) {
   auto Candidates = this->candidates(Service).best();
--- a/lib/request/Placement.cpp
+++ b/lib/request/Placement.cpp
@@ -216,9 +216,43 @@
     S.Credit = std::max(-MaxCredit, S.Credit - 1);
     ++S.InFlight;
   }
+  this->LastChoice = this->summarize(*Best);
   return Best->Candidate->Node;
 }
 
+PlacementSummary Placement::summarize(const Option &Taken) const {
+  PlacementSummary Result;
+  Result.NewsAge = Taken.Age;
+  Side Own;
+  double Busiest = 0;
+  for (const auto &Each : this->Options) {
+    if (Each.Candidate->FailureDomain != this->LocalDomain)
+      continue;
+    Own.Requests += Each.Load * Each.Limit;
+    Own.Limit += Each.Limit;
+    Busiest = std::max(Busiest, Each.Load);
+  }
+  if (Own.Requests > 0)
+    Result.Unevenness = Busiest / Own.load();
+  Result.LeavesDomain =
+      Own.Limit > 0 && Taken.Candidate->FailureDomain != this->LocalDomain;
+  return Result;
+}
+
+std::vector<WeighedCandidate>
+Placement::explain(const std::vector<PlacementCandidate> &Candidates,
+                   const std::vector<NodeId> &Excluded, TimePoint Now) const {
+  std::vector<Option> Weighed;
+  this->weigh(Candidates, Excluded, Now, Weighed);
+  const auto *Best = choose(Weighed);
+  std::vector<WeighedCandidate> Result;
+  Result.reserve(Weighed.size());
+  for (const auto &Each : Weighed)
+    Result.push_back({*Each.Candidate, Each.Load, Each.Age, Each.FailureShare,
+                      Each.Chance, Each.Due, &Each == Best});
+  return Result;
+}
+
 void Placement::end(const NodeId &Node, CallResult Result, TimePoint Now) {
   auto &S = this->StatsByNode[Node];
   if (S.InFlight > 0)
--- a/unittests/PlacementTest.cpp
+++ b/unittests/PlacementTest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <random>
 
 using namespace limpetdrum;
 using namespace limpetdrum::test;
@@ -129,3 +130,64 @@
       Fixture.Candidates, {NodeId("near"), NodeId("far"), NodeId("farther")},
       Fixture.Clock.now()));
 }
+
+TEST_CASE("Placement explains the choice that it makes") {
+  std::mt19937_64 Random(11);
+  auto Below = [&](unsigned Bound) {
+    return static_cast<unsigned>(Random() % Bound);
+  };
+  FakeClock Clock;
+  Placement Selector(FailureDomain("0"), 5);
+  for (int State = 0; State < 1000; ++State) {
+    Clock.advance(Milliseconds(Below(300)));
+    std::vector<PlacementCandidate> Candidates;
+    std::vector<NodeId> Excluded;
+    for (unsigned I = Below(12); I > 0; --I) {
+      PlacementCandidate Each{NodeId("n" + std::to_string(I)),
+                              FailureDomain(std::to_string(I % 3)), Below(60),
+                              Below(40)};
+      Each.ServiceTime = Milliseconds(Below(400));
+      Each.Pace = static_cast<std::uint16_t>(Below(300));
+      Each.IsCurrent = I == 1;
+      if (Below(2) == 0)
+        Selector.onReport(Each.Node, Clock.now());
+      if (Below(6) == 0)
+        Excluded.push_back(Each.Node);
+      Candidates.push_back(Each);
+    }
+    std::optional<NodeId> Explained;
+    const auto &Unchanged = Selector;
+    for (int Asked = 0; Asked < 2; ++Asked) {
+      Explained.reset();
+      for (const auto &Each :
+           Unchanged.explain(Candidates, Excluded, Clock.now()))
+        if (Each.IsTaken)
+          Explained = Each.Candidate.Node;
+    }
+    auto Picked = Selector.pick(Candidates, Excluded, Clock.now());
+    REQUIRE(Picked == Explained);
+    if (Picked && Below(3) > 0)
+      Selector.end(*Picked,
+                   Below(5) == 0 ? CallResult::Failed : CallResult::Served,
+                   Clock.now());
+  }
+}
+
+TEST_CASE("Placement tells what its choice was made from") {
+  PlacementFixture Fixture;
+  Fixture.Candidates[0].Outstanding = 30;
+  for (const auto &Each : Fixture.Candidates)
+    Fixture.Selector.onReport(Each.Node, Fixture.Clock.now());
+  Fixture.Clock.advance(Milliseconds(10));
+  REQUIRE(Fixture.Selector.pick(Fixture.Candidates, {}, Fixture.Clock.now()));
+  CHECK(Fixture.Selector.lastChoice().LeavesDomain);
+  CHECK(Fixture.Selector.lastChoice().NewsAge == Milliseconds(10));
+  Fixture.Candidates[0].Outstanding = 3;
+  Fixture.Candidates[1].FailureDomain = FailureDomain("a");
+  Fixture.Candidates[1].Outstanding = 1;
+  auto Node =
+      Fixture.Selector.pick(Fixture.Candidates, {}, Fixture.Clock.now());
+  REQUIRE(Node);
+  CHECK_FALSE(Fixture.Selector.lastChoice().LeavesDomain);
+  CHECK(Fixture.Selector.lastChoice().Unevenness > 1.1);
+}
