Follow fresh news faster, and leave a full failure domain sooner

All nodes call these targets and get their load many times in a run, and the correction by twice the excess was slower than the news; a domain with one target kept requests up to a load of 0.85, then part of them up to 1.05. A target with 10 in 100 more failures than its siblings got nothing, even if those refused.

Change: the excess is corrected within the age of the news, 2 to 8 times as fast as by itself. Requests leave the failure domain from a load of 0.8 to 1, for a gain of 0.1. Failing targets get requests again as the queues of the sound ones fill.

Test: 'Placement uses a failing target once the sound ones are full' gave 0 requests before.

--- a/include/limpetdrum/request/Placement.h
+++ b/include/limpetdrum/request/Placement.h
@@ -105,7 +105,7 @@
     double Load = 0; ///< requests as a share of the limit
     Microseconds Age{0};
     double FailureShare = 0;
-    double Soundness = 1; ///< share of requests in spite of its failures
+    double Soundness = 1; ///< share of its limit that counts as room
     double Capacity = 0;  ///< part of the limit that is for this node's domain
     double Chance = 0;    ///< share of this node's requests
     /// Requests that it should have got by now, more than it has.
--- a/lib/request/Placement.cpp
+++ b/lib/request/Placement.cpp
@@ -14,21 +14,26 @@
 
 /// Targets of the own failure domain get all requests below this load. Above
 /// it, some of them begin to queue.
-constexpr double MaxUnqueuedLoad = 0.85;
+constexpr double MaxUnqueuedLoad = 0.8;
 /// At this load of the own failure domain, all requests wait there, and it is
 /// no longer preferred.
-constexpr double MaxPreferredLoad = 1.05;
+constexpr double MaxPreferredLoad = 1;
 /// Difference in load at which a caller gains by another failure domain; less
 /// is not worth the bytes between domains.
-constexpr double WorthwhileGain = 0.2;
+constexpr double WorthwhileGain = 0.1;
 /// Below this load nobody waits, and differences between targets say little.
 constexpr double MinMeanLoad = 0.3;
 /// A report counts for this many typical runs: the requests that it names have
 /// ended then.
 constexpr double RunsUntilOutdated = 2;
-/// Part of an excess over the mean load that a target gets less in the time of
-/// a typical run. Twice the excess, as part of the news comes late or is lost.
-constexpr double CorrectionGain = 2;
+/// Bounds of the part of an excess over the mean load that a target gets less
+/// in the time of a typical run. The excess is to be gone within the age of the
+/// news, as newer ones come then: fresh news may be followed at once, and with
+/// old ones all nodes would swing. At the least twice the excess, as part of
+/// the news comes late or is lost.
+constexpr double MinCorrectionGain = 2;
+constexpr double MaxCorrectionGain = 8;
+constexpr Seconds MinAge{0.001}; ///< a message takes as long
 /// Service times of candidates differ by less than this factor; a report
 /// beyond it is about a few requests of one kind.
 constexpr double MaxServiceFactor = 4;
@@ -38,8 +43,14 @@
 /// Assumed while no candidate has reported its own.
 constexpr Microseconds DefaultServiceTime{100000};
 constexpr double FailureWeight = 0.05; ///< of one call in the failure share
-/// A target that fails this much more often than its siblings gets no request.
+/// A target that fails this much more often than its siblings gets no request
+/// while they have room.
 constexpr double MaxExcessFailures = 0.1;
+/// Mean loads of sound targets between which their queues fill, and requests
+/// that would be refused go to targets that fail some.
+constexpr double QueueingLoad = 1;
+constexpr double FullLoad = 2;
+constexpr double FailurePenalty = 4; ///< added load at a failure share of 1
 constexpr Milliseconds FailureHalfLife{3000};
 /// Bound of a credit, in requests, for targets that were not chosen for long.
 constexpr double MaxCredit = 2;
@@ -142,6 +153,8 @@
   Side Used{Own.Requests + Elsewhere * Other.Requests,
             Own.Limit + Elsewhere * Other.Limit};
   auto MeanLoad = Used.Limit > 0 ? Used.load() : 0;
+  auto Shortage = std::clamp(
+      (MeanLoad - QueueingLoad) / (FullLoad - QueueingLoad), 0.0, 1.0);
   auto MeanServiceTime =
       ServiceTimes > 0 ? ServiceTimeSum / static_cast<double>(ServiceTimes)
                        : Seconds(DefaultServiceTime);
@@ -163,10 +176,15 @@
     if (Each.Candidate->FailureDomain != this->LocalDomain)
       Each.Capacity *= Elsewhere;
     auto Served =
-        Each.Capacity / ServiceTime.count() / (1 + NewsWeight * (Pace - 1));
-    auto Correction = 1 + CorrectionGain * NewsWeight * (MeanLoad - Each.Load) /
+        Each.Limit / ServiceTime.count() / (1 + NewsWeight * (Pace - 1));
+    auto Gain = std::clamp(ServiceTime / std::max(MinAge, Seconds(Each.Age)),
+                           MinCorrectionGain, MaxCorrectionGain);
+    auto Correction = 1 + Gain * NewsWeight * (MeanLoad - Each.Load) /
                               std::max(MeanLoad, MinMeanLoad);
-    Each.Chance = Served * std::max(0.0, Correction);
+    auto Trust = std::max(Each.Soundness, Shortage * (1 - Each.FailureShare));
+    Each.Chance = Trust * Served * std::max(0.0, Correction);
+    if (Each.Candidate->FailureDomain != this->LocalDomain)
+      Each.Chance *= Elsewhere;
     Total += Each.Chance;
     CapacityTotal += Each.Capacity;
     InFlightTotal += static_cast<double>(Each.Known.InFlight);
@@ -193,7 +211,7 @@
     return Best;
   // All are full or fail: the one that is nearest to room.
   auto Cost = [](const Option &Each) {
-    return Each.Load + Each.FailureShare / MaxExcessFailures;
+    return Each.Load + FailurePenalty * Each.FailureShare;
   };
   for (const auto &Each : Options)
     if (Best == nullptr || Cost(Each) < Cost(*Best))
