Count late event loops, and keep the tries of failed scenario requests

Cause: when a scenario failed beside load, nothing told a fault of the product from a process that did not get its processor, and the counters of the nodes were lost with the scenario.

Change: a node counts passes of its loop that come 100 ms late and keeps the longest delay; it counts the keys that it settles as unknown, by reason. A failed scenario writes the metrics of the running nodes, the longest delay of its own loop (which carries the clients and the relays) and every try of the first 1,000 failed requests of a stream to its work folder.

Conclusion: the next failures can be told apart.

--- a/lib/daemon/KeyedCalls.cpp
+++ b/lib/daemon/KeyedCalls.cpp
@@ -203,6 +203,9 @@
   this->RunningLocally[Spec.Key] = Spec.Id;
   this->LocalExecutor.execute(
       Spec, [this, Key = Spec.Key, Done = std::move(Done)](const Reply &Value) {
+        if (Value.Outcome == Outcome::Unknown)
+          this->Counters.count("keys_settled_unknown", "reason",
+                               toString(Value.Reason));
         this->Keys.settle(Key, Value);
         this->RunningLocally.erase(Key);
         Done(Value);
--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Microseconds AdmissionInterval{10'000};
+/// A pass of the event loop that is later than this is counted.
+constexpr Milliseconds LongLoopDelay{100};
 constexpr Microseconds GossipInterval{50'000};
 constexpr Microseconds LivenessInterval{50'000};
 constexpr Microseconds LeaveInterval{50'000};
@@ -115,6 +117,7 @@
     this->Timers.push_back(this->Loop.every(Period, std::move(Action)));
   };
   RunEvery(AdmissionInterval, [this]() {
+    this->recordLoopDelay();
     this->LocalExecutor.tick();
     this->Notifier.tick([this]() { return this->levels(); }, this->Now());
   });
@@ -135,6 +138,17 @@
   this->Feed.start();
 }
 
+void Node::State::recordLoopDelay() {
+  auto Now = this->Now();
+  auto Delay = this->LastAdmissionTick == TimePoint()
+                   ? Microseconds(0)
+                   : Now - this->LastAdmissionTick - AdmissionInterval;
+  this->LastAdmissionTick = Now;
+  this->LongestLoopDelay = std::max(this->LongestLoopDelay, Delay);
+  if (Delay > LongLoopDelay)
+    this->Counters.count("loop_delays");
+}
+
 void Node::State::perform(const Membership::Output &Out) {
   for (const auto &Outgoing : Out.Send) {
     auto Bytes = codec::encode(Outgoing.Message);
--- a/lib/daemon/NodeAdmin.cpp
+++ b/lib/daemon/NodeAdmin.cpp
@@ -56,6 +56,8 @@
   this->Counters.gauge("platform_calls",
                        static_cast<double>(this->Platform.calls()));
   this->Counters.gauge("release_watcher", holdsDuties(this->Members) ? 1 : 0);
+  this->Counters.gauge("loop_delay_max_microseconds",
+                       static_cast<double>(this->LongestLoopDelay.count()));
   this->Counters.gauge("resident_bytes", static_cast<double>(residentBytes()));
 }
 
--- a/lib/daemon/NodeState.h
+++ b/lib/daemon/NodeState.h
@@ -74,6 +74,8 @@
   };
   std::unordered_map<NodeId, RevisionReport> RevisionReports;
   TimePoint InForceSince{};
+  TimePoint LastAdmissionTick{};
+  Microseconds LongestLoopDelay{0};
   unsigned SearchesSkipped = 0;
   TimePoint LeaveStart{};
   bool IsLeaving = false;
@@ -82,6 +84,9 @@
   State(EventLoop &Loop, const Settings &Config, std::function<void()> OnLeft);
 
   void start();
+  /// Records how late the loop runs, which tells a starved process from a slow
+  /// peer.
+  void recordLoopDelay();
   // Membership.
   void perform(const Membership::Output &Out);
   void onDatagram(const std::string &Bytes);
--- a/standins/Scenario.cpp
+++ b/standins/Scenario.cpp
@@ -27,6 +27,7 @@
 using namespace limpetdrum::bench;
 
 constexpr Milliseconds StartLimit{20000};
+constexpr Microseconds DelayCheckPeriod{10'000};
 
 /// Thrown if an expectation or invariant of a scenario does not hold.
 class ScenarioFailure : public SourceError {
@@ -56,7 +57,14 @@
   Scenario(const std::string &File, std::uint64_t Seed)
       : File(File), Document(parseYaml(readFile(File), File)),
         Map(this->Document, File), Name(this->Map.text("name")),
-        Load(this->Loop, Seed), Processes(this->Loop, this->fleetSpec()) {}
+        Load(this->Loop, Seed), Processes(this->Loop, this->fleetSpec()),
+        DelayCheck(this->Loop.every(DelayCheckPeriod, [this]() {
+          auto Now = this->Loop.now();
+          this->LongestDelay =
+              std::max(this->LongestDelay,
+                       Now - this->LastDelayCheck - DelayCheckPeriod);
+          this->LastDelayCheck = Now;
+        })) {}
 
   void run() {
     this->Processes.startPlatform();
@@ -67,11 +75,16 @@
         "the first note was not published, or not all targets became ready, "
         "within " +
             std::to_string(StartLimit.count()) + " ms each");
-    for (const auto &Node : this->Map.list("steps"))
-      this->runStep(YamlMap(Node, this->File));
-    this->Map.rejectUnknownKeys();
-    this->Load.stop();
-    this->checkInvariants();
+    try {
+      for (const auto &Node : this->Map.list("steps"))
+        this->runStep(YamlMap(Node, this->File));
+      this->Map.rejectUnknownKeys();
+      this->Load.stop();
+      this->checkInvariants();
+    } catch (const ScenarioFailure &) {
+      this->saveEvidence();
+      throw;
+    }
     std::cout << this->Name << ": passed";
     for (const auto &[Stream, R] : this->Load.results())
       std::cout << "; " << Stream << " " << R.Completed << "/" << R.Started;
@@ -105,6 +118,22 @@
                                 this->Processes.spec().WorkFolder);
   }
 
+  /// Writes the metrics of the running nodes and the tries of the failed
+  /// requests to the work folder.
+  void saveEvidence() {
+    auto Folder = this->Processes.spec().WorkFolder + "/";
+    for (auto &M : this->Processes.members())
+      if (!M->Node->status())
+        std::ofstream(Folder + M->Name + ".metrics")
+            << this->Processes.getText(this->Processes.admin(*M), "/metrics");
+    std::ofstream Tries(Folder + "failed-requests.txt");
+    Tries << "longest delay of the runner's loop: "
+          << this->LongestDelay.count() << " us\n";
+    for (const auto &Entry : this->Load.results())
+      for (const auto &Request : Entry.second.FailedRequests)
+        Tries << Entry.first << " " << Request << "\n";
+  }
+
   void runStep(YamlMap Step) {
     static const std::map<std::string, Action> Actions = {
         {"load", &Scenario::startLoad},
@@ -556,6 +585,11 @@
   /// Restarted nodes that have not yet been seen with a release in force.
   std::set<std::string> Restarted;
   unsigned PublishCount = 0;
+  /// Longest delay of this process's event loop, which carries the clients and
+  /// the relays.
+  Microseconds LongestDelay{0};
+  TimePoint LastDelayCheck = this->Loop.now();
+  Timer DelayCheck;
 };
 
 } // namespace
--- a/standins/bench/LoadGenerator.cpp
+++ b/standins/bench/LoadGenerator.cpp
@@ -127,7 +127,12 @@
   auto Reason = Answer.header(header::Reason);
   if (Outcome != "not-run")
     R->AllNotRun = false;
-  ++Result.Refusals[Outcome.empty() ? "no answer" : Outcome + " " + Reason];
+  auto Failure = Outcome.empty() ? "no answer" : Outcome + " " + Reason;
+  ++Result.Refusals[Failure];
+  auto Elapsed =
+      std::chrono::duration_cast<Milliseconds>(this->Loop.now() - R->Start);
+  R->FailedTries += "; " + std::to_string(Elapsed.count()) + " ms " + Failure +
+                    " " + std::to_string(Answer.Status);
   if (R->TriesLeft == 0) {
     this->finish(R, false);
     return;
@@ -161,6 +166,8 @@
     return;
   }
   ++Result.Failed;
+  if (Result.FailedRequests.size() < MaxFailedRequests)
+    Result.FailedRequests.push_back(Run + R->FailedTries);
   if (R->Spec->Keyed && R->AllNotRun)
     this->ReportedNotRun.insert(Run);
 }
--- a/standins/bench/LoadGenerator.h
+++ b/standins/bench/LoadGenerator.h
@@ -29,6 +29,9 @@
   bool HonorsRetryAfter = false; ///< false: clients retry after RetryPause
 };
 
+/// \brief Number of failed requests of a stream whose tries are kept.
+inline constexpr std::size_t MaxFailedRequests = 1000;
+
 /// \brief Results of the requests of one stream.
 struct StreamResult {
   std::uint64_t Started = 0;
@@ -38,6 +41,9 @@
   std::uint64_t WrongAnswers = 0; ///< truncated, or of another request
   /// Number of failed tries by outcome and reason.
   std::map<std::string, std::uint64_t> Refusals;
+  /// The keys of the first MaxFailedRequests failed requests, with the time and
+  /// result of each try.
+  std::vector<std::string> FailedRequests;
   std::vector<double> LatencyMillis; ///< of completed requests
   /// Number of requests completed within MaxUsefulLatency of their first try,
   /// by the tenth of a second of their completion, counted from the generator's
@@ -90,6 +96,7 @@
     TimePoint Start;
     unsigned TriesLeft;
     bool AllNotRun = true;
+    std::string FailedTries;
     Timer Pause;
   };
   using RequestPtr = std::shared_ptr<Request>;
