Add failing tests: calls that are given up with time and retries left

A call within a chain that is displaced from a queue, or refused because the wait there looks too long, ends at once although it has 1 to 1.9 s and a retry left. An idempotent call whose node is suspected ends as unknown if no retry is left, on average 1.3 s before its deadline; if only the node's bound on retries is reached, the call's own retry is lost too. A new connection that answers later than 250 ms is discarded by the next probe, so a dead connection is not replaced.

--- a/unittests/CallTest.cpp
+++ b/unittests/CallTest.cpp
@@ -95,6 +95,34 @@
   CHECK(finished(Step)->Outcome == Outcome::Unknown);
 }
 
+// A suspected node may be slow and still answer; without a retry there is
+// nothing to gain from ending the call before its deadline.
+TEST_CASE("Call waits for a suspected node if it has no retry left", "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Idempotent, true, 1, Ratio);
+  static_cast<void>(C.onNodeSelected(FirstNode, attempt(1)));
+  CHECK(std::holds_alternative<Call::SelectNode>(C.onSuspected()));
+  static_cast<void>(C.onNodeSelected(SecondNode, attempt(2)));
+  CHECK(std::holds_alternative<Call::Wait>(C.onSuspected()));
+  CHECK(std::holds_alternative<Call::Wait>(C.onSuspected()));
+  auto Step = C.onReply(answer());
+  REQUIRE(finished(Step) != nullptr);
+  CHECK(finished(Step)->Outcome == Outcome::Answered);
+}
+
+// The bound on a node's retries is no reason to lose one of the call's own.
+TEST_CASE("Call keeps its retry if the node has no retry left", "[call]") {
+  RetryRatio Ratio;
+  while (Ratio.take()) {
+  }
+  Call C(RunSemantics::Idempotent, true, 1, Ratio);
+  static_cast<void>(C.onNodeSelected(FirstNode, attempt(1)));
+  CHECK(std::holds_alternative<Call::Wait>(C.onSuspected()));
+  for (int I = 0; I < 20; ++I)
+    Ratio.onCall();
+  CHECK(std::holds_alternative<Call::SelectNode>(C.onSuspected()));
+}
+
 TEST_CASE("Call reports an unknown outcome for a key that may have run",
           "[call]") {
   RetryRatio Ratio;
@@ -138,6 +166,42 @@
   CHECK(finished(C.onReply(Refused)) != nullptr);
 }
 
+// A refusal within a chain loses the work of the callers above. Whether the
+// request was the newest in a full queue, was displaced from it, or was
+// expected to wait too long there says nothing about the moment after the
+// pause.
+TEST_CASE("Call with retryOnOverload retries a request that was displaced or "
+          "would have waited too long",
+          "[call]") {
+  for (auto Cause : {Reason::Displaced, Reason::DeadlineTooNear}) {
+    RetryRatio Ratio;
+    Call C(RunSemantics::Once, true, 1, Ratio);
+    C.retryOnOverload();
+    auto Refused = notRun(Cause, Milliseconds(500));
+    auto Sent = std::get<Call::Send>(C.onNodeSelected(FirstNode, attempt(1)));
+    Refused.RetriesLeft = Sent.Retries;
+    CHECK(std::holds_alternative<Call::Pause>(C.onReply(Refused)));
+    CHECK(std::holds_alternative<Call::SelectNode>(C.onPauseOver()));
+    static_cast<void>(C.onNodeSelected(FirstNode, attempt(2)));
+    Refused.RetriesLeft = 0;
+    CHECK(finished(C.onReply(Refused)) != nullptr);
+  }
+}
+
+// Running work of a lower class is cancelled to make room; to start it again
+// would take the room back.
+TEST_CASE("Call with retryOnOverload does not repeat work that was cancelled "
+          "for a higher class",
+          "[call]") {
+  RetryRatio Ratio;
+  Call C(RunSemantics::Idempotent, true, 1, Ratio);
+  C.retryOnOverload();
+  auto Cancelled = unknownOutcome(Reason::Displaced, Milliseconds(500));
+  auto Sent = std::get<Call::Send>(C.onNodeSelected(FirstNode, attempt(1)));
+  Cancelled.RetriesLeft = Sent.Retries;
+  CHECK(finished(C.onReply(Cancelled)) != nullptr);
+}
+
 TEST_CASE("Call keeps its only retry when a call to a leaf is lost", "[call]") {
   RetryRatio Ratio;
   Call C(RunSemantics::Idempotent, true, 1, Ratio);
--- a/unittests/LivenessTest.cpp
+++ b/unittests/LivenessTest.cpp
@@ -77,3 +77,32 @@
   CHECK(nextAction(L, Clock, LastRead) == Action::ProbeBoth);
   CHECK(Clock.now() - ProbedAt == Milliseconds(250));
 }
+
+// On a busy machine a new connection takes longer than the probe. If the next
+// probe discards it, the dead connection keeps its calls until they time out.
+TEST_CASE("Liveness replaces a connection if the new one answers after the "
+          "peer was suspected",
+          "[liveness]") {
+  FakeClock Clock;
+  Liveness L;
+  auto LastRead = Clock.now();
+  CHECK(nextAction(L, Clock, LastRead) == Action::ProbeBoth);
+  CHECK(nextAction(L, Clock, LastRead) == Action::Suspect);
+  L.onNewConnectionAnswer();
+  CHECK(nextAction(L, Clock, LastRead) == Action::Replace);
+}
+
+// The current connection answers late as well: it is not dead.
+TEST_CASE("Liveness keeps a connection that answers after the peer was "
+          "suspected",
+          "[liveness]") {
+  FakeClock Clock;
+  Liveness L;
+  auto LastRead = Clock.now();
+  CHECK(nextAction(L, Clock, LastRead) == Action::ProbeBoth);
+  CHECK(nextAction(L, Clock, LastRead) == Action::Suspect);
+  L.onNewConnectionAnswer();
+  LastRead = Clock.now();
+  Clock.advance(Milliseconds(50));
+  CHECK(L.tick(true, LastRead, Clock.now()) == Action::None);
+}
