Use a new connection that answers after its peer was suspected

Cause: while a peer is silent, it is probed on its connection and on a new one. If neither answers within 250 ms the peer is suspected; when the new connection answered after that, the state went back to idle, and the next probe discarded the new connection and opened another. On a machine where a connection takes longer than 250 ms to answer, a dead connection was thus never replaced, and its calls waited until their deadline.

Ruled out: the sidecar's links, which use a spare link on its hello.

Change: a suspected peer whose new connection answers, and whose current one still does not, gets the new one. If the current one answers too, it stays.

Conclusion: a dead connection is replaced however slow the machine is.

--- a/lib/connection/Liveness.cpp
+++ b/lib/connection/Liveness.cpp
@@ -49,9 +49,15 @@
     this->Phase = State::Suspected;
     return Action::Suspect;
   case State::Suspected:
-    // Either connection answered late, or the peer is due for another probe.
-    if (LastRead > this->ProbedAt || this->NewConnectionAnswered ||
-        Now - this->ProbedAt > SuspectedProbeDelay)
+    // The new connection answered late, and the current one not at all. Another
+    // probe would discard the new one.
+    if (this->NewConnectionAnswered && LastRead <= this->ProbedAt) {
+      this->Phase = State::Idle;
+      return Action::Replace;
+    }
+    // The current connection answered late, or the peer is due for another
+    // probe.
+    if (LastRead > this->ProbedAt || Now - this->ProbedAt > SuspectedProbeDelay)
       this->Phase = State::Idle;
     return Action::None;
   }
