--- a/lib/request/Call.cpp
+++ b/lib/request/Call.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr Milliseconds DefaultRetryAfter{1000};
+/// Retries of a node that refusals of lower classes leave to the most important
+/// one. During an overload the lower classes are refused most, and would use up
+/// all retries.
+constexpr double ReservedRetriesOnOverload = 10;
 
 /// \brief Returns true if the request may succeed at another node, which may
 ///   have capacity or a working target where this one had none.
@@ -23,6 +27,17 @@
   }
 }
 
+/// \brief Returns true if the target's node refused the request because of the
+///   requests queued there at that moment.
+bool isRefusedByQueue(const Reply &Value) {
+  if (Value.Reason == Reason::Overload)
+    return true;
+  // Running work that was cancelled for a higher class is not repeated.
+  return Value.Outcome == Outcome::NotRun &&
+         (Value.Reason == Reason::Displaced ||
+          Value.Reason == Reason::DeadlineTooNear);
+}
+
 } // namespace
 
 Call::Call(RunSemantics Semantics, bool MayTryOtherNodes, std::uint16_t Retries,
@@ -61,8 +76,9 @@
     if (this->Semantics == RunSemantics::Once)
       return this->finish(Value);
   }
-  if (this->RetriesOverload && Value.Reason == Reason::Overload) {
-    auto Step = this->retry(Value);
+  if (this->RetriesOverload && isRefusedByQueue(Value)) {
+    auto Step = this->retry(
+        Value, this->Rank == ClassRank() ? 0 : ReservedRetriesOnOverload);
     if (std::holds_alternative<SelectNode>(Step))
       Step = Pause{};
     return Step;
@@ -92,10 +108,10 @@
 }
 
 Call::Step Call::onSuspected() {
-  if (this->Semantics == RunSemantics::Once)
+  if (this->Semantics == RunSemantics::Once || !this->takeRetry())
     return Wait{};
   this->MayHaveRun = true;
-  return this->retry(unknownOutcome(Reason::NodeGone, DefaultRetryAfter));
+  return SelectNode{};
 }
 
 Call::Step Call::onPauseOver() {
@@ -111,10 +127,18 @@
   return this->finish(unknownOutcome(Reason::TimedOut, DefaultRetryAfter));
 }
 
-Call::Step Call::retry(Reply FinalReply) {
-  if (!this->MayTryOtherNodes || !this->Budget.take() || !this->Ratio->take())
-    return this->finish(std::move(FinalReply));
+bool Call::takeRetry(double Reserve) noexcept {
+  if (!this->MayTryOtherNodes || this->Budget.remaining() == 0 ||
+      !this->Ratio->take(Reserve))
+    return false;
+  static_cast<void>(this->Budget.take());
   ++this->RetriesMade;
+  return true;
+}
+
+Call::Step Call::retry(Reply FinalReply, double Reserve) {
+  if (!this->takeRetry(Reserve))
+    return this->finish(std::move(FinalReply));
   return SelectNode{};
 }
 
