Let clients return at once to a target that refuses with room

Cause: after a refusal by a target, clients were asked to return after 300 ms at least, as if it were full. A target that refuses part of its requests at random, while its slots are free, so made late what a second request at once would have answered in time.

Ruled out: more repeats by the node (bounded by the fleet's budget, which goes to calls of payments first; a client's own retry is a new request).

Change: if nothing is queued at the node and the target is below its limit, the refusal carries a delay of 20 ms. A full target's refusal is as before.

Seen failing without it: the unit test got 300 ms.

--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -15,6 +15,9 @@
 /// Targets slow down when their last slots are in use.
 constexpr double UsableSlotShare = 0.95;
 constexpr Milliseconds MinRetryAfter{300};
+/// Delay after a refusal by a target that has room: waiting longer would not
+/// raise the chance, and could make the answer late.
+constexpr Milliseconds RetryAfterWithRoom{20};
 /// About an eighth of a latency target of one second: a request that has waited
 /// no longer than this can still be refused in time.
 constexpr Milliseconds ShortWait{120};
@@ -365,7 +368,10 @@
   }
   if (IsCurrentTarget)
     this->readNotices(Answer);
-  auto Value = toReply(Answer, this->Names, MinRetryAfter, this->retryAfter());
+  bool HasRoom = this->Queue.queued() == 0 &&
+                 this->Queue.running() < this->Queue.limit(this->Now());
+  auto Value = toReply(Answer, this->Names, MinRetryAfter,
+                       HasRoom ? RetryAfterWithRoom : this->retryAfter());
   if (Found->second.CallFailed && Value.Status >= 500)
     Value.Reason = Reason::CallFailed;
   if (Value.Outcome == Outcome::Answered && Value.Status < 500)
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -547,3 +547,24 @@
       LocalTargetFixture::answer(200, {{"limpetdrum-target-leaving", "0"}}));
   CHECK(Fixture.Target.record().isReady());
 }
+
+// Guards against clients of a target that refuses at random and return only
+// when their latency target is missed.
+TEST_CASE("LocalTarget asks clients to return at once if its target refuses "
+          "while it has room") {
+  LocalTargetFixture Fixture;
+  REQUIRE(Fixture.Target.onReport(
+      LocalTargetFixture::report("t1", 100, 1, TargetState::Ready, 10)));
+  auto Refuse = [&](std::size_t Index) {
+    Fixture.SentCallbacks.at(Index)(
+        LocalTargetFixture::answer(503, {{"limpetdrum-not-executed", "1"}}));
+    return Fixture.Replies.back().RetryAfter;
+  };
+  Fixture.execute(1);
+  CHECK(Refuse(0) <= Milliseconds(50));
+  CHECK(Fixture.Replies.back().Outcome == Outcome::NotRun);
+  CHECK(Fixture.Replies.back().RetryAfter > Milliseconds(0));
+  for (std::uint64_t Call = 2; Call <= 15; ++Call)
+    Fixture.execute(Call);
+  CHECK(Refuse(1) >= Milliseconds(300));
+}
