Believe no sums of a duty holder that was cut off, and spread retries further

Cause: when a cut heals, a duty holder that was cut off hands out sums of old reports for half a second; in a trial the parts then added up to 4.3. A new duty holder in a cut lacks the silent nodes, and its sums of 50 of 60 nodes were believed. Ruled out: a duty holder that waits after each start (7 to 16 in 100 lost after a start of all nodes). Change: a duty holder that heard nobody for a second makes no sums for 0.6 s; sums that lack a tenth of the nodes lower nothing; a part grows 0.9 s after its demand; two requests of credit before the first news, up to three while an allowance is exceeded by less than twice; Retry-After grows by a second for each time that the fleet exceeds the rate.

--- a/include/limpetdrum/request/OrganisationUseSums.h
+++ b/include/limpetdrum/request/OrganisationUseSums.h
@@ -5,6 +5,7 @@
 #include "limpetdrum/version/Organisations.h"
 
 #include <map>
+#include <optional>
 
 namespace limpetdrum {
 
@@ -21,7 +22,10 @@
     std::vector<OrganisationUse> Uses;
   };
 
-  /// \brief Records the latest report of a node of the own failure domain.
+  /// \brief Records the demand at this node.
+  void recordOwn(std::vector<OrganisationUse> Uses, TimePoint Now);
+  /// \brief Records the latest report of another node of the own failure
+  ///   domain.
   void record(const NodeId &Node, std::vector<OrganisationUse> Uses,
               TimePoint Now);
   /// \brief Takes out a node that leaves.
@@ -32,6 +36,9 @@
   /// while: it is of a duty holder that has not heard all of its nodes yet.
   void recordDomain(const FailureDomain &Domain, Sum Total, TimePoint Now);
 
+  /// \brief Returns true if the other nodes have been heard for long enough to
+  ///   make sums: a node that was cut off until now has only old reports.
+  [[nodiscard]] bool isSettled(TimePoint Now) const;
   /// \brief Returns the sum over the own failure domain.
   [[nodiscard]] Sum domainSum(TimePoint Now);
   /// \brief Returns the sum over all nodes, of the organisations that ask for
@@ -51,6 +58,8 @@
   };
   [[nodiscard]] std::vector<double>
   parts(const std::vector<OrganisationUse> &Uses) const;
+  /// Notes that another node was heard.
+  void onHeard(TimePoint Now);
   void expire(TimePoint Now);
   /// Adds up the reports of the own nodes, and the sums of other domains.
   [[nodiscard]] Totals total(bool WithDomains, std::size_t &Nodes,
@@ -58,6 +67,8 @@
 
   std::map<NodeId, TimedSum> NodeReports;
   std::map<FailureDomain, TimedSum> DomainSums;
+  std::optional<TimePoint> HeardAt;
+  TimePoint SettledAt{}; ///< from when on sums are made
   /// Demand by organisation as last handed out, at least what nodes assume
   /// without news.
   std::map<Organisation, double> HandedOut;
--- a/lib/daemon/fleet/AllowanceExchange.cpp
+++ b/lib/daemon/fleet/AllowanceExchange.cpp
@@ -36,7 +36,7 @@
     return;
   if (Now - this->ReportedAt >= Period || this->Parts.needsReport(Now))
     this->report(Now);
-  if (!this->Links.holdsDuties())
+  if (!this->Links.holdsDuties() || !this->Sums.isSettled(Now))
     return;
   if (Now - this->SharedAt >= Period ||
       this->Sums.hasChanged(this->Policy->organisations(), Now))
@@ -54,7 +54,7 @@
   Report.Node = this->Self.Node;
   Report.Organisations = this->Parts.report(Now);
   this->sendToHolders(Report);
-  this->Sums.record(Report.Node, std::move(Report.Organisations), Now);
+  this->Sums.recordOwn(std::move(Report.Organisations), Now);
 }
 
 void AllowanceExchange::shareSums(TimePoint Now) {
--- a/lib/request/Allowances.cpp
+++ b/lib/request/Allowances.cpp
@@ -12,6 +12,10 @@
 /// News counts as fresh up to this age: a period of the exchange, and what
 /// messages take.
 constexpr Milliseconds FreshFor{700};
+/// Requests by which an account may be overdrawn before the number of nodes is
+/// known, and then before the first news: its level begins at none.
+constexpr double UnknownFleetCredit = 1;
+constexpr double StartCredit = 2;
 /// Requests by which an account may be overdrawn while the node knows nothing
 /// fresh of the fleet, at most.
 constexpr double MaxBlindCredit = 2;
@@ -36,7 +40,7 @@
 /// Sums have to cover this share of the nodes that the last ones covered, or of
 /// the nodes known, so as to be believed. A duty holder that has just taken
 /// over has not heard all nodes yet.
-constexpr double CompleteShare = 0.8;
+constexpr double CompleteShare = 0.9;
 /// Time after which sums over fewer nodes are believed: nodes that fell silent
 /// count for as long.
 constexpr std::chrono::seconds BelieveAfter{20};
@@ -46,14 +50,14 @@
 /// Age from which a report is contained in news.
 constexpr Milliseconds ReportDelay{250};
 /// Time for which a demand has to stay higher until the part grows with it.
-constexpr Milliseconds GrowthDelay{1200};
+constexpr Milliseconds GrowthDelay{900};
 /// Time constant with which a part follows changes of demand that may be
 /// chance, in seconds.
 constexpr double PartSeconds = 2;
 /// Requests by which an account may be overdrawn while the fleet asks for
 /// little more than its rate; none from twice the rate on. Then room is left at
 /// nodes where no client asks at that moment.
-constexpr double BindingCredit = 2;
+constexpr double BindingCredit = 3;
 /// Requests that an account may hold beyond its part of the burst while the
 /// allowance binds. Clients come at random, so at some nodes room would be lost
 /// that others lack.
@@ -69,6 +73,10 @@
 /// The decision of the next moment depends on news, which takes this long.
 constexpr Milliseconds MinRetryDelay{250};
 constexpr Milliseconds MaxRetryDelay{15000};
+constexpr double MillisPerSecond = 1000;
+/// Factors by which a delay differs between clients.
+constexpr double MinSpread = 0.75;
+constexpr double MaxSpread = 1.25;
 
 double seconds(Microseconds Span) {
   return std::chrono::duration<double>(Span).count();
@@ -146,8 +154,8 @@
   if (Entry.IsBinding)
     return BindingCredit *
            std::max(0.0, 2 - Entry.FleetAsked / Entry.RatePerSecond);
-  if (!this->NewsAt && this->FleetSize == 0)
-    return 1;
+  if (!this->NewsAt)
+    return this->FleetSize == 0 ? UnknownFleetCredit : StartCredit;
   if (this->isBlind(Now))
     return std::min(MaxBlindCredit,
                     Entry.Part *
@@ -222,16 +230,17 @@
 
 Milliseconds Allowances::retryDelay(const Account &Entry, double Needed) {
   auto Refill = Entry.RatePerSecond * std::max(Entry.Part, this->equalPart());
-  // All that ask for more than the rate wait for the same room.
-  auto Excess = std::max(1.0, Entry.FleetAsked / Entry.RatePerSecond);
-  std::uniform_real_distribution<double> Spread(0.75, 1.25);
-  auto Delay = Refill > 0 ? Needed / Refill * Excess * Spread(this->Random) *
-                                std::chrono::milliseconds::period::den
-                          : static_cast<double>(MinRetryDelay.count());
-  return Milliseconds(static_cast<std::int64_t>(std::clamp(
-      Delay,
-      static_cast<double>(MinRetryDelay.count()) * Spread(this->Random) / 0.75,
-      static_cast<double>(MaxRetryDelay.count()))));
+  // Those that asked in vain in the last second wait for the same room, and it
+  // takes a second for each time that they exceed the rate.
+  auto Excess = std::max(0.0, Entry.FleetAsked / Entry.RatePerSecond - 1) *
+                MillisPerSecond;
+  std::uniform_real_distribution<double> Spread(MinSpread, MaxSpread);
+  auto Room = Refill > 0 ? Needed / Refill * MillisPerSecond : 0;
+  auto Delay = std::max({static_cast<double>(MinRetryDelay.count()) / MinSpread,
+                         Room, Excess}) *
+               Spread(this->Random);
+  return std::min(MaxRetryDelay,
+                  Milliseconds(static_cast<std::int64_t>(Delay)));
 }
 
 bool Allowances::needsReport(TimePoint Now) const {
--- a/lib/request/OrganisationUseSums.cpp
+++ b/lib/request/OrganisationUseSums.cpp
@@ -12,6 +12,10 @@
 /// Age of a report from which its node is silent: a period and a half. It costs
 /// little to take a node for silent whose report is late.
 constexpr Milliseconds SilentAfter{800};
+/// Time without hearing any other node after which all reports are old.
+constexpr Milliseconds MaxGap{1000};
+/// Time within which each node reports again, and the reports arrive.
+constexpr Milliseconds SettlingTime{600};
 /// Largest growth of demand that a silent node is assumed to share.
 constexpr double MaxSilentGrowth = 10;
 /// Time after which a sum of fewer nodes is believed.
@@ -30,9 +34,28 @@
 
 } // namespace
 
+void OrganisationUseSums::onHeard(TimePoint Now) {
+  // Before the first report there is nothing old.
+  if (this->HeardAt && Now - *this->HeardAt > MaxGap)
+    this->SettledAt = Now + SettlingTime;
+  this->HeardAt = Now;
+}
+
+bool OrganisationUseSums::isSettled(TimePoint Now) const {
+  return this->HeardAt && Now - *this->HeardAt <= MaxGap &&
+         Now >= this->SettledAt;
+}
+
+void OrganisationUseSums::recordOwn(std::vector<OrganisationUse> Uses,
+                                    TimePoint Now) {
+  auto Parts = this->parts(Uses);
+  this->NodeReports[NodeId()] = {{1, std::move(Uses)}, Now, std::move(Parts)};
+}
+
 void OrganisationUseSums::record(const NodeId &Node,
                                  std::vector<OrganisationUse> Uses,
                                  TimePoint Now) {
+  this->onHeard(Now);
   auto Parts = this->parts(Uses);
   this->NodeReports[Node] = {{1, std::move(Uses)}, Now, std::move(Parts)};
 }
@@ -51,6 +74,7 @@
 
 void OrganisationUseSums::recordDomain(const FailureDomain &Domain, Sum Total,
                                        TimePoint Now) {
+  this->onHeard(Now);
   auto [Found, IsNew] = this->DomainSums.try_emplace(Domain);
   auto &Entry = Found->second;
   bool LacksNodes = static_cast<double>(Total.Nodes) <
--- a/unittests/AllowanceFleet.h
+++ b/unittests/AllowanceFleet.h
@@ -176,8 +176,11 @@
         auto Uses = Node.Parts->report(this->Now);
         NodeId Name(std::to_string(I));
         for (auto Holder : this->holders(I % Domains))
-          this->send(I, Holder, [this, Name, Uses](Member &Other) {
-            Other.Sums.record(Name, Uses, this->Now);
+          this->send(I, Holder, [this, Name, Uses, I, Holder](Member &Other) {
+            if (I == Holder)
+              Other.Sums.recordOwn(Uses, this->Now);
+            else
+              Other.Sums.record(Name, Uses, this->Now);
           });
       }
     }
@@ -194,6 +197,8 @@
   void share(std::size_t I, std::size_t Domain, Milliseconds Period,
              Milliseconds MinPause) {
     auto &Node = this->Nodes[I];
+    if (!Node.Sums.isSettled(this->Now))
+      return;
     if (this->Now < Node.ShareAt &&
         (this->Now - Node.SharedAt < MinPause ||
          !Node.Sums.hasChanged(this->InForce, this->Now)))
