Keep calls within a chain while they have time and retries left

Cause: an order whose call to a deeper service was displaced from a queue, or refused because the wait looked too long, failed at once, with 0.9 to 1.9 s and a retry left; only the reason overload, the newest request in a full queue, was retried after a pause. An idempotent call that had no retry left ended as unknown when its node was suspected. And a retry that the node's bound refused was deducted from the call's budget.

Ruled out: lookups that hold the slots. The traces of the refused orders show 8 running and 10 queued orders; the target's queue was full of orders. The cut connections: without them the same calls are given up.

Change: these refusals are retried after the same pause and from the same budget as overload, if the request did not run; running work that was cancelled for a higher class is not repeated. A suspected call that has no retry waits for its answer until its deadline. A refused retry stays in the budget.

--- a/include/limpetdrum/request/Call.h
+++ b/include/limpetdrum/request/Call.h
@@ -47,7 +47,7 @@
   /// \brief Reports "not run" as unknown from now on, because an earlier call
   ///   for the same key may have run.
   void assumeMayHaveRun() noexcept { this->MayHaveRun = true; }
-  /// \brief Retries an overloaded service after a pause.
+  /// \brief Retries after a pause if a target's queue refused the request.
   ///
   /// Meant for calls made on behalf of a request whose work so far would
   /// otherwise be lost.
@@ -69,7 +69,8 @@
   ///   still answer.
   [[nodiscard]] Step onLost(bool WasHandedOver, bool SameIncarnationReachable);
   /// \brief Handles the suspicion that the node has failed: it answers on
-  ///   neither the existing connection nor a new one.
+  ///   neither the existing connection nor a new one. Without a retry the call
+  ///   waits on, because the node may be slow.
   [[nodiscard]] Step onSuspected();
   [[nodiscard]] Step onPauseOver();
   [[nodiscard]] Step onDeadline() const;
@@ -84,6 +85,9 @@
 
 private:
   [[nodiscard]] std::uint16_t grant() noexcept;
+  /// \brief Spends one retry.
+  /// \returns false if none is allowed.
+  [[nodiscard]] bool takeRetry() noexcept;
   /// \param FinalReply reply to finish with if no retry is allowed.
   [[nodiscard]] Step retry(Reply FinalReply);
   [[nodiscard]] Step finish(Reply Value) const;
--- a/lib/request/Call.cpp
+++ b/lib/request/Call.cpp
@@ -23,6 +23,17 @@
   }
 }
 
+/// \brief Returns true if the target's node refused the request because of the
+///   requests queued there at that moment.
+bool isRefusedByQueue(const Reply &Value) {
+  if (Value.Reason == Reason::Overload)
+    return true;
+  // Running work that was cancelled for a higher class is not repeated.
+  return Value.Outcome == Outcome::NotRun &&
+         (Value.Reason == Reason::Displaced ||
+          Value.Reason == Reason::DeadlineTooNear);
+}
+
 } // namespace
 
 Call::Call(RunSemantics Semantics, bool MayTryOtherNodes, std::uint16_t Retries,
@@ -61,7 +72,7 @@
     if (this->Semantics == RunSemantics::Once)
       return this->finish(Value);
   }
-  if (this->RetriesOverload && Value.Reason == Reason::Overload) {
+  if (this->RetriesOverload && isRefusedByQueue(Value)) {
     auto Step = this->retry(Value);
     if (std::holds_alternative<SelectNode>(Step))
       Step = Pause{};
@@ -92,10 +103,10 @@
 }
 
 Call::Step Call::onSuspected() {
-  if (this->Semantics == RunSemantics::Once)
+  if (this->Semantics == RunSemantics::Once || !this->takeRetry())
     return Wait{};
   this->MayHaveRun = true;
-  return this->retry(unknownOutcome(Reason::NodeGone, DefaultRetryAfter));
+  return SelectNode{};
 }
 
 Call::Step Call::onPauseOver() {
@@ -111,10 +122,18 @@
   return this->finish(unknownOutcome(Reason::TimedOut, DefaultRetryAfter));
 }
 
+bool Call::takeRetry() noexcept {
+  if (!this->MayTryOtherNodes || this->Budget.remaining() == 0 ||
+      !this->Ratio->take())
+    return false;
+  static_cast<void>(this->Budget.take());
+  ++this->RetriesMade;
+  return true;
+}
+
 Call::Step Call::retry(Reply FinalReply) {
-  if (!this->MayTryOtherNodes || !this->Budget.take() || !this->Ratio->take())
+  if (!this->takeRetry())
     return this->finish(std::move(FinalReply));
-  ++this->RetriesMade;
   return SelectNode{};
 }
 
