Leave some retries on overload to the most important class

Cause: a node's retries are at most a tenth of its calls. During an overload calls of lower classes are refused most, and their retries use up the tenth.

Change: on a refusal by a queue, calls of all classes but the most important one retry only if ten of the node's retries remain. Retries after a lost node are as before.

--- a/include/limpetdrum/daemon/Caller.h
+++ b/include/limpetdrum/daemon/Caller.h
@@ -85,7 +85,7 @@
       if (this->Request.MayHaveRun)
         this->Decisions.assumeMayHaveRun();
       if (this->Request.RetryOnOverload)
-        this->Decisions.retryOnOverload();
+        this->Decisions.retryOnOverload(this->Request.Spec.Rank);
       this->Decisions.setCallDepth(this->Request.CallDepth);
     }
   };
--- a/include/limpetdrum/request/Call.h
+++ b/include/limpetdrum/request/Call.h
@@ -51,7 +51,12 @@
   ///
   /// Meant for calls made on behalf of a request whose work so far would
   /// otherwise be lost.
-  void retryOnOverload() noexcept { this->RetriesOverload = true; }
+  /// \param Rank class of the request. All but the most important class leave
+  ///   some of the node's retries to it.
+  void retryOnOverload(ClassRank Rank) noexcept {
+    this->RetriesOverload = true;
+    this->Rank = Rank;
+  }
   /// \brief Sets the depth of the callee's own calls, which determines the
   ///   share of the budget that is granted to it.
   void setCallDepth(unsigned Levels) noexcept { this->CallDepth = Levels; }
@@ -86,15 +91,17 @@
 private:
   [[nodiscard]] std::uint16_t grant() noexcept;
   /// \brief Spends one retry.
+  /// \param Reserve number of the node's retries left to other calls.
   /// \returns false if none is allowed.
-  [[nodiscard]] bool takeRetry() noexcept;
+  [[nodiscard]] bool takeRetry(double Reserve = 0) noexcept;
   /// \param FinalReply reply to finish with if no retry is allowed.
-  [[nodiscard]] Step retry(Reply FinalReply);
+  [[nodiscard]] Step retry(Reply FinalReply, double Reserve = 0);
   [[nodiscard]] Step finish(Reply Value) const;
 
   RunSemantics Semantics;
   bool MayTryOtherNodes;
   bool RetriesOverload = false;
+  ClassRank Rank; ///< set if it retries on overload
   RetryBudget Budget;
   unsigned CallDepth = 0;
   RetryRatio *Ratio;
--- a/include/limpetdrum/request/RetryBudget.h
+++ b/include/limpetdrum/request/RetryBudget.h
@@ -64,8 +64,9 @@
   /// \brief Records a call, which earns a fraction of a retry.
   void onCall() noexcept;
   /// \brief Spends one retry.
+  /// \param Reserve number of retries that must remain for other calls.
   /// \returns false if there are too many retries for the recent calls.
-  [[nodiscard]] bool take() noexcept;
+  [[nodiscard]] bool take(double Reserve = 0) noexcept;
 
 private:
   double Tokens = 10;
--- a/lib/request/Call.cpp
+++ b/lib/request/Call.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr Milliseconds DefaultRetryAfter{1000};
+/// Retries of a node that refusals of lower classes leave to the most important
+/// one. During an overload the lower classes are refused most, and would use up
+/// all retries.
+constexpr double ReservedRetriesOnOverload = 10;
 
 /// \brief Returns true if the request may succeed at another node, which may
 ///   have capacity or a working target where this one had none.
@@ -73,7 +77,8 @@
       return this->finish(Value);
   }
   if (this->RetriesOverload && isRefusedByQueue(Value)) {
-    auto Step = this->retry(Value);
+    auto Step = this->retry(
+        Value, this->Rank == ClassRank() ? 0 : ReservedRetriesOnOverload);
     if (std::holds_alternative<SelectNode>(Step))
       Step = Pause{};
     return Step;
@@ -122,17 +127,17 @@
   return this->finish(unknownOutcome(Reason::TimedOut, DefaultRetryAfter));
 }
 
-bool Call::takeRetry() noexcept {
+bool Call::takeRetry(double Reserve) noexcept {
   if (!this->MayTryOtherNodes || this->Budget.remaining() == 0 ||
-      !this->Ratio->take())
+      !this->Ratio->take(Reserve))
     return false;
   static_cast<void>(this->Budget.take());
   ++this->RetriesMade;
   return true;
 }
 
-Call::Step Call::retry(Reply FinalReply) {
-  if (!this->takeRetry())
+Call::Step Call::retry(Reply FinalReply, double Reserve) {
+  if (!this->takeRetry(Reserve))
     return this->finish(std::move(FinalReply));
   return SelectNode{};
 }
--- a/lib/request/RetryBudget.cpp
+++ b/lib/request/RetryBudget.cpp
@@ -15,8 +15,8 @@
   this->Tokens = std::min(MaxTokens, this->Tokens + TokensPerCall);
 }
 
-bool RetryRatio::take() noexcept {
-  if (this->Tokens < 1)
+bool RetryRatio::take(double Reserve) noexcept {
+  if (this->Tokens < 1 + Reserve)
     return false;
   this->Tokens -= 1;
   return true;
--- a/unittests/CallTest.cpp
+++ b/unittests/CallTest.cpp
@@ -153,7 +153,7 @@
           "[call]") {
   RetryRatio Ratio;
   Call C(RunSemantics::Once, true, 1, Ratio);
-  C.retryOnOverload();
+  C.retryOnOverload(ClassRank(0));
   auto Refused = notRun(Reason::Overload, Milliseconds(500));
   auto Sent = std::get<Call::Send>(C.onNodeSelected(FirstNode, attempt(1)));
   Refused.RetriesLeft = Sent.Retries;
@@ -176,7 +176,7 @@
   for (auto Cause : {Reason::Displaced, Reason::DeadlineTooNear}) {
     RetryRatio Ratio;
     Call C(RunSemantics::Once, true, 1, Ratio);
-    C.retryOnOverload();
+    C.retryOnOverload(ClassRank(0));
     auto Refused = notRun(Cause, Milliseconds(500));
     auto Sent = std::get<Call::Send>(C.onNodeSelected(FirstNode, attempt(1)));
     Refused.RetriesLeft = Sent.Retries;
@@ -195,13 +195,37 @@
           "[call]") {
   RetryRatio Ratio;
   Call C(RunSemantics::Idempotent, true, 1, Ratio);
-  C.retryOnOverload();
+  C.retryOnOverload(ClassRank(0));
   auto Cancelled = unknownOutcome(Reason::Displaced, Milliseconds(500));
   auto Sent = std::get<Call::Send>(C.onNodeSelected(FirstNode, attempt(1)));
   Cancelled.RetriesLeft = Sent.Retries;
   CHECK(finished(C.onReply(Cancelled)) != nullptr);
 }
 
+// Demand of low importance is refused most; its retries must not use up those
+// of a request whose work so far would be lost.
+TEST_CASE("Call of the most important class is retried on overload after many "
+          "of lower classes were refused",
+          "[call]") {
+  RetryRatio Ratio;
+  auto IsRetried = [&Ratio](ClassRank Rank) {
+    Call C(RunSemantics::Idempotent, true, 1, Ratio);
+    static_cast<void>(C.start());
+    C.retryOnOverload(Rank);
+    auto Sent = std::get<Call::Send>(C.onNodeSelected(FirstNode, attempt(1)));
+    auto Refused = notRun(Reason::Displaced, Milliseconds(500));
+    Refused.RetriesLeft = Sent.Retries;
+    return std::holds_alternative<Call::Pause>(C.onReply(Refused));
+  };
+  unsigned LowRetries = 0;
+  for (int I = 0; I < 1000; ++I)
+    LowRetries += IsRetried(ClassRank(1)) ? 1 : 0;
+  // A tenth of the calls; the lower classes are not shut out.
+  CHECK(LowRetries >= 80);
+  for (int I = 0; I < 8; ++I)
+    CHECK(IsRetried(ClassRank(0)));
+}
+
 TEST_CASE("Call keeps its only retry when a call to a leaf is lost", "[call]") {
   RetryRatio Ratio;
   Call C(RunSemantics::Idempotent, true, 1, Ratio);
