Let the entry gate admit by organisation

Cause: the gate cuts all requests of a rank alike, so the organisation that asks for ten times its share decides what all others lose. Ruled out: a credit for each route and organisation, a state of the product of both; the routes' credit, which organisations would pass on to each other. With shares the gate draws for each request instead. Change: OverloadControl::setOrganisations takes the demand; within the share of a route, organisations are admitted by FairShares. The line 'refused' names the organisation and its share. Nothing sets the demand yet, and without it the gate does what it did; the rank of an organisation does not count at the gate yet. Two calls in the gate's tests name the new field, without another change.

--- a/include/limpetdrum/request/FairShares.h
+++ b/include/limpetdrum/request/FairShares.h
@@ -31,6 +31,8 @@
   ///   Entries that are not finite or not above 0 count as no demand.
   FairShares(const std::vector<Demand> &Known, const Demand &Others);
 
+  /// \brief Returns true if no demand is known.
+  [[nodiscard]] bool empty() const noexcept { return this->Sums.empty(); }
   /// \brief Returns the requests per second and unit of weight up to which
   ///   organisations are admitted.
   /// \param Share of all requests that can be admitted, 0 to 1.
--- a/include/limpetdrum/request/OverloadControl.h
+++ b/include/limpetdrum/request/OverloadControl.h
@@ -19,6 +19,7 @@
     Milliseconds TimeLeft{0};
     /// Time left in which a reply meets the route's latency target.
     Milliseconds LatencyTargetLeft{0};
+    limpetdrum::Organisation Organisation; ///< empty if it is nobody's
   };
 
   explicit OverloadControl(std::uint64_t Seed);
@@ -39,6 +40,10 @@
                                     const ServiceName &Service, TimePoint Now);
   /// \brief Returns the demand and costs of the fleet known to this node.
   [[nodiscard]] DemandModel &demand() noexcept { return this->Demand; }
+  /// \brief Sets what organisations ask for, for the next update.
+  void setOrganisations(FairShares Value) {
+    this->Gate.setOrganisations(std::move(Value));
+  }
   /// \brief Recalculates the admitted shares; to be called about every 200 ms.
   void update(const TrafficPolicy &Policy,
               const std::map<ServiceName, ServiceLoad> &Loads, TimePoint Now);
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -241,6 +241,7 @@
       std::chrono::duration_cast<Milliseconds>(Request->Deadline - Time);
   EntryRequest.LatencyTargetLeft = std::chrono::duration_cast<Milliseconds>(
       Request->Message.Started + Request->Route->LatencyTarget - Time);
+  EntryRequest.Organisation = Request->Organisation;
   if (auto RetryAfter = this->Overload.admit(EntryRequest)) {
     this->refuse(Request, Reason::LevelAtEntry, *RetryAfter);
     return;
@@ -537,7 +538,9 @@
        {"turns", Request->Plan.attempts()},
        {"share", Request->Route == nullptr
                      ? 1
-                     : this->Overload.gate().share(Request->Route->Name)},
+                     : this->Overload.gate().share(Request->Route->Name,
+                                                   Request->Organisation)},
+       {"organisation", Request->Organisation.value()},
        {"parent", Request->ParentId},
        {"retry_after_ms", RetryAfter.count()},
        {"policy", Request->Policy ? Request->Policy->version().value() : 0}});
--- a/lib/request/EntryGate.cpp
+++ b/lib/request/EntryGate.cpp
@@ -84,6 +84,18 @@
       Gate.Share = 1;
   for (const auto &[Name, Share] : Shares)
     this->Gates[Name].Share = Share;
+  for (auto &[Name, Gate] : this->Gates)
+    Gate.Level = this->Organisations.level(Gate.Share);
+}
+
+double EntryGate::shareOf(const Gate &Entry, const Organisation &Owner) const {
+  return this->Organisations.share(Owner, Entry.Share, Entry.Level);
+}
+
+double EntryGate::share(const std::string &Route,
+                        const Organisation &Owner) const {
+  auto Found = this->Gates.find(Route);
+  return Found == this->Gates.end() ? 1 : this->shareOf(Found->second, Owner);
 }
 
 double EntryGate::share(const std::string &Route) const {
@@ -91,7 +103,7 @@
   return Found == this->Gates.end() ? 1 : Found->second.Share;
 }
 
-bool EntryGate::admit(const std::string &Route) {
+bool EntryGate::admit(const std::string &Route, const Organisation &Owner) {
   auto Found = this->Gates.find(Route);
   if (Found == this->Gates.end())
     return true;
@@ -100,9 +112,12 @@
     Gate.Credit = 0;
     return true;
   }
-  Gate.Credit = std::min(Gate.Credit + Gate.Share, 1.0);
   // Dithering prevents nodes from admitting their requests at the same moments.
   std::uniform_real_distribution<double> Dither(0, 1);
+  // A credit that organisations shared would pass from one to the other.
+  if (!this->Organisations.empty())
+    return Dither(this->Random) < this->shareOf(Gate, Owner);
+  Gate.Credit = std::min(Gate.Credit + Gate.Share, 1.0);
   bool Admitted = Gate.Credit >= Dither(this->Random);
   if (Admitted)
     Gate.Credit -= 1;
--- a/lib/request/OverloadControl.cpp
+++ b/lib/request/OverloadControl.cpp
@@ -63,7 +63,7 @@
 }
 
 std::optional<Milliseconds> OverloadControl::admit(const Request &Request) {
-  if (Request.IsCall || this->Gate.admit(Request.Route))
+  if (Request.IsCall || this->Gate.admit(Request.Route, Request.Organisation))
     return std::nullopt;
   return this->retryDelay(Request);
 }
--- a/unittests/EntryGateTest.cpp
+++ b/unittests/EntryGateTest.cpp
@@ -81,11 +81,13 @@
                          Now);
   }
 
-  double admittedShare(const std::string &Name, int Count = 2000) {
+  double admittedShare(const std::string &Name, int Count = 2000,
+                       const std::string &Owner = "") {
     int Admitted = 0;
     for (int I = 0; I < Count; ++I)
       if (!this->Control.admit({Name, this->Control.isInternalRoute(Name),
-                                Milliseconds(2000), Milliseconds(1000)}))
+                                Milliseconds(2000), Milliseconds(1000),
+                                Organisation(Owner)}))
         ++Admitted;
     return static_cast<double>(Admitted) / Count;
   }
@@ -113,6 +115,32 @@
   CHECK(Services.admittedShare("lookup") == 1);
 }
 
+TEST_CASE("EntryGate cuts the organisation that asks for ten times its share") {
+  Fleet Services;
+  std::vector<FairShares::Demand> Demand;
+  for (int I = 0; I < 30; ++I)
+    Demand.push_back(
+        {Organisation("o" + std::to_string(I)), I == 0 ? 300.0 : 10.0, 1});
+  Services.Control.setOrganisations(FairShares(Demand, {}));
+  Services.recordUsage(100, 400, 100);
+  // 48% of 590 fits: 283 requests, of which a level of 8.3 takes 238 by the
+  // small ones, and the least share 43 by the large one.
+  CHECK(Services.admittedShare("browse", 2000, "o1") ==
+        Approx(0.83).margin(0.06));
+  CHECK(Services.admittedShare("browse", 2000, "o0") ==
+        Approx(0.144).margin(0.03));
+  // Those that nothing is known of ask for less than the level.
+  CHECK(Services.admittedShare("browse", 2000, "o99") == 1);
+  // A class of higher rank is never refused for the sake of shares.
+  CHECK(Services.admittedShare("order", 2000, "o0") == 1);
+  CHECK(Services.Control.gate().share("browse", Organisation("o0")) ==
+        Approx(0.144).margin(0.01));
+  // Nothing is cut while the slots suffice.
+  Services.Clock.advance(std::chrono::seconds(1));
+  Services.recordUsage(20, 100, 20);
+  CHECK(Services.admittedShare("browse", 2000, "o0") == 1);
+}
+
 TEST_CASE("EntryGate assumes no extra capacity after a calm period") {
   Fleet Services;
   for (int I = 0; I < 60; ++I)
@@ -171,7 +199,7 @@
       auto [At, IsRetry] = *Arrivals.begin();
       Arrivals.erase(Arrivals.begin());
       auto RetryDelay = Services.Control.admit(
-          {"browse", false, Milliseconds(3000), Milliseconds(1200)});
+          {"browse", false, Milliseconds(3000), Milliseconds(1200), {}});
       if (!RetryDelay) {
         ++(IsRetry ? ServedOnRetry : ServedAtOnce);
         continue;
@@ -200,7 +228,7 @@
   int Refused = 0;
   for (int I = 0; I < 1000; ++I) {
     auto RetryDelay = Services.Control.admit(
-        {"browse", false, Milliseconds(5000), Milliseconds(1200)});
+        {"browse", false, Milliseconds(5000), Milliseconds(1200), {}});
     if (!RetryDelay)
       continue;
     ++Refused;
