Divide what a short service has room for among organisations

Cause: the entry gate could admit by organisation, but nothing told it what they ask for, so all lost as large a part as the one that asked for too much. Ruled out: the demand beyond an allowance as demand here, as it is refused before. With no news, all are treated alike. The test: one at eight times its rate is cut to half, the others lose nothing; without the weights' sum all would get 0.75.

--- a/include/limpetdrum/request/Allowances.h
+++ b/include/limpetdrum/request/Allowances.h
@@ -56,6 +56,10 @@
   void onFleetUse(const std::vector<OrganisationUse> &Uses, std::size_t Nodes,
                   TimePoint Now);
 
+  /// \brief Returns the demand over the fleet of the organisations in the last
+  ///   news; nothing if that is not fresh.
+  [[nodiscard]] std::vector<OrganisationUse> fleetUses(TimePoint Now) const;
+
   /// \brief Inputs of the decision about an organisation's requests.
   struct View {
     double Level = 0;      ///< requests that the account holds
--- a/include/limpetdrum/request/FairShares.h
+++ b/include/limpetdrum/request/FairShares.h
@@ -2,6 +2,8 @@
 #define LIMPETDRUM_REQUEST_FAIRSHARES_H
 
 #include "limpetdrum/process/Types.h"
+#include "limpetdrum/request/OrganisationUse.h"
+#include "limpetdrum/version/Organisations.h"
 
 #include <unordered_map>
 #include <vector>
@@ -60,6 +62,18 @@
   std::vector<Sum> Sums; ///< by ratio, ascending
 };
 
+/// \brief Returns the shares of organisations that have an allowance, weighted
+///   by its rate.
+///
+/// What exceeds an allowance is refused before, and counts as no demand here.
+/// \param Uses demand over the fleet of the organisations for which it is
+/// known. \param TotalAsked requests per second of all clients. \returns no
+/// shares if no demand is known: all organisations are treated
+///   alike.
+[[nodiscard]] FairShares fairShares(const Organisations &InForce,
+                                    const std::vector<OrganisationUse> &Uses,
+                                    double TotalAsked);
+
 } // namespace limpetdrum
 
 #endif
--- a/include/limpetdrum/request/OverloadControl.h
+++ b/include/limpetdrum/request/OverloadControl.h
@@ -40,6 +40,8 @@
                                     const ServiceName &Service, TimePoint Now);
   /// \brief Returns the demand and costs of the fleet known to this node.
   [[nodiscard]] DemandModel &demand() noexcept { return this->Demand; }
+  /// \brief Returns the requests per second that clients of the fleet make.
+  [[nodiscard]] double totalOffered(const TrafficPolicy &Policy) const;
   /// \brief Sets what organisations ask for, for the next update.
   void setOrganisations(FairShares Value) {
     this->Gate.setOrganisations(std::move(Value));
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -396,8 +396,13 @@
 void Sidecar::State::updateGate() {
   if (!this->Policies.current())
     return;
-  this->Overload.update(*this->Policies.current(),
-                        this->Links.loads(this->status()), this->Loop.now());
+  auto Now = this->Loop.now();
+  const auto &InForce = *this->Policies.current();
+  if (!InForce.organisations().empty())
+    this->Overload.setOrganisations(
+        fairShares(InForce.organisations(), this->AllowanceParts.fleetUses(Now),
+                   this->Overload.totalOffered(InForce)));
+  this->Overload.update(InForce, this->Links.loads(this->status()), Now);
 }
 
 void Sidecar::State::onPolicy(const TrafficPolicy &NewPolicy) {
--- a/lib/request/Allowances.cpp
+++ b/lib/request/Allowances.cpp
@@ -348,6 +348,15 @@
     Entry.IsBinding = false;
 }
 
+std::vector<OrganisationUse> Allowances::fleetUses(TimePoint Now) const {
+  std::vector<OrganisationUse> Uses;
+  if (this->isBlind(Now))
+    return Uses;
+  for (const auto &[Name, Asked] : this->FleetUse)
+    Uses.push_back({Name, Asked, 0});
+  return Uses;
+}
+
 std::optional<Allowances::View> Allowances::view(const Organisation &Name,
                                                  TimePoint Now) const {
   auto Found = this->Accounts.find(Name);
--- a/lib/request/FairShares.cpp
+++ b/lib/request/FairShares.cpp
@@ -84,4 +84,29 @@
   return std::max(Level / Ratio, MinRelativeShare * Share);
 }
 
+FairShares fairShares(const Organisations &InForce,
+                      const std::vector<OrganisationUse> &Uses,
+                      double TotalAsked) {
+  FairShares::Demand Others;
+  Others.Asked = TotalAsked;
+  Others.Weight = 0;
+  for (const auto &Entry : InForce.entries())
+    Others.Weight += Entry.RatePerSecond;
+  std::vector<FairShares::Demand> Known;
+  for (const auto &Use : Uses) {
+    const auto *Entry = InForce.find(Use.Organisation);
+    if (Entry == nullptr || Entry->RatePerSecond <= 0)
+      continue;
+    auto Asked = std::min(Use.Asked, Entry->RatePerSecond);
+    Known.push_back({Use.Organisation, Asked, Entry->RatePerSecond});
+    Others.Asked -= Asked;
+    Others.Weight -= Entry->RatePerSecond;
+  }
+  if (Known.empty())
+    return {};
+  Others.Asked = std::max(0.0, Others.Asked);
+  Others.Weight = std::max(0.0, Others.Weight);
+  return FairShares(Known, Others);
+}
+
 } // namespace limpetdrum
--- a/lib/request/OverloadControl.cpp
+++ b/lib/request/OverloadControl.cpp
@@ -37,6 +37,14 @@
   this->Gate.update(Policy, this->Demand, Loads);
 }
 
+double OverloadControl::totalOffered(const TrafficPolicy &Policy) const {
+  double Total = 0;
+  for (const auto &Route : Policy.routes())
+    if (!this->Demand.isInternalRoute(Route.Name))
+      Total += this->Demand.offered(Route.Name);
+  return Total;
+}
+
 void OverloadControl::onServed(const std::string &Route, Microseconds Latency) {
   auto Sample = static_cast<double>(Latency.count());
   auto &Mean = this->Latencies.try_emplace(Route, Sample).first->second;
--- a/unittests/FairSharesTest.cpp
+++ b/unittests/FairSharesTest.cpp
@@ -122,3 +122,26 @@
     }
   }
 }
+
+TEST_CASE("Fair shares are weighted by allowance, and capped by it") {
+  std::vector<OrganisationPolicy> Entries(3);
+  for (std::size_t I = 0; I < Entries.size(); ++I) {
+    Entries[I].Name = Organisation("o" + std::to_string(I));
+    Entries[I].RatePerSecond = 100;
+  }
+  Organisations InForce(Entries);
+  // The first asks for eight times its rate, the second for half of its own;
+  // the third is not in the news and makes the rest of 200 requests.
+  auto Shares = fairShares(InForce,
+                           {{Organisation("o0"), 800, 0},
+                            {Organisation("o1"), 50, 0},
+                            {Organisation("gone"), 500, 0}},
+                           200);
+  // There is room for 150: what goes is taken from the first alone.
+  auto Level = Shares.level(0.75);
+  CHECK(Shares.share(Organisation("o0"), 0.75, Level) == Approx(0.5));
+  CHECK(Shares.share(Organisation("o1"), 0.75, Level) == Approx(1));
+  CHECK(Shares.share(Organisation("o2"), 0.75, Level) == Approx(1));
+  CHECK(fairShares(InForce, {}, 200).empty());
+  CHECK(fairShares(InForce, {{Organisation("gone"), 500, 0}}, 200).empty());
+}
