Let the target's own word decide whether it has room

Cause: the short delay after a refusal went by what the node has sent itself. A target that is full with other work, or has fewer slots than announced, would get its clients back at once.

Change: if the refusal states a load, the target has room only if nothing waits there and fewer requests run than it has slots.

--- a/include/limpetdrum/daemon/calls/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -161,7 +161,11 @@
   void reportSound(Entry &Run);
   void endRun(AttemptId Id, Reply Value);
   /// Handles what the target says about itself in its answers.
-  void readNotices(const HttpResponse &Answer);
+  /// \returns the load that it states, if any.
+  std::optional<TargetLoad> readNotices(const HttpResponse &Answer);
+  /// Returns true if the target is not full, by what is known here and by the
+  /// load that it states.
+  [[nodiscard]] bool hasRoom(const std::optional<TargetLoad> &Stated) const;
   /// Updates the request rate that the target names in its answers.
   void readRequestRate(const HttpResponse &Answer);
   /// Keeps the target to a rate, in requests per second, from now on.
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -280,18 +280,28 @@
                                  });
 }
 
-void LocalTarget::readNotices(const HttpResponse &Answer) {
+std::optional<TargetLoad> LocalTarget::readNotices(const HttpResponse &Answer) {
   if (!hasNotices(Answer))
-    return;
+    return std::nullopt;
   this->readRequestRate(Answer);
-  if (auto Load = this->readLoad(Answer); Load && Load->Pace)
+  auto Load = this->readLoad(Answer);
+  if (Load && Load->Pace)
     this->Queue.setPace(*Load->Pace, this->Now());
   if (!saysLeaving(Answer, this->Names) ||
       this->Record.State >= TargetState::Draining)
-    return;
+    return Load;
   auto LeavingRecord = this->Record;
   LeavingRecord.State = TargetState::Draining;
   this->setRecord(LeavingRecord, Milliseconds(0));
+  return Load;
+}
+
+bool LocalTarget::hasRoom(const std::optional<TargetLoad> &Stated) const {
+  if (Stated &&
+      (Stated->Waiting > 0 || Stated->Running >= Stated->Slots.value()))
+    return false;
+  return this->Queue.queued() == 0 &&
+         this->Queue.running() < this->Queue.limit(this->Now());
 }
 
 std::optional<TargetLoad> LocalTarget::readLoad(const HttpResponse &Answer) {
@@ -366,12 +376,12 @@
           [this](bool HasEnded) { this->endBrokenRuns(HasEnded); });
     return;
   }
+  std::optional<TargetLoad> Stated;
   if (IsCurrentTarget)
-    this->readNotices(Answer);
-  bool HasRoom = this->Queue.queued() == 0 &&
-                 this->Queue.running() < this->Queue.limit(this->Now());
-  auto Value = toReply(Answer, this->Names, MinRetryAfter,
-                       HasRoom ? RetryAfterWithRoom : this->retryAfter());
+    Stated = this->readNotices(Answer);
+  auto Value =
+      toReply(Answer, this->Names, MinRetryAfter,
+              this->hasRoom(Stated) ? RetryAfterWithRoom : this->retryAfter());
   if (Found->second.CallFailed && Value.Status >= 500)
     Value.Reason = Reason::CallFailed;
   if (Value.Outcome == Outcome::Answered && Value.Status < 500)
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -555,16 +555,23 @@
   LocalTargetFixture Fixture;
   REQUIRE(Fixture.Target.onReport(
       LocalTargetFixture::report("t1", 100, 1, TargetState::Ready, 10)));
-  auto Refuse = [&](std::size_t Index) {
+  auto Refuse = [&](std::size_t Index, const char *Load = "1,0,10") {
     Fixture.SentCallbacks.at(Index)(
-        LocalTargetFixture::answer(503, {{"limpetdrum-not-executed", "1"}}));
+        LocalTargetFixture::answer(503, {{"limpetdrum-not-executed", "1"},
+                                         {"limpetdrum-target-load", Load}}));
     return Fixture.Replies.back().RetryAfter;
   };
   Fixture.execute(1);
   CHECK(Refuse(0) <= Milliseconds(50));
   CHECK(Fixture.Replies.back().Outcome == Outcome::NotRun);
   CHECK(Fixture.Replies.back().RetryAfter > Milliseconds(0));
-  for (std::uint64_t Call = 2; Call <= 15; ++Call)
+  // A target that serves others too knows better.
+  for (const char *Load : {"10,0,10", "4,2,10", "12,0,10,250"}) {
+    Fixture.execute(Fixture.SentCallbacks.size() + 1);
+    CHECK(Refuse(Fixture.SentCallbacks.size() - 1, Load) >= Milliseconds(300));
+  }
+  auto Sent = Fixture.SentCallbacks.size();
+  for (std::uint64_t Call = 20; Call <= 35; ++Call)
     Fixture.execute(Call);
-  CHECK(Refuse(1) >= Milliseconds(300));
+  CHECK(Refuse(Sent) >= Milliseconds(300));
 }
