--- a/benchmarks/Decisions.cpp
+++ b/benchmarks/Decisions.cpp
@@ -4,6 +4,7 @@
 #include "limpetdrum/Limpetdrum.h"
 #include "limpetdrum/daemon/Codec.h"
 #include "limpetdrum/daemon/ServiceDirectory.h"
+#include "limpetdrum/request/Allowances.h"
 #include "limpetdrum/request/Identification.h"
 
 #include <benchmark/benchmark.h>
@@ -216,6 +217,33 @@
 }
 BENCHMARK(identifyByKey)->Arg(0)->Arg(70)->Arg(20000);
 
+/// A request taken out of the allowance of one of the given number of
+/// organisations; at 0 of one that has no allowance.
+void takeAllowance(benchmark::State &State) {
+  std::vector<OrganisationPolicy> Owners(
+      static_cast<std::size_t>(std::max<std::int64_t>(1, State.range(0))));
+  for (std::size_t I = 0; I < Owners.size(); ++I) {
+    Owners[I].Name = Organisation("customer-" + std::to_string(I));
+    Owners[I].RatePerSecond = State.range(0) == 0 ? 0 : 1e6;
+    Owners[I].Burst = Owners[I].RatePerSecond;
+  }
+  Allowances Parts(1);
+  Parts.setFleetSize(1);
+  TimePoint Now = StartTime;
+  for (const auto &Owner : Owners)
+    benchmark::DoNotOptimize(Parts.take(Owner, Now));
+  std::size_t Next = 0;
+  auto Before = AllocationCount;
+  for (auto _ : State) {
+    Now += Microseconds(100);
+    benchmark::DoNotOptimize(Parts.take(Owners[++Next % Owners.size()], Now));
+  }
+  State.counters["allocations"] =
+      benchmark::Counter(static_cast<double>(AllocationCount - Before),
+                         benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(takeAllowance)->Arg(0)->Arg(70)->Arg(20000);
+
 Member member(std::int64_t Number) {
   Member M;
   M.Node = NodeId("node-" + std::to_string(Number));
