--- a/unittests/EvenLoadFleet.h
+++ b/unittests/EvenLoadFleet.h
@@ -35,8 +35,9 @@
   double Slowed = 0;  ///< share of the time in which an instance is slowed
   double Short = 0; ///< share of requests that run for a twentieth of the mean
   bool SharedTick = false; ///< all nodes choose every 50 ms, at the same time
-  bool Cold = false; ///< a target joins empty at 6 s, and runs slow for 3 s
-  bool Ends = false; ///< a target ends at 10 s
+  bool Cold = false;  ///< a target joins empty at 6 s, and runs slow for 3 s
+  bool Hangs = false; ///< two targets run nothing from 6 s to 10 s
+  bool Ends = false;  ///< a target ends at 10 s
   std::size_t SlotsEach = 20; ///< of a target
 };
 
@@ -80,6 +81,7 @@
   static constexpr std::size_t DomainCount = 3;
   static constexpr std::size_t LinksEach = 8; ///< own domain, and others
   static constexpr std::size_t MaxTries = 3;
+  static constexpr Milliseconds Timeout{700};
   static constexpr double WorkMs = 100;
   static constexpr double ReplyMs = 1;
 
@@ -101,7 +103,8 @@
     std::vector<Request> Running;
     std::deque<Request> Queue;
     double TypicalMs = 0; ///< smoothed time of a run
-    double LoadSum = 0;   ///< in this second
+    TimePoint HangsUntil{};
+    double LoadSum = 0; ///< in this second
   };
   struct News {
     TimePoint At;
@@ -119,6 +122,7 @@
     FailureDomain Domain;
   };
 
+  void timeOut(Target &T);
   [[nodiscard]] double uniform() { return this->Unit(this->Random); }
   [[nodiscard]] PlacementCandidate stateOf(const Target &T) const;
   void offer(double PerMs);
@@ -288,6 +292,10 @@
     T.PaceUntil =
         Now + Milliseconds(100 + static_cast<int>(this->uniform() * 400));
   }
+  if (Now < T.HangsUntil) {
+    this->timeOut(T);
+    return;
+  }
   double Step = T.Speed / T.Pace / (Now < T.WarmAt ? 2 : 1);
   std::vector<Request> Done;
   for (std::size_t I = 0; I < T.Running.size();) {
@@ -318,6 +326,23 @@
   T.LoadSum += static_cast<double>(T.Running.size() + T.Queue.size());
 }
 
+inline void EvenLoadFleet::timeOut(Target &T) {
+  auto Now = this->Clock.now();
+  auto Cull = [&](auto &Requests) {
+    auto Kept = std::stable_partition(
+        Requests.begin(), Requests.end(),
+        [&](const auto &Each) { return Now - Each.Begin < Timeout; });
+    for (auto Each = Kept; Each != Requests.end(); ++Each) {
+      auto &D = this->Deciders[Each->Node];
+      D.Choice->end(T.Name, CallResult::Failed, Now);
+      ++this->View.Lost;
+    }
+    Requests.erase(Kept, Requests.end());
+  };
+  Cull(T.Running);
+  Cull(T.Queue);
+}
+
 inline void EvenLoadFleet::broadcast() {
   for (std::size_t N = 0; N < Nodes; ++N) {
     auto &D = this->Deciders[N];
@@ -357,6 +382,9 @@
       if (std::count(D.Links.begin(), D.Links.end(), 0U) > 0)
         this->learn(D, this->stateOf(this->Targets[0]), this->Clock.now());
   }
+  if (this->Play.Hangs && Passed == std::chrono::seconds(6))
+    for (std::size_t I : {2U, 5U})
+      this->Targets[I].HangsUntil = this->Clock.now() + std::chrono::seconds(4);
   if (!this->Play.Ends || Passed != std::chrono::seconds(10))
     return;
   auto &T = this->Targets[1];
--- a/unittests/EvenLoadTest.cpp
+++ b/unittests/EvenLoadTest.cpp
@@ -42,6 +42,7 @@
   auto &Changes = Add("a target joins cold, one ends", 0.7).Scenario;
   Changes.Cold = true;
   Changes.Ends = true;
+  Add("two targets hang", 0.6).Scenario.Hangs = true;
   auto &Pace = Add("pace changes several times a second", 0.65);
   Pace.Scenario.Slowed = 0.15;
   // An instance that is slowed 2.5 times has that share before anybody knows.
