Remove what nodes told of granted requests, which nothing read

Cause: each report of an organisation's use carried the requests that its allowance had let through; the sums added it up, and no decision used it. Ruled out: using it as the demand at the entry gate, which takes the demand up to the rate from the same news. Change: the field is gone from the type, the wire and the accounts; a rate that is not finite is refused like a negative one.

--- a/include/limpetdrum/request/Allowances.h
+++ b/include/limpetdrum/request/Allowances.h
@@ -90,7 +90,6 @@
     /// the sum over the nodes is right on average.
     double Required = 1;
     RecentRate Asked;
-    RecentRate Granted;
     /// Demand in reports at least 250 ms apart, the latest first.
     std::array<std::pair<TimePoint, double>, 6> Reports{};
     double Part = 0; ///< of the fleet's allowance, as the last news showed
--- a/include/limpetdrum/request/OrganisationUse.h
+++ b/include/limpetdrum/request/OrganisationUse.h
@@ -5,12 +5,11 @@
 
 namespace limpetdrum {
 
-/// \brief Requests of an organisation at one node, or summed over several, in
-///   requests per second.
+/// \brief Requests per second of an organisation that arrive at one node, or at
+///   several.
 struct OrganisationUse {
   limpetdrum::Organisation Organisation;
-  double Asked = 0;   ///< that arrived
-  double Granted = 0; ///< that its allowance let through
+  double Asked = 0;
 };
 
 } // namespace limpetdrum
--- a/lib/daemon/fleet/MeshCodec.cpp
+++ b/lib/daemon/fleet/MeshCodec.cpp
@@ -4,6 +4,7 @@
 #include "limpetdrum/request/Position.h"
 
 #include <capnp/message.h>
+#include <cmath>
 
 namespace limpetdrum::codec {
 
@@ -233,7 +234,6 @@
     const auto &Use = Value.Organisations[I];
     Entries[I].setOrganisation(Use.Organisation.value());
     Entries[I].setAsked(static_cast<float>(Use.Asked));
-    Entries[I].setGranted(static_cast<float>(Use.Granted));
   }
   return encodeFrame(Message);
 }
@@ -370,13 +370,13 @@
   Value.Scope = readScope(Reader.getScope());
   Value.Nodes = Reader.getNodes();
   for (auto Entry : Reader.getOrganisations()) {
-    if (!(Entry.getAsked() >= 0) || !(Entry.getGranted() >= 0))
+    if (!(Entry.getAsked() >= 0) || !std::isfinite(Entry.getAsked()))
       throw ValueError("invalid usage of organisation '" +
                            text(Entry.getOrganisation()) +
-                           "': rates must be at least 0",
+                           "': the rate must be a number from 0",
                        "run the same release on all nodes");
-    Value.Organisations.push_back({Organisation(text(Entry.getOrganisation())),
-                                   Entry.getAsked(), Entry.getGranted()});
+    Value.Organisations.push_back(
+        {Organisation(text(Entry.getOrganisation())), Entry.getAsked()});
   }
   return Value;
 }
--- a/lib/request/Allowances.cpp
+++ b/lib/request/Allowances.cpp
@@ -208,7 +208,6 @@
   if (!IsGranted)
     return this->retryDelay(Entry, Needed - Entry.Level);
   Entry.Level -= 1;
-  Entry.Granted.add(1, Now);
   Entry.Required = this->drawRequired();
   return std::nullopt;
 }
@@ -221,7 +220,6 @@
   refill(Entry, Now, this->isBlind(Now));
   auto Capacity = std::max(1.0, Entry.Burst * Entry.Part);
   Entry.Level = std::max(Entry.Level, std::min(Capacity, Entry.Level + 1));
-  Entry.Granted.add(-1, Now);
 }
 
 double Allowances::drawRequired() {
@@ -270,7 +268,7 @@
                   Entry.Reports.end());
     Entry.Reports.front() = {Now, Asked};
     Entry.IsPressed = false;
-    Uses.push_back({It->first, Asked, Entry.Granted.value(Now)});
+    Uses.push_back({It->first, Asked});
     ++It;
   }
   return Uses;
@@ -353,7 +351,7 @@
   if (this->isBlind(Now))
     return Uses;
   for (const auto &[Name, Asked] : this->FleetUse)
-    Uses.push_back({Name, Asked, 0});
+    Uses.push_back({Name, Asked});
   return Uses;
 }
 
--- a/lib/request/OrganisationUseSums.cpp
+++ b/lib/request/OrganisationUseSums.cpp
@@ -101,7 +101,6 @@
       const auto &Use = Report.Total.Uses[I];
       auto &Total = Result[Use.Organisation];
       Total.Organisation = Use.Organisation;
-      Total.Granted += Use.Granted;
       auto HandedOut = this->HandedOut.find(Use.Organisation);
       if (IsSilent && HandedOut != this->HandedOut.end())
         Total.Asked += std::min(Report.Parts[I] * HandedOut->second,
--- a/lib/rpc/Mesh.capnp
+++ b/lib/rpc/Mesh.capnp
@@ -109,7 +109,6 @@
 struct OrganisationUse {
   organisation @0 :Text;
   asked @1 :Float32;       # requests per second that arrived
-  granted @2 :Float32;     # requests per second that were let through
 }
 
 struct OrganisationUsage { # usage of one node, or a sum
--- a/lib/rpc/Mesh.capnp.h
+++ b/lib/rpc/Mesh.capnp.h
@@ -1541,8 +1541,6 @@
 
   inline float getAsked() const;
 
-  inline float getGranted() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1581,9 +1579,6 @@
   inline float getAsked();
   inline void setAsked(float value);
 
-  inline float getGranted();
-  inline void setGranted(float value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3866,20 +3861,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline float OrganisationUse::Reader::getGranted() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline float OrganisationUse::Builder::getGranted() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void OrganisationUse::Builder::setGranted(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool OrganisationUsage::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/unittests/AllowancesTest.cpp
+++ b/unittests/AllowancesTest.cpp
@@ -277,7 +277,7 @@
     CHECK(*Delays.rbegin() <= seconds(15));
   }
   CHECK(Delays.size() > 20);
-  Parts.onFleetUse({{Entry.Name, 20, 2}}, 10, Clock.now());
+  Parts.onFleetUse({{Entry.Name, 20}}, 10, Clock.now());
   CHECK(*Parts.take(Entry, Clock.now()) > *Delays.begin());
 }
 
@@ -292,7 +292,7 @@
   CHECK_FALSE(Parts.take(organisation(5, "a"), Clock.now()));
   CHECK_FALSE(Parts.take(organisation(5, "b"), Clock.now()));
   CHECK(Parts.report(Clock.now()).size() == 2);
-  Parts.onFleetUse({{Organisation("c"), 100, 5}}, 1, Clock.now());
+  Parts.onFleetUse({{Organisation("c"), 100}}, 1, Clock.now());
   CHECK(Parts.size() == 2);
   Parts.setPolicy(Organisations({organisation(5, "a")}), Clock.now());
   CHECK(Parts.size() == 1);
@@ -318,9 +318,9 @@
   Organisation Name("a");
   Organisations InForce({organisation(100)});
   OrganisationUseSums Sums;
-  Sums.record(NodeId("1"), {{Name, 40, 40}}, Clock.now());
-  Sums.record(NodeId("2"), {{Name, 40, 40}}, Clock.now());
-  Sums.recordDomain(FailureDomain("b"), {2, {{Name, 20, 20}}}, Clock.now());
+  Sums.record(NodeId("1"), {{Name, 40}}, Clock.now());
+  Sums.record(NodeId("2"), {{Name, 40}}, Clock.now());
+  Sums.recordDomain(FailureDomain("b"), {2, {{Name, 20}}}, Clock.now());
   CHECK(Sums.hasChanged(InForce, Clock.now()));
   auto Asked = [&]() {
     auto Sum = Sums.fleetSum(InForce, Clock.now());
@@ -330,22 +330,22 @@
   CHECK_FALSE(Sums.hasChanged(InForce, Clock.now()));
   CHECK(Sums.domainSum(Clock.now()).Nodes == 2);
   // The part of 0.4 that node 2 holds stays, whatever the others ask.
-  Sums.record(NodeId("2"), {{Name, 40, 40}}, Clock.now());
+  Sums.record(NodeId("2"), {{Name, 40}}, Clock.now());
   Clock.advance(seconds(2));
-  Sums.record(NodeId("1"), {{Name, 80, 80}}, Clock.now());
+  Sums.record(NodeId("1"), {{Name, 80}}, Clock.now());
   for (int I = 0; I < 20; ++I) {
-    Sums.recordDomain(FailureDomain("b"), {2, {{Name, 40, 40}}}, Clock.now());
+    Sums.recordDomain(FailureDomain("b"), {2, {{Name, 40}}}, Clock.now());
     (void)Asked();
   }
   CHECK(Asked() == Approx(120 / 0.6).epsilon(0.01));
   Sums.remove(NodeId("2"));
   CHECK(Asked() == Approx(120));
   // A sum that lacks nodes is believed after a while only.
-  Sums.recordDomain(FailureDomain("b"), {1, {{Name, 1, 1}}}, Clock.now());
+  Sums.recordDomain(FailureDomain("b"), {1, {{Name, 1}}}, Clock.now());
   CHECK(Asked() == Approx(120));
   Clock.advance(seconds(4));
-  Sums.recordDomain(FailureDomain("b"), {1, {{Name, 30, 30}}}, Clock.now());
-  Sums.record(NodeId("1"), {{Name, 80, 80}}, Clock.now());
+  Sums.recordDomain(FailureDomain("b"), {1, {{Name, 30}}}, Clock.now());
+  Sums.record(NodeId("1"), {{Name, 80}}, Clock.now());
   CHECK(Asked() == Approx(110));
   Clock.advance(seconds(21));
   CHECK(Sums.fleetSum(InForce, Clock.now()).Nodes == 0);
--- a/unittests/FairSharesTest.cpp
+++ b/unittests/FairSharesTest.cpp
@@ -133,9 +133,9 @@
   // The first asks for eight times its rate, the second for half of its own;
   // the third is not in the news and makes the rest of 200 requests.
   auto Shares = fairShares(InForce,
-                           {{Organisation("o0"), 800, 0},
-                            {Organisation("o1"), 50, 0},
-                            {Organisation("gone"), 500, 0}},
+                           {{Organisation("o0"), 800},
+                            {Organisation("o1"), 50},
+                            {Organisation("gone"), 500}},
                            200);
   // There is room for 150: what goes is taken from the first alone.
   auto Level = Shares.level(0.75);
@@ -143,5 +143,5 @@
   CHECK(Shares.share(Organisation("o1"), 0.75, Level) == Approx(1));
   CHECK(Shares.share(Organisation("o2"), 0.75, Level) == Approx(1));
   CHECK(fairShares(InForce, {}, 200).empty());
-  CHECK(fairShares(InForce, {{Organisation("gone"), 500, 0}}, 200).empty());
+  CHECK(fairShares(InForce, {{Organisation("gone"), 500}}, 200).empty());
 }
