Move the identification of requests out of the forwarder

Cause: Forwarder did two jobs, and the rule that a key goes before the form of an id stood between its log lines. Ruled out: moving the answers too; they belong to the one class that answers. Change: RequestIdentifier reads key and id, asks the local target for the run, decides with identify(), and strips the headers; a field of the request that only repeated it is gone; removeHeader stands beside removeConnectionHeaders, once. Conclusion: no behaviour changes.

--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -23,6 +23,8 @@
 /// \brief Removes the hop-by-hop headers (RFC 9110, section 7.6.1), including
 /// those named by `Connection`.
 void removeConnectionHeaders(HttpHeaders &Headers);
+/// \brief Removes all headers with a name, whatever its case.
+void removeHeader(HttpHeaders &Headers, const std::string &Name);
 
 /// \brief Request as read from a connection.
 struct HttpRequest {
--- a/include/limpetdrum/daemon/calls/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETDRUM_DAEMON_CALLS_FORWARDER_H
 #define LIMPETDRUM_DAEMON_CALLS_FORWARDER_H
 
+#include "limpetdrum/daemon/calls/RequestIdentifier.h"
 #include "limpetdrum/daemon/calls/TargetSelector.h"
 #include "limpetdrum/request/Allowances.h"
 #include "limpetdrum/request/LeavePlan.h"
@@ -23,10 +24,7 @@
     limpetdrum::Incarnation Incarnation;
     ServiceName LocalService; ///< of the local target
     std::uint64_t Seed = 1;
-    /// Returns the id of the request whose run makes a call, if it can be
-    /// derived from the id of the call.
-    std::function<std::optional<std::string>(const std::string &RequestId)>
-        ParentRequestId;
+    RequestIdentifier::FindParentId ParentRequestId;
   };
   using PolicyInForce = std::function<std::shared_ptr<const TrafficPolicy>()>;
 
@@ -49,8 +47,6 @@
   [[nodiscard]] bool identify(const RequestPtr &Request);
   /// Logs a call whose run is unknown, and answers it if it isn't accepted.
   void onUnknownRun(const RequestPtr &Request, bool IsAccepted);
-  /// Returns true while a run may go on that began before this process did.
-  [[nodiscard]] bool mayPrecedeProcess(const TrafficPolicy &Policy) const;
   /// Assigns rank and cohort: those of the request whose run makes this call,
   /// or else the rank of the organisation and the route, and a random cohort.
   /// \param Run the run, if it is known.
@@ -117,7 +113,7 @@
   PolicyInForce Policy;
   EventLog &Log;
   Metrics &Counters;
-  TimePoint Started; ///< when this process began
+  RequestIdentifier Identifier;
   SplitChooser Splits;
   std::mt19937_64 Random;
   std::uint64_t LastLocalCall = 0;
--- a/lib/connection/HttpParser.cpp
+++ b/lib/connection/HttpParser.cpp
@@ -1,5 +1,6 @@
 #include "HttpParser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
@@ -18,6 +19,15 @@
   return nullptr;
 }
 
+void removeHeader(HttpHeaders &Headers, const std::string &Name) {
+  Headers.erase(std::remove_if(Headers.begin(), Headers.end(),
+                               [&](const auto &Header) {
+                                 return strcasecmp(Header.first.c_str(),
+                                                   Name.c_str()) == 0;
+                               }),
+                Headers.end());
+}
+
 void removeConnectionHeaders(HttpHeaders &Headers) {
   std::vector<std::string> Removed = {
       "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -1,12 +1,10 @@
 #include "limpetdrum/daemon/calls/Forwarder.h"
 
-#include "limpetdrum/request/Identification.h"
 #include "limpetdrum/request/Position.h"
 #include "limpetdrum/request/RequestFingerprint.h"
 
 #include <algorithm>
 #include <charconv>
-#include <strings.h>
 
 namespace limpetdrum {
 
@@ -32,33 +30,12 @@
   return Milliseconds(Value);
 }
 
-/// Returns the key that a request shows.
-Credentials readKey(const HttpHeaders &Headers, const std::string &Name) {
-  Credentials Shown;
-  for (const auto &[Key, Value] : Headers) {
-    if (strcasecmp(Key.c_str(), Name.c_str()) != 0)
-      continue;
-    Shown.IsRepeated = Shown.Key != nullptr;
-    Shown.Key = &Value;
-  }
-  return Shown;
-}
-
 /// Formats a time span in seconds with three decimal places.
 std::string formatSeconds(Milliseconds Span) {
   auto Text = std::to_string(static_cast<double>(Span.count()) / 1000);
   return Text.substr(0, Text.find('.') + 4);
 }
 
-void removeHeader(HttpHeaders &Headers, const std::string &Name) {
-  Headers.erase(std::remove_if(Headers.begin(), Headers.end(),
-                               [&](const auto &Header) {
-                                 return strcasecmp(Header.first.c_str(),
-                                                   Name.c_str()) == 0;
-                               }),
-                Headers.end());
-}
-
 } // namespace
 
 /// A request that is being forwarded, from its arrival to its final answer.
@@ -81,8 +58,6 @@
   /// it is unknown or the request is not a call.
   std::string ParentId;
   std::string ParentRoute;
-  /// True if its id is that of a call, whether its parent is known or not.
-  bool IsCall = false;
   std::vector<NodeId> Excluded; ///< nodes that it was sent to
   NodeId Node;                  ///< of the current attempt
   std::uint64_t Call = 0;       ///< of the current attempt; 0: none
@@ -106,7 +81,9 @@
       LocalTarget(LocalTarget), Targets(Targets), Repeats(Repeats),
       Crashes(Crashes), Overload(Overload), AllowanceParts(AllowanceParts),
       Leaving(Leaving), Policy(std::move(Policy)), Log(Log), Counters(Counters),
-      Started(Loop.now()), Random(Config.Seed) {}
+      Identifier(this->Names, this->Config.ParentRequestId, LocalTarget,
+                 Loop.now()),
+      Random(Config.Seed) {}
 
 void Forwarder::onRequest(std::shared_ptr<HttpExchange> Exchange) {
   auto Request = std::make_shared<ForwardedRequest>();
@@ -160,42 +137,25 @@
 }
 
 bool Forwarder::identify(const RequestPtr &Request) {
-  auto Shown = readKey(Request->Message.Headers, this->Names.OrganisationKey);
-  bool HasKey = Shown.Key != nullptr;
-  auto Parent = this->Config.ParentRequestId(Request->Id);
-  // Targets get no keys, so whoever sends one is a client, whatever its id.
-  if (HasKey && !Request->Policy->organisations().empty())
-    Parent.reset();
-  auto Run = Parent ? this->LocalTarget.callContext(*Parent) : std::nullopt;
-  Request->IsCall = Parent.has_value();
-  if (Run)
-    Request->ParentId = std::move(*Parent);
-  Shown.IsCall = Request->IsCall;
-  Shown.Run = Run ? &*Run : nullptr;
-  bool HasOrganisations = !Request->Policy->organisations().empty();
-  bool IsOfUnknownRun = HasOrganisations && Parent && !Run && !HasKey;
-  Shown.MayPrecedeProcess =
-      IsOfUnknownRun && this->mayPrecedeProcess(*Request->Policy);
-  auto Result = limpetdrum::identify(*Request->Policy, *Request->Route, Shown);
-  // Without organisations the header is the application's.
-  if (HasOrganisations)
-    removeHeader(Request->Message.Headers, this->Names.OrganisationKey);
-  removeHeader(Request->Message.Headers, this->Names.Organisation);
-  Request->Owner = Result.Owner;
-  Request->Organisation = std::move(Result.Name);
-  bool IsAccepted = Result.Verdict == IdentityVerdict::Accepted;
-  if (IsOfUnknownRun)
+  auto Found =
+      this->Identifier.identify(Request->Message, Request->Id, *Request->Policy,
+                                *Request->Route, this->Loop.now());
+  Request->ParentId = std::move(Found.ParentId);
+  Request->Owner = Found.Identity.Owner;
+  Request->Organisation = std::move(Found.Identity.Name);
+  bool IsAccepted = Found.Identity.Verdict == IdentityVerdict::Accepted;
+  if (Found.IsOfUnknownRun)
     this->onUnknownRun(Request, IsAccepted);
   else if (!IsAccepted) {
     this->Log.request("unauthorized",
                       {{"id", Request->Id},
                        {"route", Request->Route->Name},
-                       {"has_key", HasKey},
+                       {"has_key", Found.HasKey},
                        {"policy", Request->Policy->version().value()}});
     this->answer(Request, 401, {}, "unknown key\n", "unauthorized");
   }
   if (IsAccepted)
-    this->assignRankAndCohort(Request, Run);
+    this->assignRankAndCohort(Request, Found.Run);
   return IsAccepted;
 }
 
@@ -211,13 +171,6 @@
     this->refuse(Request, Reason::Cancelled, NoTargetRetryAfter);
 }
 
-bool Forwarder::mayPrecedeProcess(const TrafficPolicy &Policy) const {
-  auto Age = this->Loop.now() - this->Started;
-  return std::any_of(
-      Policy.routes().begin(), Policy.routes().end(),
-      [Age](const TrafficRoute &Route) { return Age < Route.Timeout; });
-}
-
 void Forwarder::assignRankAndCohort(const RequestPtr &Request,
                                     const std::optional<CallContext> &Run) {
   if (Run) {
