End the relay of crash reports that a full history forgets

Cause: nodes pass on those crash reports that are new to them. An entry of CrashHistory remembered four targets and replaced the oldest, so with the fifth crashed target of one request a report that came back was new again, at every duty holder, for ever. The same held for more than 4,096 requests. Ruled out: a large history told over new links (a few kB), waiting trials and log lines (both bounded). Change: what is full takes only reports that are a second newer than what they replace, so each is new to a node once; removal takes an eighth at a time. Tests seen failing before: 1,860 and 1,425,180 reports sent and going on, where 360 and 360,000 are the bound.

--- a/include/limpetdrum/request/CrashHistory.h
+++ b/include/limpetdrum/request/CrashHistory.h
@@ -4,6 +4,8 @@
 #include "limpetdrum/request/RequestFingerprint.h"
 
 #include <cstddef>
+#include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -47,7 +49,8 @@
 /// the target ends is proven to crash targets and is refused for a while.
 ///
 /// All nodes hold the same history and exchange it as CrashNews. Its size is
-/// bounded. Performs no I/O.
+/// bounded, and a report is new to a node only once, so that nodes which pass
+/// on what is new to them stop. Performs no I/O.
 class CrashHistory {
 public:
   enum class Verdict : std::uint8_t {
@@ -85,11 +88,19 @@
 
   bool add(const CrashReport &Report, TimePoint Now);
   bool markSound(RequestFingerprint Request, TimePoint Now);
-  /// Makes room for another entry.
-  void evictWeakest();
+  /// What an entry has against it, by which weak ones give way: a proof, the
+  /// number of targets, the time of the last crash.
+  using Strength = std::tuple<bool, std::size_t, TimePoint>;
+
+  /// Makes room for another entry by removing weaker and older ones.
+  /// \returns false if there are none.
+  bool makeRoom(const Strength &Incoming);
   [[nodiscard]] Verdict verdictOf(const Entry &Found, TimePoint Now) const;
 
   std::unordered_map<RequestFingerprint, Entry> Entries;
+  /// Strength of the weakest entry while the history is full; unset if it is
+  /// not, or an entry has become weaker since.
+  std::optional<Strength> WeakestWhenFull;
 };
 
 } // namespace limpetdrum
--- a/lib/request/CrashHistory.cpp
+++ b/lib/request/CrashHistory.cpp
@@ -13,8 +13,16 @@
 /// they were made before.
 constexpr std::chrono::seconds SoundPeriod{5};
 constexpr std::size_t MaxEntries = 4096;
+/// Entries that are weighed for removal at once, which spreads the cost of the
+/// search over the reports that follow.
+constexpr std::size_t EvictionBatch = MaxEntries / 8;
 /// Targets remembered of one request: enough to compare with SuspectCrashes.
 constexpr std::size_t MaxTargets = 4;
+/// Crashes that follow each other within this time show nothing new once the
+/// history is full. Nodes pass on what is new to them, so a report that was
+/// dropped and comes back late must not replace others and be passed on again.
+/// The age of a report grows by the time on its way, which is far shorter.
+constexpr std::chrono::seconds RenewalPeriod{1};
 
 } // namespace
 
@@ -47,13 +55,13 @@
 }
 
 bool CrashHistory::add(const CrashReport &Report, TimePoint Now) {
-  auto At = Now - Report.Age;
   if (Report.Age >= CrashRetention)
     return false;
+  auto At = Now - Report.Age;
   auto Found = this->Entries.find(Report.Request);
   if (Found == this->Entries.end()) {
-    if (this->Entries.size() >= MaxEntries)
-      this->evictWeakest();
+    if (!this->makeRoom({Report.Alone, 1, At}))
+      return false;
     Found = this->Entries.try_emplace(Report.Request).first;
   }
   auto &Known = Found->second;
@@ -65,7 +73,9 @@
   auto IsKnownTarget = std::find(Known.Targets.begin(), Known.Targets.end(),
                                  Report.Target) != Known.Targets.end();
   bool IsProof = Report.Alone && !Known.Alone;
-  if (IsKnownTarget && !IsProof)
+  bool IsRepetition = Known.Targets.size() >= MaxTargets &&
+                      At - Known.LastAt < RenewalPeriod;
+  if ((IsKnownTarget || IsRepetition) && !IsProof)
     return false;
   // Evidence of an earlier period does not count any more.
   if (Now - Known.LastAt >= CrashRetention)
@@ -90,18 +100,35 @@
   Found->second = Entry();
   Found->second.IsSound = true;
   Found->second.LastAt = Now;
+  this->WeakestWhenFull.reset();
   return true;
 }
 
-void CrashHistory::evictWeakest() {
+bool CrashHistory::makeRoom(const Strength &Incoming) {
+  if (this->Entries.size() < MaxEntries) {
+    this->WeakestWhenFull.reset();
+    return true;
+  }
+  auto [IsProof, Targets, At] = Incoming;
+  Strength Settled{IsProof, Targets, At - RenewalPeriod};
+  if (this->WeakestWhenFull && Settled <= *this->WeakestWhenFull)
+    return false;
+  std::vector<std::pair<Strength, RequestFingerprint>> ByStrength;
+  ByStrength.reserve(this->Entries.size());
+  for (const auto &[Request, Known] : this->Entries)
+    ByStrength.emplace_back(
+        Strength{Known.Alone, Known.Targets.size(), Known.LastAt}, Request);
   auto IsWeaker = [](const auto &A, const auto &B) {
-    auto Key = [](const Entry &E) {
-      return std::make_tuple(E.Alone, E.Targets.size(), E.LastAt);
-    };
-    return Key(A.second) < Key(B.second);
+    return A.first < B.first;
   };
-  this->Entries.erase(
-      std::min_element(this->Entries.begin(), this->Entries.end(), IsWeaker));
+  auto End = ByStrength.begin() + EvictionBatch;
+  std::nth_element(ByStrength.begin(), End, ByStrength.end(), IsWeaker);
+  auto Weakest = std::min_element(ByStrength.begin(), End, IsWeaker)->first;
+  this->WeakestWhenFull = Weakest;
+  for (auto It = ByStrength.begin(); It != End; ++It)
+    if (It->first < Settled)
+      this->Entries.erase(It->second);
+  return this->Entries.size() < MaxEntries;
 }
 
 CrashNews CrashHistory::merge(const CrashNews &News, TimePoint Now) {
--- a/unittests/CrashHistoryTest.cpp
+++ b/unittests/CrashHistoryTest.cpp
@@ -2,6 +2,7 @@
 #include "FakeClock.h"
 #include "limpetdrum/request/SuspectTrials.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace limpetdrum;
@@ -30,6 +31,45 @@
   }
 };
 
+/// Nodes that pass on to each other what is new to them, as duty holders do.
+struct RelayingNodes {
+  static constexpr Milliseconds Hop{3};
+
+  FakeClock Clock;
+  std::array<CrashHistory, 6> Nodes;
+  /// Per node, the news that is on its way to it.
+  std::array<std::vector<CrashNews>, 6> Inboxes;
+
+  void send(std::size_t From, const CrashNews &News) {
+    for (std::size_t To = 0; To < this->Nodes.size(); ++To)
+      if (To != From && !News.empty())
+        this->Inboxes.at(To).push_back(News);
+  }
+  void crash(std::size_t At, const CrashNews &News) {
+    this->send(At, this->Nodes.at(At).merge(News, this->Clock.now()));
+  }
+  /// Delivers news until none is left, or more than \p Limit reports were
+  /// sent.
+  /// \returns the number of reports sent.
+  std::size_t deliverAll(std::size_t Limit) {
+    std::size_t Sent = 0;
+    while (!this->isQuiet() && Sent <= Limit) {
+      this->Clock.advance(Hop);
+      auto Arriving = std::exchange(this->Inboxes, {});
+      for (std::size_t To = 0; To < this->Nodes.size(); ++To)
+        for (const auto &News : Arriving.at(To)) {
+          Sent += News.Reports.size();
+          this->send(To, this->Nodes.at(To).merge(News, this->Clock.now()));
+        }
+    }
+    return Sent;
+  }
+  [[nodiscard]] bool isQuiet() const {
+    return std::all_of(this->Inboxes.begin(), this->Inboxes.end(),
+                       [](const auto &Inbox) { return Inbox.empty(); });
+  }
+};
+
 } // namespace
 
 TEST_CASE("CrashHistory suspects a request under which two targets ended") {
@@ -122,6 +162,50 @@
   CHECK(Fixture.verdict(Suspect) == Verdict::Suspect);
 }
 
+TEST_CASE("CrashHistory ends the relay of a request that crashed many targets") {
+  RelayingNodes Fleet;
+  constexpr std::uint64_t Crashes = 12;
+  for (std::uint64_t Target = 0; Target < Crashes; ++Target)
+    Fleet.crash(Target % Fleet.Nodes.size(),
+                {{{Culprit, Target, Target > 2, Milliseconds(0)}}, {}});
+  // Each node passes on each report at most once.
+  auto Nodes = Fleet.Nodes.size();
+  auto Limit = Crashes * Nodes * (Nodes - 1);
+  CHECK(Fleet.deliverAll(Limit) <= Limit);
+  CHECK(Fleet.isQuiet());
+  for (const auto &Node : Fleet.Nodes)
+    CHECK(Node.verdict(Culprit, Fleet.Clock.now()) == Verdict::Crashing);
+}
+
+TEST_CASE("CrashHistory ends the relay of more requests than it remembers") {
+  RelayingNodes Fleet;
+  constexpr std::uint64_t RequestsPerCrash = 1000;
+  constexpr std::uint64_t Crashes = 12;
+  for (std::uint64_t Target = 0; Target < Crashes; ++Target) {
+    CrashNews News;
+    for (std::uint64_t I = 0; I < RequestsPerCrash; ++I)
+      News.Reports.push_back({RequestFingerprint(Target * 10000 + I), Target,
+                              false, Milliseconds(0)});
+    Fleet.crash(Target % Fleet.Nodes.size(), News);
+  }
+  auto Nodes = Fleet.Nodes.size();
+  auto Limit = Crashes * RequestsPerCrash * Nodes * (Nodes - 1);
+  CHECK(Fleet.deliverAll(Limit) <= Limit);
+  CHECK(Fleet.isQuiet());
+  for (const auto &Node : Fleet.Nodes)
+    CHECK(Node.size() <= 4096);
+}
+
+TEST_CASE("CrashHistory makes room for the crashes of the present") {
+  HistoryFixture Fixture;
+  for (std::uint64_t I = 0; I < 5000; ++I)
+    Fixture.report(1, false, RequestFingerprint(100 + I));
+  Fixture.Clock.advance(std::chrono::seconds(3));
+  Fixture.report(2);
+  Fixture.report(3);
+  CHECK(Fixture.verdict() == Verdict::Suspect);
+}
+
 TEST_CASE("SuspectTrials lets one attempt run at a time, in turn") {
   SuspectTrials Trials;
   auto Id = [](std::uint64_t Number) {
