Tell a newly linked node of at most 1,024 suspected requests

Cause: each node tells all suspects and proven requests over each new link, with up to four targets each: 16,002 reports, some 400 kB, if the history is full. A restarted node makes over a hundred links at once, so its peers would send it more than 40 MB. Ruled out: only duty holders tell it; if they restart together, suspects are lost. Change: the 1,024 requests with the most against them, with the two targets that make a suspect: 2,048 reports at most. The rest is told at the next crash. Figures: 2,048 reports in place of 16,002 in the test of a full history. Conclusion: a bound for the memory at a restart; no change for callers expected.

--- a/include/limpetdrum/request/CrashHistory.h
+++ b/include/limpetdrum/request/CrashHistory.h
@@ -68,7 +68,7 @@
   /// \returns the part of it that was new.
   CrashNews merge(const CrashNews &News, TimePoint Now);
   /// \brief Returns the suspects and the crashing requests, for a node that may
-  ///   not know them.
+  ///   not know them; if there are many, those with the most against them.
   [[nodiscard]] CrashNews known(TimePoint Now) const;
   /// \brief Removes what has expired.
   void sweep(TimePoint Now);
@@ -92,6 +92,7 @@
   /// number of targets, the time of the last crash.
   using Strength = std::tuple<bool, std::size_t, TimePoint>;
 
+  [[nodiscard]] static Strength strengthOf(const Entry &Value);
   /// Makes room for another entry by removing weaker and older ones.
   /// \returns false if there are none.
   bool makeRoom(const Strength &Incoming);
--- a/lib/request/CrashHistory.cpp
+++ b/lib/request/CrashHistory.cpp
@@ -23,9 +23,16 @@
 /// dropped and comes back late must not replace others and be passed on again.
 /// The age of a report grows by the time on its way, which is far shorter.
 constexpr std::chrono::seconds RenewalPeriod{1};
+/// Requests that a node is told of over each new link, some 50 kB. A restarted
+/// node makes all its links at once, and all its peers tell it.
+constexpr std::ptrdiff_t MaxTold = 1024;
 
 } // namespace
 
+CrashHistory::Strength CrashHistory::strengthOf(const Entry &Value) {
+  return {Value.Alone, Value.Targets.size(), Value.LastAt};
+}
+
 CrashHistory::Verdict CrashHistory::verdictOf(const Entry &Found,
                                               TimePoint Now) const {
   if (Found.IsSound || Now - Found.LastAt >= CrashRetention)
@@ -116,8 +123,7 @@
   std::vector<std::pair<Strength, RequestFingerprint>> ByStrength;
   ByStrength.reserve(this->Entries.size());
   for (const auto &[Request, Known] : this->Entries)
-    ByStrength.emplace_back(
-        Strength{Known.Alone, Known.Targets.size(), Known.LastAt}, Request);
+    ByStrength.emplace_back(strengthOf(Known), Request);
   auto IsWeaker = [](const auto &A, const auto &B) {
     return A.first < B.first;
   };
@@ -143,13 +149,24 @@
 }
 
 CrashNews CrashHistory::known(TimePoint Now) const {
+  std::vector<std::pair<Strength, RequestFingerprint>> Held;
+  for (const auto &[Request, Known] : this->Entries)
+    if (this->verdictOf(Known, Now) != Verdict::None)
+      Held.emplace_back(strengthOf(Known), Request);
+  if (Held.size() > MaxTold) {
+    std::nth_element(
+        Held.begin(), Held.begin() + MaxTold, Held.end(),
+        [](const auto &A, const auto &B) { return A.first > B.first; });
+    Held.resize(MaxTold);
+  }
   CrashNews Result;
-  for (const auto &[Request, Known] : this->Entries) {
-    if (this->verdictOf(Known, Now) == Verdict::None)
-      continue;
+  for (const auto &[KnownStrength, Request] : Held) {
+    const auto &Known = this->Entries.at(Request);
     auto Age = std::chrono::duration_cast<Milliseconds>(Now - Known.LastAt);
-    for (auto Target : Known.Targets)
-      Result.Reports.push_back({Request, Target, Known.Alone, Age});
+    auto Told = std::min<std::size_t>(Known.Targets.size(), SuspectCrashes);
+    for (auto Target = Known.Targets.end() - static_cast<std::ptrdiff_t>(Told);
+         Target != Known.Targets.end(); ++Target)
+      Result.Reports.push_back({Request, *Target, Known.Alone, Age});
   }
   return Result;
 }
--- a/unittests/CrashHistoryTest.cpp
+++ b/unittests/CrashHistoryTest.cpp
@@ -206,6 +206,23 @@
   CHECK(Fixture.verdict() == Verdict::Suspect);
 }
 
+TEST_CASE("CrashHistory tells a restarted node little enough for all its links") {
+  HistoryFixture Fixture;
+  for (std::uint64_t I = 0; I < 4000; ++I)
+    for (std::uint64_t Target : {1, 2, 3, 4})
+      Fixture.report(Target, false, RequestFingerprint(100 + I));
+  Fixture.report(1, true);
+  auto Now = Fixture.Clock.now();
+  auto Told = Fixture.History.known(Now);
+  CHECK(Told.Reports.size() <= 2 * 1024);
+  CrashHistory Restarted;
+  (void)Restarted.merge(Told, Now);
+  CHECK(Restarted.verdict(Culprit, Now) == Verdict::Crashing);
+  CHECK(Restarted.size() == 1024);
+  for (const auto &Report : Told.Reports)
+    CHECK(Restarted.verdict(Report.Request, Now) != Verdict::None);
+}
+
 TEST_CASE("SuspectTrials lets one attempt run at a time, in turn") {
   SuspectTrials Trials;
   auto Id = [](std::uint64_t Number) {
