Prove no crashing request beside another that was at a crash

The sound request on trial passed for the proof and was refused for ten minutes. Ruled out: trials of everything that was at one crash, which would run a hundred repeated requests one by one after each crash. Change: a crash is no proof if a request ran beside the trial that was at an earlier crash; it becomes a suspect. A request on trial at which four targets ended is proven by the next, so companions that are repeated with a culprit hide it for two more crashes at most.

--- a/include/limpetdrum/daemon/calls/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -142,6 +142,12 @@
   void dispatch(AttemptId Id);
   [[nodiscard]] static RequestFingerprint fingerprintOf(Entry &Value);
   [[nodiscard]] CrashHistory::Verdict verdict(Entry &Value) const;
+  /// Returns the number of targets that ended under a request, as far as this
+  /// node or its caller knows.
+  [[nodiscard]] unsigned earlierCrashes(Entry &Run) const;
+  /// Returns true if the end of the target under \p Runs proves that the
+  /// request on trial crashes targets.
+  [[nodiscard]] bool provesTrial(const std::vector<AttemptId> &Runs);
   /// Refuses an attempt that crashes targets, and lets a suspected one wait
   /// while another is on trial.
   /// \returns true if the attempt may be queued or sent now.
--- a/include/limpetdrum/request/CrashHistory.h
+++ b/include/limpetdrum/request/CrashHistory.h
@@ -15,6 +15,10 @@
 ///   suspected. One is the usual fate of a request beside another's crash.
 inline constexpr unsigned SuspectCrashes = 2;
 
+/// \brief Number of targets that have to end under a request on trial before it
+///   is taken for the cause, whatever ran beside it.
+inline constexpr unsigned CertainCrashes = 4;
+
 /// \brief Time for which a crash is remembered.
 inline constexpr std::chrono::minutes CrashRetention{20};
 
@@ -46,7 +50,10 @@
 /// often repeated at the target that the culprit crashes next. So being there
 /// at several crashes only makes a request a suspect. Suspects run one at a
 /// time at each target: the one that is answered is sound, the one under which
-/// the target ends is proven to crash targets and is refused for a while.
+/// the target ends is proven to crash targets and is refused for a while. It is
+/// not proven if a request ran beside it that was at one crash, as that may be
+/// the culprit: that one is a suspect then. A request under which
+/// CertainCrashes targets have ended is proven by the next.
 ///
 /// All nodes hold the same history and exchange it as CrashNews. Its size is
 /// bounded, and a report is new to a node only once, so that nodes which pass
@@ -61,6 +68,10 @@
 
   [[nodiscard]] Verdict verdict(RequestFingerprint Request,
                                 TimePoint Now) const;
+  /// \brief Returns the number of targets that are known to have ended under a
+  ///   request, at most CertainCrashes; 0 once it was answered.
+  [[nodiscard]] unsigned crashes(RequestFingerprint Request,
+                                 TimePoint Now) const;
   /// \brief Returns the time until a crashing request may run again.
   [[nodiscard]] Milliseconds retryAfter(RequestFingerprint Request,
                                         TimePoint Now) const;
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -402,10 +402,30 @@
       this->endRun(Id, unknownOutcome(Cause, MinRetryAfter));
 }
 
+unsigned LocalTarget::earlierCrashes(Entry &Run) const {
+  auto Told = static_cast<unsigned>(Run.Attempt.TargetsEnded);
+  if (this->Crashes.empty())
+    return Told;
+  return std::max(Told,
+                  this->Crashes.crashes(fingerprintOf(Run), this->Now()));
+}
+
+bool LocalTarget::provesTrial(const std::vector<AttemptId> &Runs) {
+  auto Trial = this->Trials.running();
+  if (!Trial || std::find(Runs.begin(), Runs.end(), *Trial) == Runs.end())
+    return false;
+  if (this->earlierCrashes(this->Active.at(*Trial)) >= CertainCrashes)
+    return true;
+  return std::none_of(Runs.begin(), Runs.end(), [&](const AttemptId &Id) {
+    auto Found = this->Active.find(Id);
+    return !(Id == *Trial) && Found != this->Active.end() &&
+           this->earlierCrashes(Found->second) > 0;
+  });
+}
+
 void LocalTarget::reportCrash(const std::vector<AttemptId> &Runs) {
   auto Trial = this->Trials.running();
-  bool IsProof =
-      Trial && std::find(Runs.begin(), Runs.end(), *Trial) != Runs.end();
+  bool IsProof = this->provesTrial(Runs);
   CrashNews News;
   for (const auto &Id : Runs) {
     auto Found = this->Active.find(Id);
--- a/lib/request/CrashHistory.cpp
+++ b/lib/request/CrashHistory.cpp
@@ -16,8 +16,8 @@
 /// Entries that are weighed for removal at once, which spreads the cost of the
 /// search over the reports that follow.
 constexpr std::size_t EvictionBatch = MaxEntries / 8;
-/// Targets remembered of one request: enough to compare with SuspectCrashes.
-constexpr std::size_t MaxTargets = 4;
+/// Targets remembered of one request.
+constexpr std::size_t MaxTargets = CertainCrashes;
 /// Crashes that follow each other within this time show nothing new once the
 /// history is full. Nodes pass on what is new to them, so a report that was
 /// dropped and comes back late must not replace others and be passed on again.
@@ -51,6 +51,15 @@
                                       : this->verdictOf(Found->second, Now);
 }
 
+unsigned CrashHistory::crashes(RequestFingerprint Request,
+                               TimePoint Now) const {
+  auto Found = this->Entries.find(Request);
+  if (Found == this->Entries.end() ||
+      Now - Found->second.LastAt >= CrashRetention)
+    return 0;
+  return static_cast<unsigned>(Found->second.Targets.size());
+}
+
 Milliseconds CrashHistory::retryAfter(RequestFingerprint Request,
                                       TimePoint Now) const {
   auto Found = this->Entries.find(Request);
--- a/unittests/CrashTrialsTest.cpp
+++ b/unittests/CrashTrialsTest.cpp
@@ -95,6 +95,50 @@
   CHECK(Fixture.Replies.back().Outcome == Outcome::Answered);
 }
 
+TEST_CASE("LocalTarget takes no request on trial for the culprit beside "
+          "another that was at an earlier crash") {
+  CrashFixture Fixture;
+  Fixture.crash({"/sound", "/culprit"});
+  Fixture.crash({"/sound", "/first"});
+  // The culprit is at its second crash, so it is not suspected yet.
+  Fixture.crash({"/sound", "/culprit"});
+  auto Reports = Fixture.News.back().Reports;
+  REQUIRE(Reports.size() == 2);
+  CHECK_FALSE(Reports[0].Alone);
+  // Both are on trial in turn: one is answered, the other one is proven.
+  auto Sound = Fixture.run("/sound");
+  REQUIRE(Sound);
+  Fixture.SentCallbacks[*Sound](LocalTargetFixture::answer(200));
+  CHECK(Fixture.Replies.back().Outcome == Outcome::Answered);
+  Fixture.crash({"/culprit", "/other"});
+  CHECK_FALSE(Fixture.run("/culprit"));
+  CHECK(Fixture.Replies.back().Reason == Reason::CrashesTargets);
+  CHECK(Fixture.run("/sound"));
+}
+
+TEST_CASE("LocalTarget proves a culprit at its fifth crash, whatever runs "
+          "beside it") {
+  CrashFixture Fixture;
+  int Crashes = 0;
+  // Those beside it are repeated with it, each time with one that was at one
+  // crash.
+  while (Crashes < 10) {
+    auto Beside = "/beside/" + std::to_string(Crashes / 2);
+    auto Culprit = Fixture.run("/crash");
+    if (!Culprit)
+      break;
+    auto Companion = Fixture.run(Beside);
+    std::vector<std::size_t> Runs{*Culprit};
+    if (Companion)
+      Runs.push_back(*Companion);
+    Fixture.breakConnections(Runs, true);
+    Fixture.startTarget();
+    ++Crashes;
+  }
+  CHECK(Crashes <= 5);
+  CHECK(Fixture.Replies.back().Reason == Reason::CrashesTargets);
+}
+
 TEST_CASE("LocalTarget holds nothing against requests whose connections broke "
           "at a target that goes on") {
   CrashFixture Fixture;
