Try a suspected request at one target of its service

Cause: suspects run one at a time at each target, so one that comes often, through many nodes, is tried at all targets of its service at once and ends them before the first proof. Ruled out: a lock in the store (a call for each trial, and none while it is down); trials only at the home of a request (a third hop, and one more node to fail). Change: a suspect goes to the ready node that rendezvous hashing chooses for it, which nodes with the same candidates agree on without a message. Test: six nodes that know of two crashes and get the culprit at once lose one target, and six when it is tried where it arrives.

--- a/include/limpetdrum/daemon/calls/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -63,6 +63,10 @@
   /// Ends a request that is proven to crash targets.
   /// \returns false if it is not.
   [[nodiscard]] bool endIfCrashing(const RequestPtr &Request);
+  /// Selects the node for the next attempt; for a suspected request, the one at
+  /// which it is tried.
+  [[nodiscard]] std::optional<NodeId>
+  selectNode(const ForwardedRequest &Request);
   /// Sends the request to the node of the last attempt again, or to another one
   /// if that node is no longer a candidate.
   void resendToSameNode(const RequestPtr &Request);
--- a/include/limpetdrum/daemon/calls/TargetSelector.h
+++ b/include/limpetdrum/daemon/calls/TargetSelector.h
@@ -34,6 +34,10 @@
   /// \brief Selects a node and counts a call to it as begun.
   /// \returns nothing if no node can take the request.
   [[nodiscard]] std::optional<NodeId> select(const Query &Request);
+  /// \brief Selects the node at whose target a suspected request is tried.
+  /// \returns nothing if no linked node that it was not sent to is ready.
+  [[nodiscard]] std::optional<NodeId>
+  selectForTrial(const Query &Request, RequestFingerprint Fingerprint);
   /// \brief Counts a further call to a node as begun, if the node is still a
   ///   candidate.
   /// \returns false if it is not.
--- a/include/limpetdrum/request/SuspectTrials.h
+++ b/include/limpetdrum/request/SuspectTrials.h
@@ -1,13 +1,23 @@
 #ifndef LIMPETDRUM_REQUEST_SUSPECTTRIALS_H
 #define LIMPETDRUM_REQUEST_SUSPECTTRIALS_H
 
-#include "limpetdrum/process/Types.h"
+#include "limpetdrum/request/RequestFingerprint.h"
 
 #include <optional>
 #include <vector>
 
 namespace limpetdrum {
 
+/// \brief Returns the node at whose target a suspected request is tried.
+///
+/// Addresses requests that crash targets and come often, through many nodes at
+/// once: tried wherever they arrive, they would end all targets of a service
+/// before the first proof. Nodes that know the same candidates choose the same
+/// one, and other requests are tried elsewhere.
+/// \param Candidates nodes with a ready target; nothing is chosen if empty.
+[[nodiscard]] std::optional<NodeId>
+trialNode(RequestFingerprint Request, std::vector<NodeId> Candidates);
+
 /// \brief Lets suspected attempts run one at a time at a target.
 class SuspectTrials {
 public:
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -253,8 +253,7 @@
   }
   if (this->endIfCrashing(Request))
     return;
-  auto Node =
-      this->Targets.select({Request->Id, Request->Service, Request->Excluded});
+  auto Node = this->selectNode(*Request);
   if (!Node) {
     this->applyStep(Request, Request->Plan.terminalStep(),
                     notRun(Reason::NoTarget, NoTargetRetryAfter));
@@ -277,6 +276,19 @@
   return true;
 }
 
+std::optional<NodeId> Forwarder::selectNode(const ForwardedRequest &Request) {
+  TargetSelector::Query Query{Request.Id, Request.Service, Request.Excluded};
+  if (!this->Crashes.empty()) {
+    auto Fingerprint = fingerprint(Request.Message);
+    bool IsSuspect = this->Crashes.verdict(Fingerprint, this->Loop.now()) ==
+                     CrashHistory::Verdict::Suspect;
+    if (auto Node = IsSuspect ? this->Targets.selectForTrial(Query, Fingerprint)
+                              : std::nullopt)
+      return Node;
+  }
+  return this->Targets.select(Query);
+}
+
 void Forwarder::resendToSameNode(const RequestPtr &Request) {
   if (this->Targets.selectAgain(Request->Node, Request->Service))
     this->sendTo(Request, NodeId(Request->Node));
--- a/lib/daemon/calls/TargetSelector.cpp
+++ b/lib/daemon/calls/TargetSelector.cpp
@@ -101,6 +101,26 @@
   return this->NodePlacement.pick(Linked.Fallback, Request.Excluded, Time);
 }
 
+std::optional<NodeId>
+TargetSelector::selectForTrial(const Query &Request,
+                               RequestFingerprint Fingerprint) {
+  auto Ready = this->candidates(Request.Service).Ready;
+  std::vector<NodeId> Untried;
+  for (const auto &Candidate : Ready)
+    if (std::find(Request.Excluded.begin(), Request.Excluded.end(),
+                  Candidate.Node) == Request.Excluded.end())
+      Untried.push_back(Candidate.Node);
+  auto Node = trialNode(Fingerprint, std::move(Untried));
+  if (!Node || !this->selectAgain(*Node, Request.Service))
+    return std::nullopt;
+  this->Counters.count("placements_for_trial");
+  this->Log.request("trial", {{"id", Request.RequestId},
+                              {"request", toString(Fingerprint)},
+                              {"service", Request.Service.value()},
+                              {"node", Node->value()}});
+  return Node;
+}
+
 void TargetSelector::countChoice(const Query &Request) {
   const auto &Last = this->NodePlacement.lastChoice();
   this->Counters.count("placements", "news", nameOfAge(Last.NewsAge));
--- a/lib/request/SuspectTrials.cpp
+++ b/lib/request/SuspectTrials.cpp
@@ -1,9 +1,17 @@
 #include "limpetdrum/request/SuspectTrials.h"
 
+#include "limpetdrum/process/Rendezvous.h"
+
 #include <algorithm>
 
 namespace limpetdrum {
 
+std::optional<NodeId> trialNode(RequestFingerprint Request,
+                                std::vector<NodeId> Candidates) {
+  auto Chosen = rankByHash(toString(Request), std::move(Candidates), 1);
+  return Chosen.empty() ? std::nullopt : std::optional(Chosen.front());
+}
+
 bool SuspectTrials::begin(AttemptId Id) {
   if (!this->Running)
     this->Running = Id;
--- a/unittests/CrashTrialsTest.cpp
+++ b/unittests/CrashTrialsTest.cpp
@@ -1,4 +1,8 @@
 #include "LocalTargetFixture.h"
+#include "limpetdrum/request/SuspectTrials.h"
+
+#include <algorithm>
+#include <map>
 
 using namespace limpetdrum;
 using namespace limpetdrum::test;
@@ -46,8 +50,72 @@
   }
 };
 
+/// Six targets of a service whose nodes know the same of one culprit, which
+/// arrives at all of them again and again.
+struct SuspectFleet {
+  std::array<CrashFixture, 6> Nodes;
+
+  SuspectFleet() {
+    CrashNews News;
+    for (std::uint64_t Target : {1001, 1002})
+      News.Reports.push_back({fingerprintOf("/crash"), Target, false, {}});
+    for (auto &Node : this->Nodes)
+      (void)Node.Crashes.merge(News, Node.Clock.now());
+  }
+  static RequestFingerprint fingerprintOf(const std::string &Path) {
+    HttpRequest Request;
+    Request.Method = "POST";
+    Request.Target = Path;
+    return fingerprint(Request);
+  }
+  /// Sends the culprit to the nodes given, lets the targets that run it end,
+  /// and tells all nodes.
+  /// \returns the number of targets that have ended.
+  int play(const std::vector<std::size_t> &Receivers) {
+    std::map<std::size_t, std::size_t> Runs;
+    for (auto Receiver : Receivers)
+      if (auto Run = this->Nodes.at(Receiver).run("/crash"))
+        Runs.emplace(Receiver, *Run);
+    for (const auto &[Receiver, Run] : Runs)
+      this->Nodes.at(Receiver).breakConnections({Run}, true);
+    for (auto &From : this->Nodes)
+      for (const auto &News : std::exchange(From.News, {}))
+        for (auto &To : this->Nodes)
+          (void)To.Crashes.merge(News, To.Clock.now());
+    return static_cast<int>(Runs.size());
+  }
+};
+
 } // namespace
 
+TEST_CASE("A suspect that arrives at all nodes ends one target, not all") {
+  std::vector<NodeId> Names;
+  for (int I = 0; I < 6; ++I)
+    Names.emplace_back("n" + std::to_string(I));
+  auto Trial = trialNode(SuspectFleet::fingerprintOf("/crash"), Names);
+  REQUIRE(Trial);
+  auto Chosen = static_cast<std::size_t>(
+      std::find(Names.begin(), Names.end(), *Trial) - Names.begin());
+  SuspectFleet Fleet;
+  CHECK(Fleet.play(std::vector<std::size_t>(12, Chosen)) == 1);
+  // Proven: no node runs it any more.
+  CHECK(Fleet.play({0, 1, 2, 3, 4, 5}) == 0);
+  // Tried where it arrives, it ends them all.
+  SuspectFleet Other;
+  CHECK(Other.play({0, 1, 2, 3, 4, 5}) == 6);
+}
+
+TEST_CASE("trialNode spreads different suspects") {
+  std::map<NodeId, int> Counts;
+  for (std::uint64_t I = 0; I < 600; ++I)
+    ++Counts[*trialNode(RequestFingerprint(I * 7919),
+                        {NodeId("a"), NodeId("b"), NodeId("c")})];
+  CHECK(Counts.size() == 3);
+  for (const auto &[Node, Count] : Counts)
+    CHECK(Count > 100);
+  CHECK_FALSE(trialNode(RequestFingerprint(1), {}));
+}
+
 TEST_CASE("LocalTarget keeps a request that crashes targets from the fourth") {
   CrashFixture Fixture;
   for (int Crash = 0; Crash < 3; ++Crash)
