Level allowance accounts only with demand that the news shows

The own report counted as known when it was sent, not when the news of the fleet had it. In the first half second of a surge each account was levelled up by some 3 requests, 140 over the fleet, which are never paid back. Change: the demand that the last news shows is what levelling compares with; a node without news that sees a surge of its own may not overdraw.

--- a/lib/request/Allowances.cpp
+++ b/lib/request/Allowances.cpp
@@ -156,19 +156,26 @@
            std::max(0.0, 2 - Entry.FleetAsked / Entry.RatePerSecond);
   if (!this->NewsAt)
     return this->FleetSize == 0 ? UnknownFleetCredit : StartCredit;
-  if (this->isBlind(Now))
+  auto Expected = Entry.Part * Entry.FleetAsked;
+  if (this->isBlind(Now)) {
+    // A surge here is likely one of the whole fleet, of which no news comes.
+    if (Entry.Asked.value(Now) > unusual(Expected))
+      return 0;
     return std::min(MaxBlindCredit,
                     Entry.Part *
                         (BlindFleetCredit + BlindFleetShare * Entry.Burst));
-  auto Expected = Entry.Part * Entry.FleetAsked;
+  }
   return FreshCredit +
          NewsDelaySeconds * std::min(Entry.Asked.value(Now),
                                      MaxMovedFactor * Expected + MaxMovedRate);
 }
 
 bool Allowances::recovers(const Account &Entry, TimePoint Now) {
+  // A report counts only once the news of the fleet shows it.
+  auto Known = std::min(Entry.Reports.front().second,
+                        Entry.Part * Entry.FleetAsked);
   return !Entry.IsBinding && Entry.FleetLevel >= RecoveredShare * Entry.Burst &&
-         Entry.Asked.value(Now) <= unusual(Entry.Reports.front().second);
+         Entry.Asked.value(Now) <= unusual(Known);
 }
 
 void Allowances::refill(Account &Entry, TimePoint Now, bool IsBlind) {
