Let targets that have just started use all their slots

Cause: after a loss of power all targets of a service are cold, and the limit of each rose from a tenth of its slots to all in the 3 s of the warm-up. A cold target takes twice as long for a request; it has no fewer slots. Ruled out: the gate (it knew no costs yet and refused little), links and readiness (all nodes knew all targets 0.3 s after their start). Placement sends a slow target fewer requests by its service time. Trials of the limit wait until the warm-up has passed, since runs get faster then, whatever the limit is.

--- a/include/limpetdrum/request/Admission.h
+++ b/include/limpetdrum/request/Admission.h
@@ -69,7 +69,7 @@
             std::uint64_t Seed = 1);
 
   /// \brief Resets the limit to an announced number of slots.
-  /// \param WarmUp time that a cold target takes to reach the full limit.
+  /// \param WarmUp time for which a target that has just started is slow.
   void announce(Slots Announced, Milliseconds WarmUp, TimePoint Now);
 
   /// \brief Sets the rate that the target asked for, in requests per second;
@@ -122,7 +122,7 @@
   }
   /// \brief Returns the number of concurrent requests that the target takes: by
   ///   its slots, or by its request rate if that allows fewer.
-  [[nodiscard]] std::size_t limit(TimePoint Now) const noexcept;
+  [[nodiscard]] std::size_t limit() const noexcept;
   /// \brief Returns the smoothed latency of requests at the target.
   [[nodiscard]] Microseconds typicalLatency() const noexcept {
     return this->Limit.typicalLatency();
@@ -168,7 +168,7 @@
   };
 
   [[nodiscard]] OrderKey orderKeyFor(const Arrival &Request);
-  [[nodiscard]] std::size_t queueCapacity(TimePoint Now) const noexcept;
+  [[nodiscard]] std::size_t queueCapacity() const noexcept;
   [[nodiscard]] Microseconds expectedWaitBehind(std::size_t Ahead,
                                                 TimePoint Now) const noexcept;
   void dispatch(const QueuedRequest &Entry, TimePoint Now,
--- a/include/limpetdrum/request/ConcurrencyLimit.h
+++ b/include/limpetdrum/request/ConcurrencyLimit.h
@@ -25,7 +25,9 @@
   explicit ConcurrencyLimit(Slots Announced, std::uint64_t Seed = 1);
 
   /// \brief Resets the limit to an announced number of slots.
-  /// \param WarmUp time that a cold target takes to reach the full limit.
+  /// \param WarmUp time for which a target that has just started is slow. It has
+  ///   the same slots then: if all targets of a service have started at once,
+  ///   those held back would serve nobody. No trials are made meanwhile.
   void announce(Slots Announced, Milliseconds WarmUp, TimePoint Now);
 
   /// \brief Records the end of a request at the target.
@@ -37,8 +39,8 @@
   void onCompletion(Microseconds Latency, bool Shed, bool Saturated,
                     TimePoint Now, double SlowDown = 1);
 
-  /// \brief Returns the limit at \p Now, at least 1.
-  [[nodiscard]] std::size_t limit(TimePoint Now) const noexcept;
+  /// \brief Returns the limit, at least 1.
+  [[nodiscard]] std::size_t limit() const noexcept;
   /// \brief Returns the smoothed latency of requests at the target.
   [[nodiscard]] Microseconds typicalLatency() const noexcept {
     return this->TypicalLatency;
@@ -69,8 +71,7 @@
 
   double Limit;
   double Announced;
-  TimePoint WarmUpStart{};
-  Milliseconds WarmUp{0};
+  TimePoint WarmUpEnd{};
   Microseconds TypicalLatency{0};
   Microseconds UsualLatency{0};
   double BestLatency = 0; ///< lowest mean of a window, in microseconds
--- a/lib/daemon/Executor.cpp
+++ b/lib/daemon/Executor.cpp
@@ -110,7 +110,7 @@
 }
 
 std::size_t Executor::limit() const noexcept {
-  return this->AdmissionControl.limit(this->Now());
+  return this->AdmissionControl.limit();
 }
 
 void Executor::execute(const AttemptSpec &Attempt, ReplyCallback Done) {
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -304,7 +304,7 @@
       (Stated->Waiting > 0 || Stated->Running >= Stated->Slots.value()))
     return false;
   return this->Queue.queued() == 0 &&
-         this->Queue.running() < this->Queue.limit(this->Now());
+         this->Queue.running() < this->Queue.limit();
 }
 
 std::optional<TargetLoad> LocalTarget::readLoad(const HttpResponse &Answer) {
@@ -516,7 +516,7 @@
          {"dispatched", Finished.Ticket != 0},
          {"running", this->Queue.running()},
          {"queued", this->Queue.queued()},
-         {"limit", this->Queue.limit(Time)}});
+         {"limit", this->Queue.limit()}});
   auto SharedReply = std::make_shared<const Reply>(std::move(Value));
   this->Ledger.finish(Id, SharedReply, Time);
   for (const auto &OnReply : Finished.ReplyCallbacks)
@@ -613,7 +613,7 @@
   Status.Target = this->Record;
   Status.Running = static_cast<std::uint32_t>(this->Queue.running());
   Status.Queued = static_cast<std::uint32_t>(this->Queue.queued());
-  Status.Limit = static_cast<std::uint32_t>(this->Queue.limit(this->Now()));
+  Status.Limit = static_cast<std::uint32_t>(this->Queue.limit());
   Status.Threshold = this->Queue.threshold();
   Status.ServiceTime = this->Queue.typicalLatency();
   Status.Pace = this->Queue.pace(this->Now());
--- a/lib/request/Admission.cpp
+++ b/lib/request/Admission.cpp
@@ -26,8 +26,8 @@
   this->Pace.reset();
 }
 
-std::size_t Admission::limit(TimePoint Now) const noexcept {
-  auto BySlots = this->Limit.limit(Now);
+std::size_t Admission::limit() const noexcept {
+  auto BySlots = this->Limit.limit();
   return std::min(
       BySlots,
       this->Rate.concurrency(this->typicalLatency()).value_or(BySlots));
@@ -51,8 +51,8 @@
   return Key;
 }
 
-std::size_t Admission::queueCapacity(TimePoint Now) const noexcept {
-  auto SlotLimit = static_cast<double>(this->limit(Now));
+std::size_t Admission::queueCapacity() const noexcept {
+  auto SlotLimit = static_cast<double>(this->limit());
   auto MaxQueued = SlotLimit * QueueShare;
   auto Latency = std::chrono::duration<double>(this->Limit.typicalLatency());
   if (Latency.count() > 0)
@@ -64,10 +64,10 @@
 Microseconds Admission::expectedWaitBehind(std::size_t Ahead,
                                            TimePoint Now) const noexcept {
   auto ByRate = this->Rate.wait(Ahead, Now);
-  if (this->Running.size() < this->Limit.limit(Now))
+  if (this->Running.size() < this->Limit.limit())
     return ByRate;
   auto PerSlot = this->expectedLatency(Now) /
-                 static_cast<std::int64_t>(this->Limit.limit(Now));
+                 static_cast<std::int64_t>(this->Limit.limit());
   return std::max(ByRate, PerSlot * static_cast<std::int64_t>(Ahead + 1));
 }
 
@@ -117,7 +117,7 @@
 }
 
 bool Admission::isRateReached(TimePoint Now) const noexcept {
-  return this->Running.size() < this->Limit.limit(Now) &&
+  return this->Running.size() < this->Limit.limit() &&
          !this->Rate.allows(Now);
 }
 
@@ -134,7 +134,7 @@
         !this->cancelLowerClass(Entry.Key, Decisions))
       this->refuse(Entry, CauseOr(Reason::DeadlineTooNear), Decisions);
   }
-  while (this->Queue.size() > this->queueCapacity(Now) + this->Cancelling) {
+  while (this->Queue.size() > this->queueCapacity() + this->Cancelling) {
     const auto &Last = *this->Queue.rbegin();
     if (this->cancelLowerClass(Last.Key, Decisions))
       continue;
@@ -171,7 +171,7 @@
 
 void Admission::dispatchQueued(TimePoint Now, AdmissionDecisions &Decisions) {
   while (!this->Queue.empty() &&
-         this->Running.size() < this->Limit.limit(Now)) {
+         this->Running.size() < this->Limit.limit()) {
     if (!this->Rate.allows(Now))
       return;
     auto First = this->Queue.begin();
@@ -211,7 +211,7 @@
   if (Found == this->Running.end())
     return Decisions;
   const auto &Finished = Found->second;
-  bool Saturated = this->Running.size() >= this->Limit.limit(Now);
+  bool Saturated = this->Running.size() >= this->Limit.limit();
   bool WasCancelled = Finished.Cancellable &&
                       this->CancellableRunning.erase({Finished.Key, Id}) == 0;
   if (WasCancelled)
@@ -257,12 +257,12 @@
                                             : Reason::DeadlineTooNear,
                    Decisions);
   }
-  auto SlotLimit = static_cast<double>(this->limit(Now));
+  auto SlotLimit = static_cast<double>(this->limit());
   auto UsedSlots = static_cast<double>(this->Running.size());
   Occupancy Sample;
   Sample.IdleShare = std::max(0.0, 1 - UsedSlots / SlotLimit);
   Sample.QueueShare = static_cast<double>(this->Queue.size()) /
-                      static_cast<double>(this->queueCapacity(Now));
+                      static_cast<double>(this->queueCapacity());
   this->Level.tick(Sample, RankCount, Now);
   return Decisions;
 }
--- a/lib/request/ConcurrencyLimit.cpp
+++ b/lib/request/ConcurrencyLimit.cpp
@@ -22,7 +22,6 @@
 constexpr unsigned FirstTrialPause = 4;
 constexpr unsigned MaxTrialPause = 64;
 constexpr double LatencyWeight = 0.1; ///< of one request, in the mean
-constexpr double ColdShare = 0.1; ///< of the limit, at the start of a warm-up
 
 Microseconds smooth(Microseconds Mean, Microseconds Sample) {
   auto Old = static_cast<double>(Mean.count());
@@ -46,8 +45,7 @@
                                 TimePoint Now) {
   auto Fresh = ConcurrencyLimit(Announced, this->Random());
   *this = Fresh;
-  this->WarmUpStart = Now;
-  this->WarmUp = WarmUp;
+  this->WarmUpEnd = Now + WarmUp;
   this->Current.Start = Now;
 }
 
@@ -80,6 +78,11 @@
     this->Limit = std::max(1.0, this->Limit * ShedFactor);
     return;
   }
+  // While a target warms up its runs get faster, whatever the limit is.
+  if (Now < this->WarmUpEnd) {
+    this->ActiveTrial.reset();
+    return;
+  }
   double Latency = Closed.LatencySum / static_cast<double>(Closed.Completions);
   if (this->BestLatency == 0 || Latency < this->BestLatency)
     this->BestLatency = Latency;
@@ -129,15 +132,8 @@
       std::min(FirstTrialPause << this->FailedTrials, MaxTrialPause));
 }
 
-std::size_t ConcurrencyLimit::limit(TimePoint Now) const noexcept {
-  double Share = 1;
-  if (this->WarmUp.count() > 0 && Now < this->WarmUpStart + this->WarmUp) {
-    double Passed = std::chrono::duration<double>(Now - this->WarmUpStart) /
-                    std::chrono::duration<double>(this->WarmUp);
-    Share = ColdShare + (1 - ColdShare) * std::max(0.0, Passed);
-  }
-  return std::max<std::size_t>(1,
-                               static_cast<std::size_t>(this->Limit * Share));
+std::size_t ConcurrencyLimit::limit() const noexcept {
+  return std::max<std::size_t>(1, static_cast<std::size_t>(this->Limit));
 }
 
 } // namespace limpetdrum
