--- a/include/limpetdrum/request/EntryGate.h
+++ b/include/limpetdrum/request/EntryGate.h
@@ -43,7 +43,7 @@
     double GrantedSlots = 0;  ///< slots allocated to the routes
     /// Ratio of GrantedSlots to ServiceLoad::Limit.
     double CapacityFactor = 1;
-    double QueueWait = 0; ///< wait in the service's queues, in seconds
+    double QueueWait = 0;      ///< wait in the service's queues, in seconds
     double WaitAtDecrease = 0; ///< QueueWait that led to the last decrease
     unsigned UpdatesSinceDecrease = 0;
   };
--- a/include/limpetdrum/request/SuspectTrials.h
+++ b/include/limpetdrum/request/SuspectTrials.h
@@ -15,8 +15,8 @@
 /// before the first proof. Nodes that know the same candidates choose the same
 /// one, and other requests are tried elsewhere.
 /// \param Candidates nodes with a ready target; nothing is chosen if empty.
-[[nodiscard]] std::optional<NodeId>
-trialNode(RequestFingerprint Request, std::vector<NodeId> Candidates);
+[[nodiscard]] std::optional<NodeId> trialNode(RequestFingerprint Request,
+                                              std::vector<NodeId> Candidates);
 
 /// \brief Lets suspected attempts run one at a time at a target.
 class SuspectTrials {
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -406,8 +406,7 @@
   auto Told = static_cast<unsigned>(Run.Attempt.TargetsEnded);
   if (this->Crashes.empty())
     return Told;
-  return std::max(Told,
-                  this->Crashes.crashes(fingerprintOf(Run), this->Now()));
+  return std::max(Told, this->Crashes.crashes(fingerprintOf(Run), this->Now()));
 }
 
 bool LocalTarget::provesTrial(const std::vector<AttemptId> &Runs) {
--- a/lib/request/Admission.cpp
+++ b/lib/request/Admission.cpp
@@ -117,8 +117,7 @@
 }
 
 bool Admission::isRateReached(TimePoint Now) const noexcept {
-  return this->Running.size() < this->Limit.limit() &&
-         !this->Rate.allows(Now);
+  return this->Running.size() < this->Limit.limit() && !this->Rate.allows(Now);
 }
 
 void Admission::enforceCapacity(AttemptId NewestId, TimePoint Now,
@@ -170,8 +169,7 @@
 }
 
 void Admission::dispatchQueued(TimePoint Now, AdmissionDecisions &Decisions) {
-  while (!this->Queue.empty() &&
-         this->Running.size() < this->Limit.limit()) {
+  while (!this->Queue.empty() && this->Running.size() < this->Limit.limit()) {
     if (!this->Rate.allows(Now))
       return;
     auto First = this->Queue.begin();
--- a/lib/request/Allowances.cpp
+++ b/lib/request/Allowances.cpp
@@ -172,8 +172,8 @@
 
 bool Allowances::recovers(const Account &Entry, TimePoint Now) {
   // A report counts only once the news of the fleet shows it.
-  auto Known = std::min(Entry.Reports.front().second,
-                        Entry.Part * Entry.FleetAsked);
+  auto Known =
+      std::min(Entry.Reports.front().second, Entry.Part * Entry.FleetAsked);
   return !Entry.IsBinding && Entry.FleetLevel >= RecoveredShare * Entry.Burst &&
          Entry.Asked.value(Now) <= unusual(Known);
 }
--- a/lib/request/CrashHistory.cpp
+++ b/lib/request/CrashHistory.cpp
@@ -89,8 +89,8 @@
   auto IsKnownTarget = std::find(Known.Targets.begin(), Known.Targets.end(),
                                  Report.Target) != Known.Targets.end();
   bool IsProof = Report.Alone && !Known.Alone;
-  bool IsRepetition = Known.Targets.size() >= MaxTargets &&
-                      At - Known.LastAt < RenewalPeriod;
+  bool IsRepetition =
+      Known.Targets.size() >= MaxTargets && At - Known.LastAt < RenewalPeriod;
   if ((IsKnownTarget || IsRepetition) && !IsProof)
     return false;
   // Evidence of an earlier period does not count any more.
--- a/unittests/ColdStartTest.cpp
+++ b/unittests/ColdStartTest.cpp
@@ -51,9 +51,7 @@
     return static_cast<double>(this->Served) / Ended;
   }
 
-  [[nodiscard]] std::size_t limit() const {
-    return this->Queue.limit();
-  }
+  [[nodiscard]] std::size_t limit() const { return this->Queue.limit(); }
 
 private:
   void arrive() {
--- a/unittests/CrashHistoryTest.cpp
+++ b/unittests/CrashHistoryTest.cpp
@@ -162,7 +162,8 @@
   CHECK(Fixture.verdict(Suspect) == Verdict::Suspect);
 }
 
-TEST_CASE("CrashHistory ends the relay of a request that crashed many targets") {
+TEST_CASE(
+    "CrashHistory ends the relay of a request that crashed many targets") {
   RelayingNodes Fleet;
   constexpr std::uint64_t Crashes = 12;
   for (std::uint64_t Target = 0; Target < Crashes; ++Target)
@@ -206,7 +207,8 @@
   CHECK(Fixture.verdict() == Verdict::Suspect);
 }
 
-TEST_CASE("CrashHistory tells a restarted node little enough for all its links") {
+TEST_CASE(
+    "CrashHistory tells a restarted node little enough for all its links") {
   HistoryFixture Fixture;
   for (std::uint64_t I = 0; I < 4000; ++I)
     for (std::uint64_t Target : {1, 2, 3, 4})
