Hash a forwarded request once

Cause: while crashes are remembered, a request was hashed for the verdict, again for the choice of a node to try it at, and again for each log line. Ruled out: a hash for each request; without crashes none is needed. Change: the hash is kept with the request, computed when it is first needed; the verdict is asked once for each send.

--- a/include/limpetdrum/daemon/calls/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -60,13 +60,16 @@
   void giveAllowanceBack(ForwardedRequest &Request);
   void admit(const RequestPtr &Request);
   void send(const RequestPtr &Request);
+  [[nodiscard]] static RequestFingerprint
+  fingerprintOf(ForwardedRequest &Request);
+  [[nodiscard]] CrashHistory::Verdict
+  crashVerdict(ForwardedRequest &Request) const;
   /// Ends a request that is proven to crash targets.
-  /// \returns false if it is not.
-  [[nodiscard]] bool endIfCrashing(const RequestPtr &Request);
+  void endCrashing(const RequestPtr &Request);
   /// Selects the node for the next attempt; for a suspected request, the one at
   /// which it is tried.
-  [[nodiscard]] std::optional<NodeId>
-  selectNode(const ForwardedRequest &Request);
+  [[nodiscard]] std::optional<NodeId> selectNode(ForwardedRequest &Request,
+                                                 CrashHistory::Verdict Verdict);
   /// Sends the request to the node of the last attempt again, or to another one
   /// if that node is no longer a candidate.
   void resendToSameNode(const RequestPtr &Request);
--- a/include/limpetdrum/request/ConcurrencyLimit.h
+++ b/include/limpetdrum/request/ConcurrencyLimit.h
@@ -25,10 +25,10 @@
   explicit ConcurrencyLimit(Slots Announced, std::uint64_t Seed = 1);
 
   /// \brief Resets the limit to an announced number of slots.
-  /// \param WarmUp time for which a target that has just started is slow. It
-  /// has
-  ///   the same slots then: if all targets of a service have started at once,
-  ///   those held back would serve nobody. No trials are made meanwhile.
+  /// \param WarmUp time for which a target that has just started is slow.
+  ///   Meanwhile it has the same slots, as those held back would serve nobody
+  ///   if all targets of a service have started at once, and no trials are
+  ///   made.
   void announce(Slots Announced, Milliseconds WarmUp, TimePoint Now);
 
   /// \brief Records the end of a request at the target.
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -58,6 +58,8 @@
   /// it is unknown or the request is not a call.
   std::string ParentId;
   std::string ParentRoute;
+  /// Computed when it is first needed.
+  std::optional<RequestFingerprint> Fingerprint;
   std::vector<NodeId> Excluded; ///< nodes that it was sent to
   NodeId Node;                  ///< of the current attempt
   std::uint64_t Call = 0;       ///< of the current attempt; 0: none
@@ -251,9 +253,12 @@
     this->onDeadline(Request);
     return;
   }
-  if (this->endIfCrashing(Request))
+  auto Verdict = this->crashVerdict(*Request);
+  if (Verdict == CrashHistory::Verdict::Crashing) {
+    this->endCrashing(Request);
     return;
-  auto Node = this->selectNode(*Request);
+  }
+  auto Node = this->selectNode(*Request, Verdict);
   if (!Node) {
     this->applyStep(Request, Request->Plan.terminalStep(),
                     notRun(Reason::NoTarget, NoTargetRetryAfter));
@@ -262,30 +267,31 @@
   this->sendTo(Request, *Node);
 }
 
-bool Forwarder::endIfCrashing(const RequestPtr &Request) {
+RequestFingerprint Forwarder::fingerprintOf(ForwardedRequest &Request) {
+  if (!Request.Fingerprint)
+    Request.Fingerprint = fingerprint(Request.Message);
+  return *Request.Fingerprint;
+}
+
+CrashHistory::Verdict Forwarder::crashVerdict(ForwardedRequest &Request) const {
   if (this->Crashes.empty())
-    return false;
-  auto Fingerprint = fingerprint(Request->Message);
-  auto Time = this->Loop.now();
-  if (this->Crashes.verdict(Fingerprint, Time) !=
-      CrashHistory::Verdict::Crashing)
-    return false;
+    return CrashHistory::Verdict::None;
+  return this->Crashes.verdict(fingerprintOf(Request), this->Loop.now());
+}
+
+void Forwarder::endCrashing(const RequestPtr &Request) {
   this->applyStep(Request, Request->Plan.terminalStep(),
                   notRun(Reason::CrashesTargets,
-                         this->Crashes.retryAfter(Fingerprint, Time)));
-  return true;
+                         this->Crashes.retryAfter(fingerprintOf(*Request),
+                                                  this->Loop.now())));
 }
 
-std::optional<NodeId> Forwarder::selectNode(const ForwardedRequest &Request) {
+std::optional<NodeId> Forwarder::selectNode(ForwardedRequest &Request,
+                                            CrashHistory::Verdict Verdict) {
   TargetSelector::Query Query{Request.Id, Request.Service, Request.Excluded};
-  if (!this->Crashes.empty()) {
-    auto Fingerprint = fingerprint(Request.Message);
-    bool IsSuspect = this->Crashes.verdict(Fingerprint, this->Loop.now()) ==
-                     CrashHistory::Verdict::Suspect;
-    if (auto Node = IsSuspect ? this->Targets.selectForTrial(Query, Fingerprint)
-                              : std::nullopt)
+  if (Verdict == CrashHistory::Verdict::Suspect)
+    if (auto Node = this->Targets.selectForTrial(Query, fingerprintOf(Request)))
       return Node;
-  }
   return this->Targets.select(Query);
 }
 
@@ -431,7 +437,7 @@
       normalizedPosition(Request->Rank, Request->Cohort), this->Loop.now());
   this->Log.request("repeat",
                     {{"id", Request->Id},
-                     {"request", toString(fingerprint(Request->Message))},
+                     {"request", toString(fingerprintOf(*Request))},
                      {"route", Request->Route->Name},
                      {"service", Request->Service.value()},
                      {"reason", toString(Cause)},
@@ -561,17 +567,16 @@
 
 void Forwarder::fail(const RequestPtr &Request, int Status, Reason Cause) {
   this->reportCallFailure(*Request);
-  this->Log.request("failed",
-                    {{"id", Request->Id},
-                     {"request", toString(fingerprint(Request->Message))},
-                     {"route", Request->Route->Name},
-                     {"service", Request->Service.value()},
-                     {"status", Status},
-                     {"reason", toString(Cause)},
-                     {"node", Request->Node.value()},
-                     {"turns", Request->Plan.attempts()},
-                     {"parent", Request->ParentId},
-                     {"policy", Request->Policy->version().value()}});
+  this->Log.request("failed", {{"id", Request->Id},
+                               {"request", toString(fingerprintOf(*Request))},
+                               {"route", Request->Route->Name},
+                               {"service", Request->Service.value()},
+                               {"status", Status},
+                               {"reason", toString(Cause)},
+                               {"node", Request->Node.value()},
+                               {"turns", Request->Plan.attempts()},
+                               {"parent", Request->ParentId},
+                               {"policy", Request->Policy->version().value()}});
   this->answer(Request, Status, {},
                std::string("unknown: ") + toString(Cause) + "\n", "failed");
 }
