--- a/lib/request/CrashHistory.cpp
+++ b/lib/request/CrashHistory.cpp
@@ -21,7 +21,7 @@
 /// Crashes that follow each other within this time show nothing new once the
 /// history is full. Nodes pass on what is new to them, so a report that was
 /// dropped and comes back late must not replace others and be passed on again.
-/// The age of a report grows by the time on its way, which is far shorter.
+/// A report seems younger by its time on the way, which is far shorter.
 constexpr std::chrono::seconds RenewalPeriod{1};
 /// Requests that a node is told of over each new link, some 50 kB. A restarted
 /// node makes all its links at once, and all its peers tell it.
