--- a/review/standins/Harness.cpp
+++ b/review/standins/Harness.cpp
@@ -588,6 +588,39 @@
     kill(this->Process, Number);
 }
 
+void Machine::freeze(double Seconds) {
+  auto Folder = "/proc/" + std::to_string(this->Process);
+  auto State = [&]() {
+    std::ifstream Stat(Folder + "/stat");
+    std::string Line;
+    std::getline(Stat, Line);
+    auto End = Line.rfind(") ");
+    return End == std::string::npos ? ' ' : Line[End + 2];
+  };
+  auto IsInCall = [&]() {
+    std::ifstream Call(Folder + "/syscall");
+    std::string Number;
+    return static_cast<bool>(Call >> Number) && Number != "-1" &&
+           Number != "running";
+  };
+  auto Until = now() + 1;
+  while (true) {
+    while (now() < Until && State() != 'R') {
+    }
+    this->signal(SIGSTOP);
+    while (now() < Until && State() != 'T') {
+    }
+    if (now() >= Until || !IsInCall())
+      break;
+    this->signal(SIGCONT);
+    sleepFor(0.001);
+  }
+  Record::line("platform: " + this->Name + " stands still");
+  sleepFor(Seconds);
+  this->signal(SIGCONT);
+  Record::line("platform: " + this->Name + " goes on");
+}
+
 bool Machine::hasEnded() {
   if (this->Process <= 0)
     return true;
@@ -769,6 +802,8 @@
   if (!Dropped && !this->Stopped) {
     auto Length = static_cast<std::size_t>(numberAfter(Path, "/b"));
     auto Body = Id + " " + this->Id + " ";
+    if (this->SendsPictures)
+      Body += picture(Length);
     while (Body.size() < Length)
       Body += Id + "\n";
     Body.resize(std::max(Length, Id.size()));
@@ -788,6 +823,18 @@
                (IsAnswered ? "" : ", as its connection was closed"));
 }
 
+std::string picture(std::size_t Size) {
+  std::string Bytes(Size, ' ');
+  std::uint64_t State = 88172645463325252ULL;
+  for (auto &Each : Bytes) {
+    State ^= State << 13U;
+    State ^= State >> 7U;
+    State ^= State << 17U;
+    Each = static_cast<char>(State);
+  }
+  return Bytes;
+}
+
 std::string newId() {
   char Text[17];
   std::snprintf(Text, sizeof(Text), "%016llx",
--- a/review/standins/Harness.h
+++ b/review/standins/Harness.h
@@ -156,6 +156,10 @@
   /// Starts the program of the deploy file with its filled-in template.
   void start(bool Bootstrap);
   void signal(int Number);
+  /// Lets the process stand still, as on a machine that does. It is stopped
+  /// while it runs: the wait of a process that is stopped in it ends early when
+  /// it goes on, which that of a machine doesn't.
+  void freeze(double Seconds);
   /// Sends SIGTERM, and SIGKILL after the grace period.
   void stop();
   /// \returns true if the process has ended.
@@ -210,6 +214,8 @@
   std::vector<Run> runs();
   [[nodiscard]] std::uint64_t sequence() const { return this->Sequence; }
   std::atomic<bool> Leaving{false};
+  /// True to answer with bytes that don't compress, as those of a picture.
+  std::atomic<bool> SendsPictures{false};
   std::atomic<bool> ReportsStopped{false};
 
 private:
@@ -254,6 +260,8 @@
 };
 
 std::string newId();
+/// Returns bytes that don't compress, the same each time.
+std::string picture(std::size_t Size);
 extern const std::string Host;
 /// Sends a request over a connection and reads its answer.
 Outcome ask(Connection &Peer, const RequestOptions &Options,
