--- a/review/standins/Harness.cpp
+++ b/review/standins/Harness.cpp
@@ -35,6 +35,33 @@
 std::ofstream RecordFile;
 std::string Scratch;
 
+/// Processes that were started and have not been waited for.
+constexpr std::size_t MaxProcesses = 64;
+std::atomic<pid_t> Processes[MaxProcesses];
+
+void remember(pid_t Process) {
+  for (auto &Each : Processes) {
+    pid_t Free = 0;
+    if (Each.compare_exchange_strong(Free, Process))
+      return;
+  }
+}
+
+void forget(pid_t Process) {
+  for (auto &Each : Processes) {
+    auto Known = Process;
+    Each.compare_exchange_strong(Known, 0);
+  }
+}
+
+/// Ends all processes that were started, and this one.
+[[noreturn]] void abandon() {
+  for (auto &Each : Processes)
+    if (pid_t Process = Each; Process > 0)
+      kill(Process, SIGKILL);
+  _exit(CannotRun);
+}
+
 sockaddr_in socketAddress(const Address &Value) {
   sockaddr_in Result{};
   Result.sin_family = AF_INET;
@@ -525,8 +552,10 @@
 
 Machine::~Machine() {
   this->signal(SIGKILL);
-  if (this->Process > 0)
-    waitpid(this->Process, nullptr, 0);
+  if (this->Process <= 0)
+    return;
+  waitpid(this->Process, nullptr, 0);
+  forget(this->Process);
 }
 
 std::string Machine::logPath() const {
@@ -579,6 +608,7 @@
     _exit(127);
   }
   this->Process = Child;
+  remember(Child);
   Record::line("platform: " + this->Name + " (" + this->Service +
                ") is started, bootstrap = " + (Bootstrap ? "true" : "false"));
 }
@@ -627,6 +657,7 @@
   int Status = 0;
   if (waitpid(this->Process, &Status, WNOHANG) != this->Process)
     return false;
+  forget(this->Process);
   Record::line("platform: the process on " + this->Name + " has ended, " +
                (WIFEXITED(Status)
                     ? "exit status " + std::to_string(WEXITSTATUS(Status))
@@ -986,6 +1017,9 @@
 
 void begin(int Count, char **Args) {
   std::signal(SIGPIPE, SIG_IGN);
+  for (int Number : {SIGTERM, SIGINT})
+    std::signal(Number, [](int /*Number*/) { abandon(); });
+  std::set_terminate(abandon);
   if (Count != 3) {
     std::cerr << "usage: " << Args[0] << " FOLDER-OF-THE-CASE SCRATCH-FOLDER\n";
     std::exit(CannotRun);
