--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t MemoryLimit = 260U * 1000U * 1000U;
+constexpr std::size_t MemoryLimit = 260U * 1024U * 1024U;
 /// The manifest's max-body-bytes is 67108864.
 constexpr std::size_t LargeBodyBytes = 60U * 1000U * 1000U;
 /// The longest body of the site's own classes.
@@ -28,7 +28,7 @@
         if (Peak > MemoryLimit && !this->HasKilled) {
           this->HasKilled = true;
           Record::line("platform: " + this->Host.Name + " uses " +
-                       std::to_string(Peak / 1000000) +
+                       std::to_string(Peak / 1048576) +
                        " MB, over its limit of 260 MB: it is killed");
           this->Host.signal(SIGKILL);
         }
