Give the target no runs once a leaving node has decided to end

Cause: once nothing was in flight a leaving node closed its entrance and let its process live for 100 ms more. Its target was still given attempts of other nodes in that time, which send to a leaving node if no other target of the service is ready. The end of the process cut them. Change: the node closes before it ends. Entrance and target refuse everything as not run, with a Retry-After that covers the restart; the status says so (refusesRuns), and nodes no longer choose it; the process ends when no attempt has arrived for 100 ms, after 500 ms at the latest. Attempts queued at the target when it gets no more runs are refused instead of begun late. A line `exit` says what the end of the process cuts. "LocalTarget refuses queued attempts after refuseNewWork" is new with the argument that it needs and was not run on the code before.

--- a/include/limpetdrum/daemon/calls/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -81,9 +81,10 @@
   ///   before it ends, which replaces the callback.
   void execute(Incarnation Caller, const MeshAttempt &Attempt,
                ReplyCallback OnReply);
-  /// \brief Refuses new attempts from now on; known ones continue and can be
-  ///   attached to.
-  void refuseNewWork() noexcept { this->RefusesNewWork = true; }
+  /// \brief Refuses new and queued attempts from now on; running ones continue
+  ///   and can be attached to.
+  /// \param RetryAfter time after which a refused request may be retried.
+  void refuseNewWork(Milliseconds RetryAfter);
   /// \brief Ends an attempt whose caller no longer waits for the reply.
   void cancel(Incarnation Caller, std::uint64_t Call);
   /// \brief Discards the stored reply to an attempt, as its caller received it.
@@ -179,6 +180,8 @@
   void setRequestRate(std::optional<double> PerSecond, const char *Source);
   void finish(AttemptId Id, Reply Value);
   void endCancelledRuns();
+  /// Refuses all attempts that were not sent to the target.
+  void refuseQueued();
   void refuseQueuedIfGateClosed();
   [[nodiscard]] Milliseconds retryAfter() const;
 
@@ -193,7 +196,8 @@
   TargetIdentity Identity;
   DrainGate Gate;
   bool GateCloseHandled = false;
-  bool RefusesNewWork = false; ///< set shortly before the node ends
+  /// Set shortly before the node ends: retry delay of refused attempts.
+  std::optional<Milliseconds> RetryAfterEnd;
   AttemptLedger Ledger;
   Admission Queue;
   std::unordered_map<AttemptId, Entry> Active;
--- a/include/limpetdrum/process/NodeStatus.h
+++ b/include/limpetdrum/process/NodeStatus.h
@@ -47,8 +47,10 @@
   limpetdrum::Incarnation Incarnation;
   std::uint64_t Version = 0; ///< incremented with each change
   bool Leaving = false;      ///< accepts no new work
-  Revision Policy;           ///< in force at the node
-  bool StoreLost = false;    ///< its last call to the store failed
+  /// The process ends soon and gives its target no further runs.
+  bool RefusesRuns = false;
+  Revision Policy;        ///< in force at the node
+  bool StoreLost = false; ///< its last call to the store failed
   TargetRecord Target;
   std::uint32_t Running = 0; ///< requests running at the target
   std::uint32_t Queued = 0;
--- a/include/limpetdrum/request/LeavePlan.h
+++ b/include/limpetdrum/request/LeavePlan.h
@@ -13,7 +13,9 @@
 /// Requests of clients are accepted until the clients have observed that the
 /// node is not ready, and longer in case too few other nodes are. Requests that
 /// arrive too late to be completed are refused as not run. Calls of the local
-/// target are accepted for longer, since they complete requests in flight.
+/// target are accepted for longer, since they complete requests in flight. Once
+/// nothing is in flight the node closes: it refuses everything, and ends when
+/// the other nodes have stopped sending attempts.
 class LeavePlan {
 public:
   /// \param ExitLimit time from the signal to the forced end of the process.
@@ -25,8 +27,10 @@
   void setExitLimit(Milliseconds Value) noexcept { this->ExitLimit = Value; }
   /// \brief Starts the leave; \p Now is the time of the signal.
   void begin(TimePoint Now) noexcept { this->BeganAt = Now; }
-  /// \brief Refuses all further requests, as the process ends now.
-  void end() noexcept { this->Ended = true; }
+  /// \brief Refuses all further requests and runs.
+  void close(TimePoint Now) noexcept { this->ClosedAt = Now; }
+  /// \brief Handles the arrival of an attempt that another node sent.
+  void onAttempt(TimePoint Now) noexcept { this->LastAttemptAt = Now; }
   [[nodiscard]] bool isLeaving() const noexcept {
     return this->BeganAt.has_value();
   }
@@ -35,19 +39,27 @@
   ///   may be retried.
   [[nodiscard]] std::optional<Milliseconds> refusalDelay(bool IsCall,
                                                          TimePoint Now) const;
+  /// \brief Returns the delay after which a refused request may be retried.
+  [[nodiscard]] Milliseconds retryAfter(TimePoint Now) const;
   /// \brief Returns true if the local target is given no further runs.
   ///
   /// Before that, the other nodes have received the leave and send only
   /// requests that no other target can run.
   [[nodiscard]] bool refusesRuns(TimePoint Now) const;
+  /// \brief Returns true if the node may close.
+  /// \param Idle true if no request is in flight.
+  [[nodiscard]] bool mayClose(bool Idle, TimePoint Now) const;
   /// \brief Returns true if the process may end.
   /// \param Idle true if no request is in flight.
   [[nodiscard]] bool mayExit(bool Idle, TimePoint Now) const;
 
 private:
+  [[nodiscard]] Microseconds elapsed(TimePoint Now) const;
+
   Milliseconds ExitLimit;
   std::optional<TimePoint> BeganAt;
-  bool Ended = false;
+  std::optional<TimePoint> ClosedAt;
+  TimePoint LastAttemptAt{};
 };
 
 } // namespace limpetdrum
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -27,8 +27,6 @@
 constexpr Milliseconds GateLogPeriod{1000};
 constexpr Milliseconds LogFlushPeriod{100};
 constexpr Milliseconds LeaveCheckPeriod{50};
-/// Lets the peers and clients receive the last bytes before the process exits.
-constexpr Milliseconds ExitDelay{100};
 /// Time after which a node may become ready without a link to every peer: by
 /// then it is connected to those that run.
 constexpr Milliseconds WarmUpLimit{1500};
@@ -108,7 +106,8 @@
   std::unique_ptr<HttpServer> MetricsPage;
   std::vector<Timer> Timers;
   std::uint64_t StatusVersion = 0;
-  bool HasLeft = false;
+  bool HasRefusedRuns = false; ///< the other nodes have been told
+  bool HasExited = false;
   bool WasReady = false;
   bool HasReport = false;
 
@@ -185,7 +184,12 @@
   [[nodiscard]] bool isReady();
   [[nodiscard]] NodeStatus status();
   void leave();
+  /// Returns true if no request is in flight.
+  [[nodiscard]] bool isIdle() const;
   void continueLeaving();
+  /// Refuses everything from now on, and tells the other nodes.
+  void close();
+  void exit();
   void updateSlack();
   /// Updates the links and the duties of this node.
   void updateRole();
@@ -234,6 +238,7 @@
                               limpetdrum::Incarnation Caller,
                               const MeshAttempt &Attempt) {
     auto Call = Attempt.Call;
+    this->Leaving.onAttempt(this->Loop.now());
     this->LocalTarget.execute(Caller, Attempt,
                               [this, Caller, Call](const Reply &R) {
                                 (void)this->Peers.reply(Caller, Call, R);
@@ -495,27 +500,45 @@
       LeaveCheckPeriod, [this]() { this->continueLeaving(); }));
 }
 
+bool Sidecar::State::isIdle() const {
+  return this->Outbound->openRequests() == 0 &&
+         this->LocalTarget.outstanding() == 0;
+}
+
 void Sidecar::State::continueLeaving() {
-  if (this->HasLeft)
-    return;
-  if (this->Leaving.refusesRuns(this->Loop.now()))
-    this->LocalTarget.refuseNewWork();
-  bool Idle = this->Outbound->openRequests() == 0 &&
-              this->LocalTarget.outstanding() == 0;
-  if (!this->Leaving.mayExit(Idle, this->Loop.now()))
-    return;
-  this->HasLeft = true;
-  this->Leaving.end();
+  auto Now = this->Loop.now();
+  if (this->Leaving.refusesRuns(Now) &&
+      !std::exchange(this->HasRefusedRuns, true)) {
+    this->LocalTarget.refuseNewWork(this->Leaving.retryAfter(Now));
+    this->Peers.broadcast();
+  }
+  if (this->Leaving.mayClose(this->isIdle(), Now))
+    this->close();
+  else if (this->Leaving.mayExit(this->isIdle(), Now))
+    this->exit();
+}
+
+void Sidecar::State::close() {
+  this->Leaving.close(this->Loop.now());
+  this->LocalTarget.refuseNewWork(this->Leaving.retryAfter(this->Loop.now()));
   this->AllowanceNews.leave();
   this->Outbound->stopListening();
+  this->Peers.broadcast();
   this->Log.state("left", {{"open", this->Outbound->openRequests()},
                            {"running", this->LocalTarget.outstanding()}});
   this->Fleet.announce(TargetState::Left);
   if (this->LocalTarget.record().State == TargetState::Left)
     this->Fleet.registry().unregister();
+}
+
+void Sidecar::State::exit() {
+  if (std::exchange(this->HasExited, true))
+    return;
+  // What is still open here is cut by the end of the process.
+  this->Log.state("exit", {{"open", this->Outbound->openRequests()},
+                           {"running", this->LocalTarget.outstanding()}});
   this->Log.flush();
-  this->Timers.push_back(
-      this->Loop.after(ExitDelay, [this]() { this->OnLeft(); }));
+  this->OnLeft();
 }
 
 Sidecar::Sidecar(EventLoop &Loop, const SidecarSettings &Settings,
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -127,6 +127,8 @@
 }
 
 Milliseconds LocalTarget::retryAfter() const {
+  if (this->RetryAfterEnd)
+    return *this->RetryAfterEnd;
   auto Wait = std::chrono::duration_cast<Milliseconds>(
       this->Queue.expectedWait(this->Now()));
   return std::max(MinRetryAfter, Wait);
@@ -161,7 +163,12 @@
     this->finish(Id, notRun(Reason::WrongTarget, MinRetryAfter));
     return;
   }
-  if (this->RefusesNewWork || this->Gate.isClosed(Time) ||
+  if (this->RetryAfterEnd) {
+    this->Counters.count("attempts_refused_at_end");
+    this->finish(Id, notRun(Reason::Draining, *this->RetryAfterEnd));
+    return;
+  }
+  if (this->Gate.isClosed(Time) ||
       this->Record.State == TargetState::Starting) {
     this->finish(Id, notRun(Reason::Draining, MinRetryAfter));
     return;
@@ -170,6 +177,11 @@
     this->submit(Id);
 }
 
+void LocalTarget::refuseNewWork(Milliseconds RetryAfter) {
+  this->RetryAfterEnd = RetryAfter;
+  this->refuseQueued();
+}
+
 void LocalTarget::submit(AttemptId Id) {
   const auto &Waiting = this->Active.at(Id);
   const auto &Attempt = Waiting.Attempt;
@@ -582,6 +594,11 @@
     this->Active.at(Found->second).CallFailed = true;
 }
 
+void LocalTarget::refuseQueued() {
+  this->applyDecisions(this->Queue.refuseQueued(Reason::Draining));
+  this->refuseWaiting([](const Entry &) { return true; }, Reason::Draining);
+}
+
 void LocalTarget::refuseQueuedIfGateClosed() {
   if (!this->Gate.isClosed(this->Now()) ||
       std::exchange(this->GateCloseHandled, true))
@@ -589,8 +606,7 @@
   this->Log.state("drain_gate_closed", {{"target", this->Record.Id},
                                         {"running", this->Queue.running()},
                                         {"queued", this->Queue.queued()}});
-  this->applyDecisions(this->Queue.refuseQueued(Reason::Draining));
-  this->refuseWaiting([](const Entry &) { return true; }, Reason::Draining);
+  this->refuseQueued();
 }
 
 void LocalTarget::tick() {
@@ -610,6 +626,7 @@
 
 void LocalTarget::fillStatus(NodeStatus &Status) const {
   Status.Target = this->Record;
+  Status.RefusesRuns = this->RetryAfterEnd.has_value();
   Status.Running = static_cast<std::uint32_t>(this->Queue.running());
   Status.Queued = static_cast<std::uint32_t>(this->Queue.queued());
   Status.Limit = static_cast<std::uint32_t>(this->Queue.limit());
--- a/lib/daemon/calls/TargetSelector.cpp
+++ b/lib/daemon/calls/TargetSelector.cpp
@@ -51,7 +51,8 @@
   std::vector<PlacementCandidate> Draining;
   auto AddCandidate = [&](const NodeStatus &Status, const Contact &Contact,
                           bool IsSuspect) {
-    if (Status.Target.Service != Service || Status.Target.Id.empty())
+    if (Status.Target.Service != Service || Status.Target.Id.empty() ||
+        Status.RefusesRuns)
       return;
     PlacementCandidate Candidate{Contact.Node,
                                  Contact.FailureDomain,
--- a/lib/daemon/fleet/Mesh.cpp
+++ b/lib/daemon/fleet/Mesh.cpp
@@ -339,12 +339,14 @@
     return;
   if (!Peer.Status || Peer.Status->Target.Id != Status.Target.Id ||
       Peer.Status->Target.State != Status.Target.State ||
-      Peer.Status->Leaving != Status.Leaving)
+      Peer.Status->Leaving != Status.Leaving ||
+      Peer.Status->RefusesRuns != Status.RefusesRuns)
     this->Log.state("peer_target", {{"node", Node.value()},
                                     {"target", Status.Target.Id},
                                     {"service", Status.Target.Service.value()},
                                     {"state", toString(Status.Target.State)},
-                                    {"leaving", Status.Leaving}});
+                                    {"leaving", Status.Leaving},
+                                    {"refuses_runs", Status.RefusesRuns}});
   Peer.Status = Status;
   this->Callbacks.OnStatus(Node);
 }
--- a/lib/daemon/fleet/MeshCodec.cpp
+++ b/lib/daemon/fleet/MeshCodec.cpp
@@ -80,6 +80,7 @@
       static_cast<std::uint32_t>(Value.ServiceTime.count()));
   Builder.setStoreLost(Value.StoreLost);
   Builder.setPace(Value.Pace);
+  Builder.setRefusesRuns(Value.RefusesRuns);
 }
 
 template <typename MessageBuilder>
@@ -304,6 +305,7 @@
   Value.ServiceTime = Microseconds(Reader.getServiceMicros());
   Value.StoreLost = Reader.getStoreLost();
   Value.Pace = Reader.getPace();
+  Value.RefusesRuns = Reader.getRefusesRuns();
   if (!(Value.Threshold >= 0))
     throw ValueError("invalid admission threshold " +
                          std::to_string(Value.Threshold) +
--- a/lib/request/LeavePlan.cpp
+++ b/lib/request/LeavePlan.cpp
@@ -19,39 +19,65 @@
 /// Time before the exit limit from which no run begins. Most runs take less
 /// than 1.5 s, so those that began earlier end before the process.
 constexpr Milliseconds RunMargin{2000};
+/// Time before the exit limit at which the node closes whatever is in flight.
+constexpr Milliseconds CloseMargin{400};
 /// Part of the exit limit that is reserved for the shutdown of the process
 /// itself.
-constexpr Milliseconds ExitMargin{400};
+constexpr Milliseconds ExitMargin{300};
+/// Time without attempts of other nodes after which a closed node may end: by
+/// then they know that it is closed, and have received its last replies.
+constexpr Milliseconds QuietTime{100};
+/// Time after which a closed node ends although other nodes, which may not know
+/// of closed nodes, still send it attempts.
+constexpr Milliseconds MaxClosedTime{500};
 /// Time from the end of a process to the readiness of its successor.
 constexpr Milliseconds RestartTime{1000};
 
 } // namespace
 
+Microseconds LeavePlan::elapsed(TimePoint Now) const {
+  return this->BeganAt ? Now - *this->BeganAt : Microseconds(0);
+}
+
+Milliseconds LeavePlan::retryAfter(TimePoint Now) const {
+  if (this->ClosedAt)
+    return RestartTime;
+  auto Left = this->ExitLimit -
+              std::chrono::duration_cast<Milliseconds>(this->elapsed(Now));
+  return std::max(Milliseconds(0), Left) / 2 + RestartTime;
+}
+
 std::optional<Milliseconds> LeavePlan::refusalDelay(bool IsCall,
                                                     TimePoint Now) const {
-  if (this->Ended)
-    return RestartTime;
   if (!this->BeganAt)
     return std::nullopt;
-  auto Elapsed = std::chrono::duration_cast<Milliseconds>(Now - *this->BeganAt);
   auto RefusedFrom = IsCall ? this->ExitLimit - CallMargin
                             : this->ExitLimit / ClientLimitDivisor;
-  if (Elapsed < RefusedFrom)
+  if (!this->ClosedAt && this->elapsed(Now) < RefusedFrom)
     return std::nullopt;
-  return std::max(Milliseconds(0), this->ExitLimit - Elapsed) / 2 + RestartTime;
+  return this->retryAfter(Now);
 }
 
 bool LeavePlan::refusesRuns(TimePoint Now) const {
-  return this->Ended ||
-         (this->BeganAt && Now - *this->BeganAt >= this->ExitLimit - RunMargin);
+  return this->ClosedAt ||
+         (this->BeganAt && this->elapsed(Now) >= this->ExitLimit - RunMargin);
+}
+
+bool LeavePlan::mayClose(bool Idle, TimePoint Now) const {
+  if (!this->BeganAt || this->ClosedAt)
+    return false;
+  return this->elapsed(Now) >= this->ExitLimit - CloseMargin ||
+         (Idle && this->elapsed(Now) >= MinLeaveTime);
 }
 
 bool LeavePlan::mayExit(bool Idle, TimePoint Now) const {
-  if (!this->BeganAt)
+  if (!this->ClosedAt)
     return false;
-  auto Elapsed = Now - *this->BeganAt;
-  return Elapsed >= this->ExitLimit - ExitMargin ||
-         (Idle && Elapsed >= MinLeaveTime);
+  if (this->elapsed(Now) >= this->ExitLimit - ExitMargin)
+    return true;
+  bool IsQuiet = Now - this->LastAttemptAt >= QuietTime ||
+                 Now - *this->ClosedAt >= MaxClosedTime;
+  return Idle && IsQuiet && Now - *this->ClosedAt >= QuietTime;
 }
 
 } // namespace limpetdrum
--- a/lib/rpc/Mesh.capnp
+++ b/lib/rpc/Mesh.capnp
@@ -35,6 +35,7 @@
   serviceMicros @10 :UInt32; # typical service time, microseconds
   storeLost @11 :Bool;     # the last call to the store failed
   pace @12 :UInt16;        # percent of the usual time that work takes; 0: unknown
+  refusesRuns @13 :Bool;   # the target is given no further runs by this process
 }
 
 struct Header { name @0 :Text; value @1 :Text; }
--- a/lib/rpc/Mesh.capnp.h
+++ b/lib/rpc/Mesh.capnp.h
@@ -558,6 +558,8 @@
 
   inline  ::uint16_t getPace() const;
 
+  inline bool getRefusesRuns() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -633,6 +635,9 @@
   inline  ::uint16_t getPace();
   inline void setPace( ::uint16_t value);
 
+  inline bool getRefusesRuns();
+  inline void setRefusesRuns(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2675,6 +2680,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Status::Reader::getRefusesRuns() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Status::Builder::getRefusesRuns() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setRefusesRuns(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/unittests/ForwarderAllowanceTest.cpp
+++ b/unittests/ForwarderAllowanceTest.cpp
@@ -67,7 +67,8 @@
   ForwarderFixture F;
   F.Parts.setFleetSize(1);
   F.setPolicy({owner("acme", 2)});
-  F.Leaving.end(); // from now on each request is refused with 503
+  F.Leaving.begin(F.Loop.now());
+  F.Leaving.close(F.Loop.now()); // from now on each request is refused with 503
   CHECK(exhaust(F, "acme") == 0);
   CHECK(F.Counters.counter("allowance_refusals") == 0);
   CHECK(F.logged().find("\"refused\"") != std::string::npos);
--- a/unittests/LeavePlanTest.cpp
+++ b/unittests/LeavePlanTest.cpp
@@ -10,7 +10,7 @@
   FakeClock Clock;
   LeavePlan Plan(Milliseconds(6000));
   CHECK_FALSE(Plan.refusalDelay(false, Clock.now()));
-  CHECK_FALSE(Plan.mayExit(true, Clock.now()));
+  CHECK_FALSE(Plan.mayClose(true, Clock.now()));
 }
 
 TEST_CASE("LeavePlan refuses requests that could no longer be completed") {
@@ -29,17 +29,17 @@
   CHECK(Plan.refusalDelay(true, Clock.now()));
 }
 
-TEST_CASE("LeavePlan lets the process end when idle, at the latest before the "
+TEST_CASE("LeavePlan closes the node when idle, at the latest before the "
           "limit") {
   FakeClock Clock;
   LeavePlan Plan(Milliseconds(6000));
   Plan.begin(Clock.now());
-  CHECK_FALSE(Plan.mayExit(true, Clock.now()));
+  CHECK_FALSE(Plan.mayClose(true, Clock.now()));
   Clock.advance(Milliseconds(2600));
-  CHECK(Plan.mayExit(true, Clock.now()));
-  CHECK_FALSE(Plan.mayExit(false, Clock.now()));
+  CHECK(Plan.mayClose(true, Clock.now()));
+  CHECK_FALSE(Plan.mayClose(false, Clock.now()));
   Clock.advance(Milliseconds(3100));
-  CHECK(Plan.mayExit(false, Clock.now()));
+  CHECK(Plan.mayClose(false, Clock.now()));
 }
 
 TEST_CASE("LeavePlan refuses all requests while the process ends") {
@@ -47,13 +47,68 @@
   LeavePlan Plan(Milliseconds(6000));
   Plan.begin(Clock.now());
   Clock.advance(Milliseconds(2600));
-  REQUIRE(Plan.mayExit(true, Clock.now()));
+  REQUIRE(Plan.mayClose(true, Clock.now()));
   CHECK_FALSE(Plan.refusalDelay(false, Clock.now()));
-  Plan.end();
+  CHECK_FALSE(Plan.mayExit(true, Clock.now()));
+  Plan.close(Clock.now());
   CHECK(Plan.refusalDelay(false, Clock.now()));
   CHECK(Plan.refusalDelay(true, Clock.now()));
 }
 
+// Guards against runs that begin while the process ends.
+TEST_CASE("LeavePlan gives the target no run once the node is closed") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  Plan.begin(Clock.now());
+  Clock.advance(Milliseconds(2600));
+  CHECK_FALSE(Plan.refusesRuns(Clock.now()));
+  Plan.close(Clock.now());
+  CHECK(Plan.refusesRuns(Clock.now()));
+  CHECK(Plan.retryAfter(Clock.now()) == Milliseconds(1000));
+}
+
+TEST_CASE("LeavePlan ends a closed process once other nodes send nothing") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  Plan.begin(Clock.now());
+  Clock.advance(Milliseconds(2600));
+  Plan.close(Clock.now());
+  Clock.advance(Milliseconds(90));
+  CHECK_FALSE(Plan.mayExit(true, Clock.now()));
+  Plan.onAttempt(Clock.now());
+  Clock.advance(Milliseconds(90));
+  CHECK_FALSE(Plan.mayExit(true, Clock.now()));
+  Clock.advance(Milliseconds(10));
+  CHECK(Plan.mayExit(true, Clock.now()));
+  CHECK_FALSE(Plan.mayExit(false, Clock.now()));
+}
+
+TEST_CASE("LeavePlan ends a closed process although attempts keep arriving") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  Plan.begin(Clock.now());
+  Clock.advance(Milliseconds(2600));
+  Plan.close(Clock.now());
+  for (int I = 0; I < 10; ++I) {
+    CHECK_FALSE(Plan.mayExit(true, Clock.now()));
+    Clock.advance(Milliseconds(50));
+    Plan.onAttempt(Clock.now());
+  }
+  CHECK(Plan.mayExit(true, Clock.now()));
+}
+
+TEST_CASE("LeavePlan ends a closed process before the limit in any case") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  Plan.begin(Clock.now());
+  Clock.advance(Milliseconds(5600));
+  REQUIRE(Plan.mayClose(false, Clock.now()));
+  Plan.close(Clock.now());
+  CHECK_FALSE(Plan.mayExit(false, Clock.now()));
+  Clock.advance(Milliseconds(100));
+  CHECK(Plan.mayExit(false, Clock.now()));
+}
+
 TEST_CASE("LeavePlan refuses runs that could not end before the process") {
   FakeClock Clock;
   LeavePlan Plan(Milliseconds(6000));
@@ -63,7 +118,7 @@
   CHECK_FALSE(Plan.refusesRuns(Clock.now()));
   Clock.advance(Milliseconds(100));
   CHECK(Plan.refusesRuns(Clock.now()));
-  CHECK_FALSE(Plan.mayExit(false, Clock.now()));
+  CHECK_FALSE(Plan.mayClose(false, Clock.now()));
 }
 
 TEST_CASE("LeavePlan applies an exit limit that is reloaded") {
@@ -72,7 +127,7 @@
   Plan.setExitLimit(Milliseconds(10'000));
   Plan.begin(Clock.now());
   Clock.advance(Milliseconds(5700));
-  CHECK_FALSE(Plan.mayExit(false, Clock.now()));
+  CHECK_FALSE(Plan.mayClose(false, Clock.now()));
   Clock.advance(Milliseconds(4000));
-  CHECK(Plan.mayExit(false, Clock.now()));
+  CHECK(Plan.mayClose(false, Clock.now()));
 }
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -311,11 +311,12 @@
   LocalTargetFixture Fixture;
   REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 1)));
   Fixture.execute(1);
-  Fixture.Target.refuseNewWork();
+  Fixture.Target.refuseNewWork(Milliseconds(900));
   Fixture.execute(2);
   CHECK(Fixture.SentCallbacks.size() == 1);
   REQUIRE(Fixture.Replies.size() == 1);
   CHECK(Fixture.Replies[0].Outcome == Outcome::NotRun);
+  CHECK(Fixture.Replies[0].RetryAfter == Milliseconds(900));
   // The running attempt continues, also for a caller that sends it again.
   Fixture.execute(1);
   Fixture.SentCallbacks[0](LocalTargetFixture::answer(200));
@@ -323,6 +324,24 @@
   CHECK(Fixture.Replies[1].Outcome == Outcome::Answered);
 }
 
+// Guards against queued attempts that begin to run while the node ends.
+TEST_CASE("LocalTarget refuses queued attempts after refuseNewWork") {
+  LocalTargetFixture Fixture;
+  REQUIRE(Fixture.Target.onReport(
+      LocalTargetFixture::report("t1", 100, 1, TargetState::Ready, 1)));
+  Fixture.execute(1);
+  Fixture.execute(2);
+  REQUIRE(Fixture.SentCallbacks.size() == 1);
+  REQUIRE(Fixture.Replies.empty());
+  Fixture.Target.refuseNewWork(Milliseconds(900));
+  REQUIRE(Fixture.Replies.size() == 1);
+  CHECK(Fixture.Replies[0].Outcome == Outcome::NotRun);
+  CHECK(Fixture.Replies[0].Reason == Reason::Draining);
+  CHECK(Fixture.Replies[0].RetryAfter == Milliseconds(900));
+  Fixture.SentCallbacks[0](LocalTargetFixture::answer(200));
+  CHECK(Fixture.SentCallbacks.size() == 1);
+}
+
 // Runs that may have been broken off make fewer calls than complete ones, which
 // would bias the estimate of the calls per run.
 TEST_CASE("LocalTarget reports a run with an unknown outcome as failed") {
--- /dev/null
+++ b/unittests/SidecarFixture.h
@@ -0,0 +1,219 @@
+#ifndef LIMPETDRUM_UNITTESTS_SIDECARFIXTURE_H
+#define LIMPETDRUM_UNITTESTS_SIDECARFIXTURE_H
+
+#include "MockStore.h"
+#include "OwnAddress.h"
+#include "limpetdrum/daemon/Sidecar.h"
+#include "limpetdrum/daemon/fleet/Mesh.h"
+
+#include <fcntl.h>
+
+namespace limpetdrum::test {
+
+/// \brief Adapter of a platform whose reports name a target and its state in
+///   the path: `/ID/STATE`.
+class PathAdapter final : public PlatformAdapter {
+public:
+  [[nodiscard]] const HeaderNames &headers() const override {
+    return this->Names;
+  }
+  [[nodiscard]] const std::string &policyKind() const override {
+    return this->Policy;
+  }
+  [[nodiscard]] const std::string &policyName() const override {
+    return this->Policy;
+  }
+  [[nodiscard]] std::shared_ptr<const TrafficPolicy>
+  decodePolicy(const std::string &Text) const override {
+    TrafficRoute Route;
+    Route.Name = "orders";
+    Route.Host = "shop.example";
+    Route.Prefix = "/orders/";
+    Route.Timeout = Milliseconds(5000);
+    Route.LatencyTarget = Milliseconds(1000);
+    Route.MaxAttempts = 2;
+    Route.Services = {{ServiceName("ordering"), 1}};
+    ClientLimits Limits;
+    Limits.MaxHeaderBytes = 16'384;
+    Limits.MaxBodyBytes = 67'108'864;
+    Limits.HeaderTimeout = Milliseconds(5000);
+    Limits.IdleTimeout = Milliseconds(30'000);
+    return std::make_shared<const TrafficPolicy>(
+        Revision(1), std::vector<TrafficRoute>{Route},
+        std::map<ServiceName, ServicePolicy>(), Limits, Text, Organisations());
+  }
+  [[nodiscard]] TargetMessage
+  decodeTargetMessage(const HttpExchange &Exchange) const override {
+    TargetMessage Message;
+    auto Slash = Exchange.path().rfind('/');
+    Message.Id = Exchange.path().substr(1, Slash - 1);
+    if (Exchange.path().substr(Slash) == "/left") {
+      Message.Kind = TargetMessage::Kind::Leave;
+      return Message;
+    }
+    Message.Kind = TargetMessage::Kind::Report;
+    auto &Target = Message.Report.Target;
+    Target.Id = Message.Id;
+    Target.Started = 1000;
+    Target.Sequence = 1;
+    Target.Service = ServiceName("ordering");
+    Target.Slots = Slots(20);
+    Target.State = TargetState::Ready;
+    return Message;
+  }
+  [[nodiscard]] std::optional<std::string>
+  parentRequestId(const std::string & /*RequestId*/) const override {
+    return std::nullopt;
+  }
+  [[nodiscard]] std::string acknowledgement() const override { return "{}"; }
+
+private:
+  HeaderNames Names;
+  std::string Policy = "policy";
+};
+
+/// \brief A sidecar `ordering-1` beside a target of its own and linked to
+///   another node, all on one event loop.
+struct SidecarFixture {
+  static Endpoint local(std::uint16_t Port) { return {ownAddress(), Port}; }
+
+  static constexpr std::uint16_t TargetPort = 21001;
+  static constexpr std::uint16_t OutboundPort = 21002;
+  static constexpr std::uint16_t ReadinessPort = 21003;
+  static constexpr std::uint16_t ReportsPort = 21004;
+  static constexpr std::uint16_t LinkPort = 21005;
+  static constexpr std::uint16_t MetricsPort = 21006;
+  static constexpr std::uint16_t PeerPort = 21007;
+
+  static SidecarSettings settings() {
+    SidecarSettings Value;
+    Value.Node = NodeId("ordering-1");
+    Value.FailureDomain = FailureDomain("a");
+    Value.Service = ServiceName("ordering");
+    Value.Target = local(TargetPort);
+    Value.FirstStart = true;
+    Value.Outbound = local(OutboundPort);
+    Value.Readiness = local(ReadinessPort);
+    Value.Reports = local(ReportsPort);
+    Value.Link = local(LinkPort);
+    Value.AdvertisedLink = Value.Link;
+    Value.Metrics = local(MetricsPort);
+    return Value;
+  }
+
+  static Contact peerContact() {
+    return {NodeId("catalogue-1"), local(PeerPort), FailureDomain("b")};
+  }
+
+  EventLoop Loop;
+  Metrics Counters;
+  EventLog Log{open("/dev/null", O_WRONLY)};
+  PathAdapter Adapter;
+  MockStore Store;
+  std::vector<std::unique_ptr<trompeloeil::expectation>> StoreCalls =
+      this->allowStoreCalls();
+  Milliseconds RunTime{150};
+  std::string Body = "done"; ///< of the target's answers
+  std::vector<Timer> Runs;
+  std::size_t StartedRuns = 0;
+  HttpServer Target{this->Loop, local(TargetPort),
+                    [this](const std::shared_ptr<HttpExchange> &Exchange) {
+                      this->run(Exchange);
+                    }};
+  Mesh Peer{this->Loop, peerContact(), Incarnation(9), this->Log,
+            this->Counters};
+  bool HasLeft = false;
+  std::unique_ptr<Sidecar> Process = std::make_unique<Sidecar>(
+      this->Loop, settings(), this->Adapter, this->Store, this->Log,
+      this->Counters, [this]() { this->onLeft(); });
+
+  SidecarFixture() {
+    Mesh::Handlers Handlers;
+    Handlers.OnStatus = [](const NodeId &) {};
+    Handlers.OnRemoved = [](const NodeId &) {};
+    Handlers.OnCrashNews = [](const CrashNews &) {};
+    Handlers.OnPolicy = [](const std::string &) {};
+    Handlers.OnUsage = [](const MeshUsage &) {};
+    Handlers.OnOrganisationUsage = [](const MeshOrganisationUsage &) {};
+    Handlers.KnownCrashes = []() { return CrashNews(); };
+    Handlers.OnRecordFromPeer = [](const TargetRecord &) {};
+    Handlers.LocalStatus = []() {
+      NodeStatus Status;
+      Status.Self = peerContact();
+      Status.Incarnation = Incarnation(9);
+      Status.Policy = Revision(1);
+      return Status;
+    };
+    Handlers.PolicyText = []() { return std::string("policy"); };
+    this->Peer.start(std::move(Handlers), peerContact().Link);
+    this->Peer.add({NodeId("ordering-1"), local(LinkPort), FailureDomain("a")});
+    this->report("/t1/ready");
+    this->waitUntil([this]() {
+      return this->status() != nullptr && this->status()->Policy == Revision(1);
+    });
+  }
+
+  /// Lets the store take all calls and answer none.
+  std::vector<std::unique_ptr<trompeloeil::expectation>> allowStoreCalls() {
+    using trompeloeil::_;
+    std::vector<std::unique_ptr<trompeloeil::expectation>> Allowed;
+    Allowed.push_back(NAMED_ALLOW_CALL(this->Store, list(_, _, _, _)));
+    Allowed.push_back(NAMED_ALLOW_CALL(this->Store, watch(_, _, _, _, _, _)));
+    Allowed.push_back(NAMED_ALLOW_CALL(this->Store, put(_, _, _, _)));
+    Allowed.push_back(NAMED_ALLOW_CALL(this->Store, remove(_, _, _, _)));
+    return Allowed;
+  }
+
+  /// Returns the status of the sidecar as the other node knows it, once it has
+  /// a target; else null.
+  [[nodiscard]] const NodeStatus *status() const {
+    auto Found = this->Peer.peers().find(NodeId("ordering-1"));
+    if (Found == this->Peer.peers().end() || !Found->second.Status ||
+        Found->second.Status->Target.Id.empty())
+      return nullptr;
+    return &*Found->second.Status;
+  }
+
+  void report(const std::string &Path) {
+    HttpClient Client(this->Loop, local(ReportsPort));
+    HttpCall Call;
+    Call.Method = "PUT";
+    Call.Path = Path;
+    Call.Timeout = Milliseconds(1000);
+    bool IsDone = false;
+    (void)Client.send(Call, [&](const HttpResponse &) { IsDone = true; });
+    this->waitUntil([&]() { return IsDone; });
+  }
+
+  void run(const std::shared_ptr<HttpExchange> &Exchange) {
+    ++this->StartedRuns;
+    auto Id = Exchange->header(HeaderNames().RequestId);
+    this->Runs.push_back(
+        this->Loop.after(this->RunTime, [this, Exchange, Id]() {
+          Exchange->reply(200, {{HeaderNames().RequestId, Id}}, this->Body);
+        }));
+  }
+
+  /// The process ends: all of its sockets are closed.
+  void onLeft() {
+    this->HasLeft = true;
+    this->Loop.post([this]() { this->Process.reset(); });
+  }
+
+  void wait(Milliseconds Time) {
+    auto Timeout = this->Loop.after(Time, [this]() { this->Loop.stop(); });
+    this->Loop.run();
+  }
+
+  /// Runs the loop until \p IsMet returns true, for at most ten seconds.
+  template <typename Condition> void waitUntil(Condition IsMet) {
+    constexpr Milliseconds Limit{10'000};
+    auto Start = this->Loop.now();
+    while (!IsMet() && this->Loop.now() - Start < Limit)
+      this->wait(Milliseconds(5));
+  }
+};
+
+} // namespace limpetdrum::test
+
+#endif
--- a/unittests/TargetSelectorTest.cpp
+++ b/unittests/TargetSelectorTest.cpp
@@ -46,6 +46,15 @@
   CHECK(Fixture.Counters.counter("placements") == 1);
 }
 
+TEST_CASE("TargetSelector selects no node that refuses runs") {
+  SelectorFixture Fixture;
+  Fixture.Target.onReport(Fixture.report("t1", 1, 1));
+  REQUIRE(Fixture.Selector.select({"r1", Fixture.Ordering, {}}));
+  Fixture.Target.refuseNewWork(Milliseconds(1000));
+  CHECK_FALSE(Fixture.Selector.select({"r2", Fixture.Ordering, {}}));
+  CHECK_FALSE(Fixture.Selector.hasUntriedNode({"r2", Fixture.Ordering, {}}));
+}
+
 TEST_CASE("TargetSelector counts a call to the local target once") {
   SelectorFixture Fixture;
   Fixture.Target.onReport(Fixture.report("t1", 1, 1));
