Keep a leaving process until its answers are written

Cause: a request counted as ended once its answer was in the output buffer of its connection, so that a leaving node with full buffers counted as idle and ended after 2.6 s. The same held for replies to other nodes. Change: a leaving node is idle only when the buffers of its clients' connections and of the links from other nodes are empty; the exit limit still ends it. `left` and `exit` say what is unsent.

--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -128,6 +128,9 @@
   /// \brief Returns the number of requests read whose response has not been
   /// written yet.
   [[nodiscard]] std::size_t openRequests() const noexcept;
+  /// \brief Returns the number of bytes of responses that wait to be written to
+  ///   their connections, because clients read them slowly.
+  [[nodiscard]] std::size_t unsentBytes() const noexcept;
 
 private:
   struct State;
--- a/include/limpetdrum/connection/PeerLink.h
+++ b/include/limpetdrum/connection/PeerLink.h
@@ -43,6 +43,8 @@
   ///
   /// Closes the link if more than MaxConnectionBacklogBytes are unsent.
   void send(const std::string &Bytes);
+  /// \brief Returns the number of bytes that wait to be written to the socket.
+  [[nodiscard]] std::size_t unsentBytes() const noexcept;
   /// \brief Closes the link; no callback is called afterwards.
   void stop() noexcept;
   /// \brief Returns the time at which bytes were last received; until then, the
--- a/include/limpetdrum/daemon/fleet/IncomingLinks.h
+++ b/include/limpetdrum/daemon/fleet/IncomingLinks.h
@@ -48,6 +48,8 @@
   /// \returns false if there is no link from it.
   bool sendToCaller(Incarnation Caller, const std::string &Frame);
   void sendToAll(const std::string &Frame);
+  /// \brief Returns true if frames wait to be written on any link.
+  [[nodiscard]] bool hasUnsent() const;
   /// \brief Sends a frame to the nodes of a failure domain that are linked to
   ///   this one.
   void sendToDomain(const FailureDomain &Domain, const std::string &Frame);
--- a/include/limpetdrum/daemon/fleet/Mesh.h
+++ b/include/limpetdrum/daemon/fleet/Mesh.h
@@ -98,6 +98,9 @@
   /// \brief Sends a reply to the node that made the call.
   /// \returns false if there is no link from it; it sends the call again.
   bool reply(Incarnation Caller, std::uint64_t Call, const Reply &Value);
+  /// \brief Returns true if replies or other frames for nodes that are linked
+  ///   to this one wait to be written.
+  [[nodiscard]] bool hasUnsentReplies() const;
   /// \brief Sends a changed status of this node to all nodes, without waiting
   ///   for the next load message.
   void broadcast();
--- a/include/limpetdrum/request/LeavePlan.h
+++ b/include/limpetdrum/request/LeavePlan.h
@@ -47,10 +47,10 @@
   /// requests that no other target can run.
   [[nodiscard]] bool refusesRuns(TimePoint Now) const;
   /// \brief Returns true if the node may close.
-  /// \param Idle true if no request is in flight.
+  /// \param Idle true if no request is in flight and all answers are written.
   [[nodiscard]] bool mayClose(bool Idle, TimePoint Now) const;
   /// \brief Returns true if the process may end.
-  /// \param Idle true if no request is in flight.
+  /// \param Idle true if all answers are written.
   [[nodiscard]] bool mayExit(bool Idle, TimePoint Now) const;
 
 private:
--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -241,6 +241,12 @@
   this->LingerUntil = this->Server->Loop.now() + LingerTimeout;
 }
 
+std::size_t HttpServerConnection::unsentBytes() const noexcept {
+  return this->Event == nullptr
+             ? 0
+             : evbuffer_get_length(bufferevent_get_output(this->Event));
+}
+
 void HttpServerConnection::close() {
   if (this->Event == nullptr)
     return;
@@ -360,4 +366,11 @@
   return this->Impl->OpenRequests;
 }
 
+std::size_t HttpServer::unsentBytes() const noexcept {
+  std::size_t Bytes = 0;
+  for (const auto &Connection : this->Impl->Connections)
+    Bytes += Connection->unsentBytes();
+  return Bytes;
+}
+
 } // namespace limpetdrum
--- a/lib/connection/HttpServerConnection.h
+++ b/lib/connection/HttpServerConnection.h
@@ -46,6 +46,8 @@
   }
   /// \brief Enforces the time limits on requests, responses and idle time.
   void checkTimeouts(TimePoint Now);
+  /// \brief Returns the number of bytes that wait to be written to the socket.
+  [[nodiscard]] std::size_t unsentBytes() const noexcept;
   void close();
 
 private:
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -269,6 +269,12 @@
   bufferevent_write(this->Impl->Event, Packed.data(), Packed.size());
 }
 
+std::size_t PeerLink::unsentBytes() const noexcept {
+  return this->Impl->Event == nullptr
+             ? 0
+             : evbuffer_get_length(bufferevent_get_output(this->Impl->Event));
+}
+
 void PeerLink::stop() noexcept {
   this->Impl->Stopped = true;
   this->Impl->close();
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -184,7 +184,7 @@
   [[nodiscard]] bool isReady();
   [[nodiscard]] NodeStatus status();
   void leave();
-  /// Returns true if no request is in flight.
+  /// Returns true if no request is in flight and all answers are written.
   [[nodiscard]] bool isIdle() const;
   void continueLeaving();
   /// Refuses everything from now on, and tells the other nodes.
@@ -502,7 +502,9 @@
 
 bool Sidecar::State::isIdle() const {
   return this->Outbound->openRequests() == 0 &&
-         this->LocalTarget.outstanding() == 0;
+         this->Outbound->unsentBytes() == 0 &&
+         this->LocalTarget.outstanding() == 0 &&
+         !this->Peers.hasUnsentReplies();
 }
 
 void Sidecar::State::continueLeaving() {
@@ -525,7 +527,8 @@
   this->Outbound->stopListening();
   this->Peers.broadcast();
   this->Log.state("left", {{"open", this->Outbound->openRequests()},
-                           {"running", this->LocalTarget.outstanding()}});
+                           {"running", this->LocalTarget.outstanding()},
+                           {"unsent_bytes", this->Outbound->unsentBytes()}});
   this->Fleet.announce(TargetState::Left);
   if (this->LocalTarget.record().State == TargetState::Left)
     this->Fleet.registry().unregister();
@@ -536,7 +539,9 @@
     return;
   // What is still open here is cut by the end of the process.
   this->Log.state("exit", {{"open", this->Outbound->openRequests()},
-                           {"running", this->LocalTarget.outstanding()}});
+                           {"running", this->LocalTarget.outstanding()},
+                           {"unsent_bytes", this->Outbound->unsentBytes()},
+                           {"unsent_replies", this->Peers.hasUnsentReplies()}});
   this->Log.flush();
   this->OnLeft();
 }
--- a/lib/daemon/fleet/IncomingLinks.cpp
+++ b/lib/daemon/fleet/IncomingLinks.cpp
@@ -2,6 +2,8 @@
 
 #include "limpetdrum/process/Error.h"
 
+#include <algorithm>
+
 namespace limpetdrum {
 
 struct IncomingLinks::IncomingLink {
@@ -132,6 +134,12 @@
       Receiver->Link->send(Frame);
 }
 
+bool IncomingLinks::hasUnsent() const {
+  return std::any_of(
+      this->Links.begin(), this->Links.end(),
+      [](const auto &Entry) { return Entry.second->Link->unsentBytes() > 0; });
+}
+
 void IncomingLinks::sendToDomain(const FailureDomain &Domain,
                                  const std::string &Frame) {
   for (auto &[Key, Receiver] : this->Links)
--- a/lib/daemon/fleet/Mesh.cpp
+++ b/lib/daemon/fleet/Mesh.cpp
@@ -409,6 +409,8 @@
     Outgoing.Link->send(codec::encodeCancel(Number));
 }
 
+bool Mesh::hasUnsentReplies() const { return this->Incoming.hasUnsent(); }
+
 bool Mesh::reply(Incarnation Caller, std::uint64_t Call, const Reply &Value) {
   return this->Incoming.sendToCaller(
       Caller, codec::encodeReply(Call, Value, this->Callbacks.LocalStatus()));
--- a/unittests/SidecarLeaveTest.cpp
+++ b/unittests/SidecarLeaveTest.cpp
@@ -1,10 +1,56 @@
 #include "SidecarFixture.h"
+#include "limpetdrum/connection/SocketAddress.h"
 
 #include <catch2/catch.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 using namespace limpetdrum;
 using namespace limpetdrum::test;
 
+namespace {
+
+/// Client with a small receive buffer, which reads when it is told to.
+class SlowClient {
+public:
+  SlowClient(Endpoint Server, const std::string &Request)
+      : Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    int Bytes = 8192;
+    int Segment = 1460; // the large segments of loopback fill large buffers
+    setsockopt(this->Socket, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof(Bytes));
+    setsockopt(this->Socket, IPPROTO_TCP, TCP_MAXSEG, &Segment,
+               sizeof(Segment));
+    auto Address = toSocketAddress(Server);
+    REQUIRE(connect(this->Socket, reinterpret_cast<sockaddr *>(&Address),
+                    sizeof(Address)) == 0);
+    REQUIRE(send(this->Socket, Request.data(), Request.size(), 0) ==
+            static_cast<ssize_t>(Request.size()));
+  }
+  ~SlowClient() { close(this->Socket); }
+  SlowClient(const SlowClient &) = delete;
+  SlowClient &operator=(const SlowClient &) = delete;
+
+  /// Reads up to \p Most bytes that have arrived.
+  void read(std::size_t Most) {
+    std::vector<char> Bytes(Most);
+    auto Size = recv(this->Socket, Bytes.data(), Most, MSG_DONTWAIT);
+    if (Size > 0)
+      this->Received.append(Bytes.data(), static_cast<std::size_t>(Size));
+    else if (Size == 0 || errno != EAGAIN)
+      this->HasEnded = true;
+  }
+
+  std::string Received;
+  bool HasEnded = false;
+
+private:
+  int Socket;
+};
+
+} // namespace
+
 // Guards against a leaving node that runs attempts of other nodes in the last
 // moments of its process and cuts them when it ends.
 TEST_CASE("Sidecar ends no run that another node waits for when it leaves",
@@ -64,3 +110,26 @@
   Fixture.waitUntil([&]() { return Fixture.HasLeft; });
   CHECK(Fixture.HasLeft);
 }
+
+// Guards against answers that are cut because a leaving node took them for
+// delivered when they were in its own buffers.
+TEST_CASE("Sidecar writes answers to slow clients before it ends", "[rpc]") {
+  SidecarFixture Fixture;
+  Fixture.Body = std::string(3'500'000, 'a');
+  SlowClient Client(SidecarFixture::local(SidecarFixture::OutboundPort),
+                    "GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                    "limpetdrum-request-id: r1\r\n"
+                    "limpetdrum-time-left-ms: 5000\r\n\r\n");
+  Fixture.wait(Fixture.RunTime + Milliseconds(100));
+  REQUIRE(Fixture.StartedRuns == 1);
+  Fixture.Process->leave();
+  constexpr std::size_t ReadBytes = 9000; // in 4 s, the whole answer
+  auto Start = Fixture.Loop.now();
+  while (!Client.HasEnded && Fixture.Loop.now() - Start < Milliseconds(8000)) {
+    Client.read(ReadBytes);
+    Fixture.wait(Milliseconds(10));
+  }
+  auto HeadEnd = Client.Received.find("\r\n\r\n");
+  REQUIRE(HeadEnd != std::string::npos);
+  CHECK(Client.Received.size() - HeadEnd - 4 == Fixture.Body.size());
+}
