--- /dev/null
+++ b/include/limpetdrum/connection/BodyParts.h
@@ -0,0 +1,86 @@
+#ifndef LIMPETDRUM_CONNECTION_BODYPARTS_H
+#define LIMPETDRUM_CONNECTION_BODYPARTS_H
+
+#include "limpetdrum/process/Body.h"
+#include "limpetdrum/process/Types.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace limpetdrum {
+
+/// \brief Bodies that are sent over a link in parts, in turn.
+///
+/// Performs no I/O.
+class BodySender {
+public:
+  struct Part {
+    std::uint64_t Call;
+    std::string_view Bytes; ///< valid until the sender is changed
+  };
+
+  /// \brief Adds a body. It is sent after those that were added before only if
+  ///   they end earlier.
+  void add(std::uint64_t Call, Body Content);
+  /// \brief Removes a body that is no longer needed, if there is one.
+  void cancel(std::uint64_t Call);
+  [[nodiscard]] bool empty() const noexcept { return this->Queue.empty(); }
+  [[nodiscard]] std::size_t unsentBytes() const noexcept;
+  /// \brief Returns the next part; there must be one.
+  [[nodiscard]] Part next();
+
+private:
+  struct Outgoing {
+    std::uint64_t Call;
+    Body Content;
+    std::size_t Sent = 0;
+  };
+
+  /// Body whose last part was returned; its bytes are still referred to.
+  Body Last;
+  std::deque<Outgoing> Queue;
+};
+
+/// \brief Bodies that arrive over a link in parts.
+///
+/// Performs no I/O.
+class BodyReceiver {
+public:
+  struct Complete {
+    std::vector<unsigned char> Message; ///< that the body belongs to
+    Body Content;
+    Microseconds Duration; ///< from the message to the last part
+  };
+
+  /// \brief Expects the body of a message.
+  /// \param Held memory for the body.
+  void begin(std::uint64_t Call, std::size_t Bytes,
+             std::vector<unsigned char> Message, MemoryBudget::Share Held,
+             TimePoint Now);
+  /// \brief Adds a part. Parts of bodies that are not expected are ignored.
+  /// \returns the message if its body is complete.
+  /// \throws ValueError if the body becomes longer than announced.
+  [[nodiscard]] std::optional<Complete>
+  append(std::uint64_t Call, std::string_view Bytes, TimePoint Now);
+  /// \brief Forgets a body that is no longer needed, if there is one.
+  void drop(std::uint64_t Call) { this->Incoming.erase(Call); }
+  [[nodiscard]] bool empty() const noexcept { return this->Incoming.empty(); }
+
+private:
+  struct Partial {
+    std::size_t Bytes = 0;
+    std::vector<unsigned char> Message;
+    MemoryBudget::Share Held;
+    TimePoint BeganAt;
+    std::string Text;
+  };
+
+  std::map<std::uint64_t, Partial> Incoming; ///< by call
+};
+
+} // namespace limpetdrum
+
+#endif
--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -3,6 +3,7 @@
 
 #include "limpetdrum/Config.h"
 #include "limpetdrum/connection/EventLoop.h"
+#include "limpetdrum/process/Body.h"
 
 #include <functional>
 #include <memory>
@@ -31,8 +32,11 @@
   std::string Method;
   std::string Target; ///< path and query as received
   HttpHeaders Headers;
-  std::string Body;
+  limpetdrum::Body Body;
   TimePoint Started; ///< time at which its first byte was read
+  /// The server has no memory for it, and may not have read its body: it can
+  /// only be refused.
+  bool ExceedsMemory = false;
 };
 
 class HttpServerConnection;
@@ -62,13 +66,14 @@
     return this->Query;
   }
   [[nodiscard]] const std::string &body() const noexcept {
-    return this->Request.Body;
+    return this->Request.Body.text();
   }
   /// \returns the value of the header, or an empty string if it is missing.
   [[nodiscard]] std::string header(const std::string &Name) const;
 
   /// \brief Sends the response; later calls do nothing.
-  void reply(int Status, const HttpHeaders &Headers, const std::string &Body);
+  void reply(int Status, const HttpHeaders &Headers,
+             const limpetdrum::Body &Body);
   /// \brief Calls \p Action if the client disconnects before the response.
   void onClientDisconnect(std::function<void()> Action);
   /// \brief Returns true until a response is sent or the client disconnects.
@@ -103,6 +108,8 @@
   /// Number of response bytes not yet sent on a connection above which no more
   /// requests are read from it.
   std::size_t MaxUnreadBytes = 256U * 1024U;
+  /// Memory for the bodies of requests, shared with others; null: no limit.
+  MemoryBudget *Memory = nullptr;
 };
 
 /// \brief HTTP/1.1 server on one address.
@@ -150,7 +157,7 @@
   HttpOutcome Outcome = HttpOutcome::Broken;
   int Status = 0;
   HttpHeaders Headers;
-  std::string Body;
+  limpetdrum::Body Body;
   /// True if the request was sent on a pooled connection.
   bool ReusedConnection = false;
 
@@ -162,7 +169,7 @@
   std::string Method = "GET";
   std::string Path;
   HttpHeaders Headers;
-  std::string Body;
+  limpetdrum::Body Body;
   Milliseconds Timeout{1000};
   /// Expected value of HttpClientOptions::EchoHeader in the response; empty:
   /// not checked.
@@ -176,6 +183,8 @@
   /// True if the end of the connection may end a body; a reset never does.
   bool AcceptCloseDelimited = false;
   std::size_t MaxBodyBytes = limpetdrum::MaxBodyBytes;
+  /// Memory in which the bodies of responses count; null: they count nowhere.
+  MemoryBudget *Memory = nullptr;
   /// Idle connections are closed this long before the server's idle timeout.
   Milliseconds IdleMargin{500};
   /// True to detect a connection that has gone silent while a response is
--- a/include/limpetdrum/connection/PeerLink.h
+++ b/include/limpetdrum/connection/PeerLink.h
@@ -2,6 +2,7 @@
 #define LIMPETDRUM_CONNECTION_PEERLINK_H
 
 #include "limpetdrum/connection/EventLoop.h"
+#include "limpetdrum/process/Body.h"
 
 #include "Mesh.capnp.h"
 
@@ -17,24 +18,40 @@
 /// \brief Encodes a message for a link: packed, preceded by its length.
 [[nodiscard]] std::string encodeFrame(capnp::MessageBuilder &Message);
 
+/// \brief Body that arrived in parts after its message.
+struct FrameBody {
+  Body Content;
+  /// The body was not received: it is not needed, or there is no memory for it.
+  bool IsMissing = false;
+  bool ExceedsMemory = false;
+  Microseconds Duration{0}; ///< from the message to the end of its body
+};
+
 /// \brief Connection between two nodes that carries framed messages.
 ///
-/// The connecting side's first byte is the Format that both sides use.
+/// The connecting side's first byte is the Format that both sides use. Long
+/// bodies follow their messages in parts, which are sent as fast as the peer
+/// reads them and leave room for other messages.
 class PeerLink {
 public:
   enum class Format : std::uint8_t { Plain, Compressed };
   struct Events {
     std::function<void()> OnConnected;
-    std::function<void(mesh::Frame::Reader)> OnFrame;
+    std::function<void(mesh::Frame::Reader, FrameBody)> OnFrame;
+    /// Returns false if a message whose body follows needs no body; may be
+    /// unset.
+    std::function<bool(mesh::Frame::Reader)> NeedsBody;
     /// Called when the connection ends; may destroy the link.
     std::function<void(bool WasConnected)> OnClosed;
   };
 
   /// \brief Starts to connect to \p Peer.
   PeerLink(EventLoop &Loop, Endpoint Peer, Events Callbacks,
-           Format WireFormat = Format::Plain);
+           Format WireFormat = Format::Plain, MemoryBudget *Memory = nullptr);
   /// \brief Takes ownership of an accepted socket.
-  PeerLink(EventLoop &Loop, int Socket, Events Callbacks);
+  /// \param Memory for the bodies of attempts and replies; null: no limit.
+  PeerLink(EventLoop &Loop, int Socket, Events Callbacks,
+           MemoryBudget *Memory = nullptr);
   ~PeerLink();
   PeerLink(const PeerLink &) = delete;
   PeerLink &operator=(const PeerLink &) = delete;
@@ -43,6 +60,17 @@
   ///
   /// Closes the link if more than MaxConnectionBacklogBytes are unsent.
   void send(const std::string &Bytes);
+  /// \brief Sets whether the peer takes bodies in parts, as its hello says.
+  void setTakesParts(bool Value) noexcept;
+  /// \brief Returns true if a body is to be sent after its message, by
+  ///   sendBody(), and not within it.
+  [[nodiscard]] bool sendsInParts(std::size_t BodyBytes) const noexcept;
+  /// \brief Returns false if the peer cannot take a message with such a body.
+  [[nodiscard]] bool canSend(std::size_t BodyBytes) const noexcept;
+  /// \brief Sends the body of a message that was sent before.
+  void sendBody(std::uint64_t Call, Body Content);
+  /// \brief Stops to send the body of a call and to receive one for it.
+  void cancelBody(std::uint64_t Call);
   /// \brief Returns the number of bytes that wait to be written to the socket.
   [[nodiscard]] std::size_t unsentBytes() const noexcept;
   /// \brief Closes the link; no callback is called afterwards.
--- a/include/limpetdrum/daemon/calls/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -102,7 +102,7 @@
   void refuse(const RequestPtr &Request, Reason Cause, Milliseconds RetryAfter);
   void fail(const RequestPtr &Request, int Status, Reason Cause);
   void answer(const RequestPtr &Request, int Status, const HttpHeaders &Headers,
-              const std::string &Body, const char *Outcome);
+              const limpetdrum::Body &Body, const char *Outcome);
   [[nodiscard]] MeshAttempt makeAttempt(const ForwardedRequest &Request,
                                         const TargetRecord &Target) const;
 
--- a/include/limpetdrum/daemon/calls/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -81,6 +81,12 @@
   ///   before it ends, which replaces the callback.
   void execute(Incarnation Caller, const MeshAttempt &Attempt,
                ReplyCallback OnReply);
+  /// \brief Returns true if an attempt is running, queued, or ended a short
+  /// time
+  ///   ago, so that executing it again needs no body.
+  [[nodiscard]] bool knows(Incarnation Caller, std::uint64_t Call) const {
+    return this->Ledger.contains({Caller, Call});
+  }
   /// \brief Refuses new and queued attempts from now on; running ones continue
   ///   and can be attached to.
   /// \param RetryAfter time after which a refused request may be retried.
--- a/include/limpetdrum/daemon/fleet/IncomingLinks.h
+++ b/include/limpetdrum/daemon/fleet/IncomingLinks.h
@@ -24,6 +24,8 @@
     std::function<void(PeerLink &Link, const MeshHello &Hello)> OnHello;
     std::function<void(const NodeId &From, Incarnation Caller, MeshAttempt)>
         OnAttempt;
+    /// Returns true if the attempt is known, so that its body is not needed.
+    std::function<bool(Incarnation Caller, std::uint64_t Call)> IsKnown;
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnCancel;
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnAcknowledged;
     std::function<void(MeshUsage)> OnUsage;
@@ -36,7 +38,9 @@
     std::function<std::string()> PolicyText;
   };
 
-  IncomingLinks(EventLoop &Loop, EventLog &Log, Metrics &Counters);
+  /// \param Memory for the bodies of attempts; null: no limit.
+  IncomingLinks(EventLoop &Loop, EventLog &Log, Metrics &Counters,
+                MemoryBudget *Memory);
   ~IncomingLinks();
   IncomingLinks(const IncomingLinks &) = delete;
   IncomingLinks &operator=(const IncomingLinks &) = delete;
@@ -44,9 +48,11 @@
   /// \throws NetworkError if \p Listen cannot be bound.
   void start(Handlers Callbacks, Endpoint Listen);
 
-  /// \brief Sends a frame over the latest link from a caller.
+  /// \brief Sends a reply over the latest link from a caller.
+  /// \param Load load of the target, sent along with the reply.
   /// \returns false if there is no link from it.
-  bool sendToCaller(Incarnation Caller, const std::string &Frame);
+  bool reply(Incarnation Caller, std::uint64_t Call, const Reply &Value,
+             const NodeStatus &Load);
   void sendToAll(const std::string &Frame);
   /// \brief Returns true if frames wait to be written on any link.
   [[nodiscard]] bool hasUnsent() const;
@@ -59,17 +65,21 @@
 
   void accept(int Socket);
   void onClosed(std::uint64_t Key);
-  void onFrame(std::uint64_t Key, mesh::Frame::Reader Frame);
+  void onFrame(std::uint64_t Key, mesh::Frame::Reader Frame,
+               FrameBody Received);
+  void onAttempt(IncomingLink &Source, mesh::Attempt::Reader Attempt,
+                 FrameBody Received);
   /// \throws ValueError if a field of the frame has an unknown or invalid
   ///   value.
   void dispatch(std::uint64_t Key, IncomingLink &Source,
-                mesh::Frame::Reader Frame);
+                mesh::Frame::Reader Frame, FrameBody Received);
   /// Selects the latest of the links from a caller for the replies to it.
   void chooseReplyLink(Incarnation Caller);
 
   EventLoop &Loop;
   EventLog &Log;
   Metrics &Counters;
+  MemoryBudget *Memory;
   Handlers Callbacks;
   std::unique_ptr<PeerListener> Listener;
   std::map<std::uint64_t, std::unique_ptr<IncomingLink>> Links;
--- a/include/limpetdrum/daemon/fleet/Mesh.h
+++ b/include/limpetdrum/daemon/fleet/Mesh.h
@@ -40,6 +40,8 @@
   struct Handlers {
     std::function<void(const NodeId &From, Incarnation Caller, MeshAttempt)>
         OnAttempt;
+    /// Returns true if the attempt is known, so that its body is not needed.
+    std::function<bool(Incarnation Caller, std::uint64_t Call)> IsKnown;
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnCancel;
     std::function<void(Incarnation Caller, std::uint64_t Call)> OnAcknowledged;
     std::function<void(const NodeId &From)> OnStatus;
@@ -59,8 +61,9 @@
     std::function<std::string()> PolicyText;
   };
 
+  /// \param Memory for the bodies of attempts and replies; null: no limit.
   Mesh(EventLoop &Loop, Contact Self, Incarnation Current, EventLog &Log,
-       Metrics &Counters);
+       Metrics &Counters, MemoryBudget *Memory = nullptr);
   ~Mesh();
   Mesh(const Mesh &) = delete;
   Mesh &operator=(const Mesh &) = delete;
@@ -141,7 +144,8 @@
   void connect(OutgoingLink &Outgoing, bool AsSpare);
   void onConnected(const NodeId &Node, bool AsSpare);
   void onClosed(const NodeId &Node, bool AsSpare, bool WasConnected);
-  void onFrame(const NodeId &Node, bool AsSpare, mesh::Frame::Reader Frame);
+  void onFrame(const NodeId &Node, bool AsSpare, mesh::Frame::Reader Frame,
+               FrameBody Received);
   void onHello(const NodeId &Node, bool AsSpare, const MeshHello &Hello);
   /// Removes a node whose address is now used by \p Replacement.
   void dropReplacedPeer(const NodeId &Removed, const Contact &Replacement);
@@ -154,6 +158,9 @@
   void close(NodeId Node);
   /// Sends a pending call over the link that is up.
   void send(OutgoingLink &Outgoing, std::uint64_t Number);
+  /// Ends a call whose body the node cannot take.
+  void endUnsendable(const NodeId &Node, std::uint64_t Number,
+                     std::size_t BodyBytes);
   void sendHello(PeerLink &Link, const NodeId &Receiver);
   /// Sends a frame over the link that this node made to another one, if it is
   /// up.
@@ -168,6 +175,7 @@
   Incarnation Current;
   EventLog &Log;
   Metrics &Counters;
+  MemoryBudget *Memory;
   Handlers Callbacks;
   IncomingLinks Incoming;
   std::map<NodeId, Peer> Peers;
--- a/include/limpetdrum/daemon/fleet/MeshCodec.h
+++ b/include/limpetdrum/daemon/fleet/MeshCodec.h
@@ -64,6 +64,12 @@
   std::vector<OrganisationUse> Organisations;
 };
 
+/// \brief Where the body of an attempt or a reply is sent.
+enum class BodyPlace : std::uint8_t {
+  InMessage,
+  InParts, ///< after the message, see PeerLink::sendBody()
+};
+
 namespace codec {
 
 [[nodiscard]] std::string encodeHello(const MeshHello &Value);
@@ -71,10 +77,12 @@
 /// \param Acknowledged calls whose replies the receiver may discard.
 [[nodiscard]] std::string
 encodeAttempt(const MeshAttempt &Value,
-              const std::vector<std::uint64_t> &Acknowledged);
+              const std::vector<std::uint64_t> &Acknowledged,
+              BodyPlace Place = BodyPlace::InMessage);
 /// \param Load load of the target, sent along with the reply.
 [[nodiscard]] std::string encodeReply(std::uint64_t Call, const Reply &Value,
-                                      const NodeStatus &Load);
+                                      const NodeStatus &Load,
+                                      BodyPlace Place = BodyPlace::InMessage);
 /// \brief Encodes the frequently changing fields of a status.
 ///
 /// The other fields are sent with the whole status, when they change.
@@ -97,12 +105,17 @@
 [[nodiscard]] NodeStatus decode(mesh::Status::Reader Reader);
 /// \brief Copies the fields of a load message into a status.
 void decode(mesh::Load::Reader Reader, NodeStatus &Status);
-[[nodiscard]] MeshAttempt decode(mesh::Attempt::Reader Reader);
+/// \param Memory for its body; without the memory the attempt has no body and
+///   is marked, see HttpRequest::ExceedsMemory. Null: no limit.
+[[nodiscard]] MeshAttempt decode(mesh::Attempt::Reader Reader,
+                                 MemoryBudget *Memory = nullptr);
 [[nodiscard]] MeshUsage decode(mesh::Usage::Reader Reader);
 [[nodiscard]] MeshOrganisationUsage
 decode(mesh::OrganisationUsage::Reader Reader);
 [[nodiscard]] CrashNews decode(mesh::Crashes::Reader Reader);
-[[nodiscard]] Reply decode(mesh::Reply::Reader Reader);
+/// \param Memory in which its body counts; null: nowhere.
+[[nodiscard]] Reply decode(mesh::Reply::Reader Reader,
+                           MemoryBudget *Memory = nullptr);
 
 } // namespace codec
 
--- a/include/limpetdrum/daemon/fleet/PendingCalls.h
+++ b/include/limpetdrum/daemon/fleet/PendingCalls.h
@@ -43,7 +43,13 @@
   /// \returns nothing if the deadline of the call has passed.
   [[nodiscard]] std::optional<std::string>
   send(std::uint64_t Number, const std::vector<std::uint64_t> &Acknowledged,
-       TimePoint Now);
+       TimePoint Now, BodyPlace Place = BodyPlace::InMessage);
+  /// \brief Returns the body of a call; empty if the call has ended.
+  [[nodiscard]] Body body(std::uint64_t Number) const;
+  /// \brief Returns true if the call has no final result yet.
+  [[nodiscard]] bool contains(std::uint64_t Number) const {
+    return this->Calls.count(Number) != 0;
+  }
   /// \brief Removes a call without a result.
   /// \returns true if it has been sent, so that the node has to be told.
   [[nodiscard]] bool cancel(std::uint64_t Number);
@@ -63,6 +69,8 @@
   }
   /// \brief Reports the calls as suspected, each at most once per link.
   void reportSuspected();
+  /// \brief Ends a call that cannot be sent, if it has not ended.
+  void endUnsendable(std::uint64_t Number);
   /// \brief Ends all calls: sent ones as lost, others as never sent.
   void endAll();
   /// \brief Ends calls that have waited too long for a link, as never sent.
--- a/include/limpetdrum/process/NodeStatus.h
+++ b/include/limpetdrum/process/NodeStatus.h
@@ -49,6 +49,8 @@
   bool Leaving = false;      ///< accepts no new work
   /// The process ends soon and gives its target no further runs.
   bool RefusesRuns = false;
+  /// Bodies may follow their messages in parts.
+  bool TakesBodyParts = false;
   Revision Policy;        ///< in force at the node
   bool StoreLost = false; ///< its last call to the store failed
   TargetRecord Target;
--- a/include/limpetdrum/process/SidecarSettings.h
+++ b/include/limpetdrum/process/SidecarSettings.h
@@ -26,8 +26,10 @@
   /// From the acknowledgement of a leave to the last request.
   Milliseconds DrainTimeout{2000};
   Milliseconds ExitLimit{6000}; ///< from SIGTERM to the end of the process
-  double RepeatRatio = 0.2;     ///< repeats per request, over all nodes
-  double RepeatSlack = 0;       ///< additional repeats per window
+  /// Memory that the process may use; half of it holds bodies.
+  std::size_t MemoryBytes = 256U * 1024U * 1024U;
+  double RepeatRatio = 0.2; ///< repeats per request, over all nodes
+  double RepeatSlack = 0;   ///< additional repeats per window
   Milliseconds RepeatWindow{10'000};
 };
 
@@ -50,6 +52,7 @@
 ///   store: 10.0.0.2:8309
 ///   drain-timeout: 2s
 ///   exit-limit: 6s
+///   memory-mb: 260                         # optional
 ///   repeats: {ratio: 0.2, slack: 48, window: 10s}
 /// \endcode
 /// \param Text the YAML document.
@@ -59,6 +62,14 @@
 [[nodiscard]] SidecarSettings parseSidecarSettings(const std::string &Text,
                                                    const std::string &File);
 
+/// \brief Parses an amount of memory.
+/// \param Text whole number of megabytes.
+/// \param Source where it was read, for errors.
+/// \returns the amount in bytes.
+/// \throws ValueError if it is no number, or too small for a sidecar.
+[[nodiscard]] std::size_t parseMemoryMegabytes(const std::string &Text,
+                                               const std::string &Source);
+
 } // namespace limpetdrum
 
 #endif
--- a/include/limpetdrum/request/AttemptLedger.h
+++ b/include/limpetdrum/request/AttemptLedger.h
@@ -46,6 +46,10 @@
   /// \returns true if it is proven that the attempt did not and will not run.
   [[nodiscard]] bool revoke(AttemptId Id, TimePoint Now);
   /// \brief Returns true if an attempt is waiting for its target.
+  /// \brief Returns true if the attempt has an entry.
+  [[nodiscard]] bool contains(AttemptId Id) const {
+    return this->Entries.count(Id) != 0;
+  }
   [[nodiscard]] bool isQueued(AttemptId Id) const;
   [[nodiscard]] bool isRunning(AttemptId Id) const;
   /// \brief Removes the entries whose retention period has passed.
--- a/include/limpetdrum/request/Reply.h
+++ b/include/limpetdrum/request/Reply.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETDRUM_REQUEST_REPLY_H
 #define LIMPETDRUM_REQUEST_REPLY_H
 
+#include "limpetdrum/process/Body.h"
 #include "limpetdrum/process/Types.h"
 
 #include <string>
@@ -59,7 +60,7 @@
   std::string ContentType;
   /// All headers of the target's answer, if they are passed on.
   std::vector<std::pair<std::string, std::string>> Headers;
-  std::string Body;
+  limpetdrum::Body Body;
   limpetdrum::Reason Reason = limpetdrum::Reason::None;
   Milliseconds RetryAfter{0};
   std::uint16_t RetriesLeft = 0; ///< unspent part of the granted retries
--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -55,7 +55,8 @@
       std::strtoul(Value->c_str() + Position + Key.size(), nullptr, 10));
 }
 
-std::string serialize(const HttpCall &Call, Endpoint Server) {
+/// Returns the request line and the headers of a request.
+std::string serializeHead(const HttpCall &Call, Endpoint Server) {
   std::string Text = Call.Method + " " + Call.Path + " HTTP/1.1\r\n";
   if (!hasHeader(Call.Headers, "Host"))
     Text.append("Host: " + toString(Server) + "\r\n");
@@ -66,8 +67,7 @@
       Call.Method != "GET" && Call.Method != "HEAD" && Call.Method != "DELETE";
   if (!Call.Body.empty() || MayHaveBody)
     Text.append("Content-Length: " + std::to_string(Call.Body.size()) + "\r\n");
-  Text.append("\r\n").append(Call.Body);
-  return Text;
+  return Text.append("\r\n");
 }
 
 } // namespace
@@ -248,7 +248,8 @@
         this->Owner.finish(this->CallId, {}, false);
         return;
       }
-      this->Parser.emplace(Call.IsHead, this->Owner.Options.MaxBodyBytes);
+      this->Parser.emplace(Call.IsHead, this->Owner.Options.MaxBodyBytes,
+                           this->Owner.Options.Memory);
       if (Response.Status >= 200)
         this->ReceivedForeignResponse = true;
       continue;
@@ -303,7 +304,8 @@
   auto CallId = ++Self.LastCallId;
   Connection->CallId = CallId;
   Connection->SkippedResponses = 0;
-  Connection->Parser.emplace(Call.Method == "HEAD", Self.Options.MaxBodyBytes);
+  Connection->Parser.emplace(Call.Method == "HEAD", Self.Options.MaxBodyBytes,
+                             Self.Options.Memory);
   auto &Pending = Self.Calls[CallId];
   Pending.Connection = Connection;
   Pending.Done = std::move(Done);
@@ -329,8 +331,10 @@
     Connection = std::make_shared<ClientConnection>(Self);
   auto CallId = this->start(Connection, Reused, Call, std::move(Done), false);
   if (Connection->Event != nullptr) {
-    auto Text = serialize(Call, Self.Server);
-    bufferevent_write(Connection->Event, Text.data(), Text.size());
+    auto Head = serializeHead(Call, Self.Server);
+    bufferevent_write(Connection->Event, Head.data(), Head.size());
+    if (!Call.Body.empty())
+      impl::addBody(bufferevent_get_output(Connection->Event), Call.Body);
   }
   return CallId;
 }
--- a/lib/connection/HttpParser.cpp
+++ b/lib/connection/HttpParser.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <deque>
 #include <strings.h>
 
 namespace limpetdrum {
@@ -52,6 +53,124 @@
 
 namespace {
 
+/// Body that is being received. One of unknown length is kept in blocks, so
+/// that it is not copied while it grows.
+class ReceivedBody {
+public:
+  /// \param Source budget of the body; null: none.
+  /// \param IsRequired true if the body counts beyond the limit, too.
+  void bind(MemoryBudget *Source, bool IsRequired) {
+    this->Source = Source;
+    this->IsRequired = IsRequired;
+  }
+
+  /// Takes the memory for a body of a known length.
+  /// \returns false if the budget does not have it.
+  [[nodiscard]] bool expect(std::size_t Length) {
+    this->Expected = Length;
+    return this->reserve(Length);
+  }
+
+  /// \returns false if the budget does not have the memory.
+  [[nodiscard]] bool append(const char *Bytes, std::size_t Added) {
+    if (this->Size + Added > this->Reserved &&
+        !this->reserve(std::max(Added, this->nextBlock())))
+      return false;
+    this->Size += Added;
+    if (this->Blocks.empty() ||
+        this->Blocks.back().size() + Added > this->Blocks.back().capacity()) {
+      auto Capacity = std::max({Added, this->Expected, this->nextBlock()});
+      this->Blocks.emplace_back().reserve(Capacity);
+    }
+    this->Blocks.back().append(Bytes, Added);
+    return true;
+  }
+
+  [[nodiscard]] Body release() {
+    std::string Text;
+    if (this->Blocks.size() == 1) {
+      Text = std::move(this->Blocks.front());
+    } else {
+      // Blocks are freed while the pages of the result come into use.
+      Text.reserve(this->Size);
+      for (; !this->Blocks.empty(); this->Blocks.pop_front())
+        Text.append(this->Blocks.front());
+    }
+    return {std::move(Text), std::move(this->Held)};
+  }
+
+private:
+  static constexpr std::size_t MinBlockBytes = 4096;
+  static constexpr std::size_t MaxBlockBytes = 256U * 1024U;
+
+  /// Returns the size of the next block of a body of unknown length.
+  [[nodiscard]] std::size_t nextBlock() const {
+    if (this->Expected > 0)
+      return 0;
+    return std::clamp(this->Size, MinBlockBytes, MaxBlockBytes);
+  }
+
+  bool reserve(std::size_t Added) {
+    this->Reserved += Added;
+    if (this->Source == nullptr)
+      return true;
+    if (this->IsRequired) {
+      this->Held.grow(this->Source->takeAlways(Added));
+      return true;
+    }
+    auto Share = this->Source->take(Added);
+    if (!Share)
+      return false;
+    this->Held.grow(std::move(*Share));
+    return true;
+  }
+
+  MemoryBudget *Source = nullptr;
+  bool IsRequired = false;
+  std::size_t Expected = 0; ///< 0 if the length is unknown
+  std::size_t Size = 0;
+  std::size_t Reserved = 0;
+  std::deque<std::string> Blocks;
+  MemoryBudget::Share Held;
+};
+
+/// Body type of Boost.Beast's parsers (a named requirement of that library).
+struct BlockBody {
+  using value_type = ReceivedBody;
+
+  class reader {
+  public:
+    template <bool IsRequest, typename Fields>
+    reader(http::header<IsRequest, Fields> & /*Header*/, value_type &Value)
+        : Value(Value) {}
+
+    void init(const boost::optional<std::uint64_t> &Length,
+              boost::beast::error_code &Error) {
+      Error = {};
+      if (!this->Value.expect(static_cast<std::size_t>(Length.value_or(0))))
+        Error = http::error::buffer_overflow;
+    }
+    template <typename Buffers>
+    std::size_t put(const Buffers &Input, boost::beast::error_code &Error) {
+      Error = {};
+      std::size_t Size = 0;
+      for (auto Buffer : boost::beast::buffers_range_ref(Input)) {
+        if (!this->Value.append(static_cast<const char *>(Buffer.data()),
+                                Buffer.size())) {
+          Error = http::error::buffer_overflow;
+          return Size;
+        }
+        Size += Buffer.size();
+      }
+      return Size;
+    }
+    void finish(boost::beast::error_code &Error) { Error = {}; }
+
+  private:
+    value_type &Value;
+  };
+};
+
 template <typename Parser>
 ParseResult feed(Parser &Reader, evbuffer *Input, bool &Started) {
   while (evbuffer_get_length(Input) > 0) {
@@ -70,6 +189,8 @@
       return ParseResult::HeaderTooLarge;
     if (Error == http::error::body_limit)
       return ParseResult::BodyTooLarge;
+    if (Error == http::error::buffer_overflow)
+      return ParseResult::NoMemory;
     if (Error)
       return ParseResult::Malformed;
     if (Reader.is_done())
@@ -91,15 +212,17 @@
 } // namespace
 
 struct RequestParser::State {
-  std::optional<http::request_parser<http::string_body>> Parser;
+  std::optional<http::request_parser<BlockBody>> Parser;
   bool ContinueSent = false;
 };
 
 RequestParser::RequestParser() : Impl(std::make_unique<State>()) {}
 RequestParser::~RequestParser() = default;
 
-void RequestParser::reset(std::size_t MaxHeaders, std::size_t MaxBody) {
+void RequestParser::reset(std::size_t MaxHeaders, std::size_t MaxBody,
+                          MemoryBudget *Memory) {
   this->Impl->Parser.emplace();
+  this->Impl->Parser->get().body().bind(Memory, false);
   this->Impl->Parser->eager(true);
   this->Impl->Parser->header_limit(static_cast<std::uint32_t>(MaxHeaders));
   this->Impl->Parser->body_limit(MaxBody);
@@ -133,17 +256,19 @@
   Result.Method = std::string(Message.method_string());
   Result.Target = std::string(Message.target());
   Result.Headers = headersOf(Message);
-  Result.Body = std::move(Message.body());
+  Result.Body = Message.body().release();
   return Result;
 }
 
 struct ResponseParser::State {
-  http::response_parser<http::string_body> Parser;
+  http::response_parser<BlockBody> Parser;
   bool Started = false;
 };
 
-ResponseParser::ResponseParser(bool IsHead, std::size_t MaxBody)
+ResponseParser::ResponseParser(bool IsHead, std::size_t MaxBody,
+                               MemoryBudget *Memory)
     : Impl(std::make_unique<State>()) {
+  this->Impl->Parser.get().body().bind(Memory, true);
   this->Impl->Parser.eager(true);
   this->Impl->Parser.skip(IsHead);
   this->Impl->Parser.header_limit(MaxHeaderBytes);
@@ -176,7 +301,22 @@
   auto Message = this->Impl->Parser.release();
   Response.Status = static_cast<int>(Message.result_int());
   Response.Headers = headersOf(Message);
-  Response.Body = std::move(Message.body());
+  Response.Body = Message.body().release();
+}
+
+void addBody(evbuffer *Output, const Body &Value) {
+  constexpr std::size_t MaxCopiedBytes = 4096;
+  if (Value.size() <= MaxCopiedBytes) {
+    evbuffer_add(Output, Value.text().data(), Value.size());
+    return;
+  }
+  auto *Owner = new Body(Value);
+  auto Release = [](const void * /*Bytes*/, std::size_t /*Size*/, void *Held) {
+    delete static_cast<Body *>(Held);
+  };
+  if (evbuffer_add_reference(Output, Owner->text().data(), Owner->size(),
+                             Release, Owner) != 0)
+    delete Owner;
 }
 
 std::string reasonPhrase(int Status) {
--- a/lib/connection/HttpParser.h
+++ b/lib/connection/HttpParser.h
@@ -13,6 +13,7 @@
   Done,
   HeaderTooLarge,
   BodyTooLarge,
+  NoMemory, ///< the budget does not have the memory for the body
   Malformed,
 };
 
@@ -22,7 +23,9 @@
   RequestParser();
   ~RequestParser();
   /// \brief Prepares for the next request.
-  void reset(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes);
+  /// \param Memory where the body is taken from; null: no limit.
+  void reset(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes,
+             MemoryBudget *Memory);
   /// \brief Consumes bytes of \p Input up to the end of the request.
   [[nodiscard]] ParseResult read(evbuffer *Input);
   /// \brief Returns true if part of a request has been read.
@@ -33,6 +36,8 @@
   /// \brief Returns true if the connection persists after this request.
   [[nodiscard]] bool keepAlive() const;
   /// \brief Moves the parsed request out of the parser.
+  ///
+  /// After ParseResult::NoMemory it has no body.
   [[nodiscard]] HttpRequest release();
 
 private:
@@ -45,7 +50,8 @@
 class ResponseParser {
 public:
   /// \param IsHead true for the response to a HEAD request, which has no body.
-  ResponseParser(bool IsHead, std::size_t MaxBodyBytes);
+  /// \param Memory in which the body counts; null: nowhere.
+  ResponseParser(bool IsHead, std::size_t MaxBodyBytes, MemoryBudget *Memory);
   ~ResponseParser();
   /// \brief Consumes bytes of \p Input up to the end of the response.
   [[nodiscard]] ParseResult read(evbuffer *Input);
@@ -63,6 +69,9 @@
   std::unique_ptr<State> Impl;
 };
 
+/// \brief Adds a body to a buffer, by reference if it is long.
+void addBody(evbuffer *Output, const Body &Value);
+
 /// \brief Returns the standard reason phrase of a status code.
 [[nodiscard]] std::string reasonPhrase(int Status);
 
--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "limpetdrum/connection/SocketAddress.h"
 #include "limpetdrum/process/Error.h"
 
+#include <algorithm>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/tcp.h>
@@ -41,7 +42,7 @@
 }
 
 void HttpExchange::reply(int Status, const HttpHeaders &Headers,
-                         const std::string &Text) {
+                         const limpetdrum::Body &Text) {
   if (this->Ended)
     return;
   this->Ended = true;
@@ -84,7 +85,8 @@
 
 void HttpServerConnection::beginRequest() {
   this->Parser.reset(this->Server->Options.MaxHeaderBytes,
-                     this->Server->Options.MaxBodyBytes);
+                     this->Server->Options.MaxBodyBytes,
+                     this->Server->Options.Memory);
   this->RequestStarted.reset();
 }
 
@@ -99,7 +101,7 @@
   auto Self = this->shared_from_this();
   auto *Input = bufferevent_get_input(this->Event);
   if (this->Ending) {
-    evbuffer_drain(Input, evbuffer_get_length(Input));
+    this->discardInput();
     return;
   }
   while (this->Event != nullptr && this->canReadRequest() &&
@@ -112,25 +114,45 @@
         this->write("HTTP/1.1 100 Continue\r\n\r\n");
       return;
     }
-    if (Result != impl::ParseResult::Done) {
+    bool IsUnread = Result == impl::ParseResult::NoMemory;
+    if (Result != impl::ParseResult::Done && !IsUnread) {
       this->rejectMalformed(Result);
       return;
     }
     bool KeepAlive = this->Parser.keepAlive() && !this->Server->Draining;
     auto Request = this->Parser.release();
     Request.Started = *this->RequestStarted;
+    if (IsUnread)
+      Request.Body = {};
+    const auto *Memory = this->Server->Options.Memory;
+    Request.ExceedsMemory =
+        IsUnread || (Memory != nullptr && Memory->used() > Memory->limit());
     this->beginRequest();
-    auto Exchange = std::make_shared<HttpExchange>(std::move(Request),
-                                                   this->weak_from_this());
-    this->Pipeline.push_back({Exchange.get(), Exchange, KeepAlive, {}});
-    this->LastActive = this->Server->Loop.now();
-    ++this->Server->OpenRequests;
-    if (!KeepAlive)
-      this->Ending = true;
-    this->Server->Handler(std::move(Exchange));
+    // After a body that is not read no further request can be found.
+    this->handle(std::move(Request), KeepAlive && !IsUnread);
   }
 }
 
+void HttpServerConnection::handle(HttpRequest Request, bool KeepAlive) {
+  auto Exchange = std::make_shared<HttpExchange>(std::move(Request),
+                                                 this->weak_from_this());
+  this->Pipeline.push_back({Exchange.get(), Exchange, KeepAlive, {}, {}});
+  this->LastActive = this->Server->Loop.now();
+  ++this->Server->OpenRequests;
+  if (!KeepAlive)
+    this->Ending = true;
+  this->Server->Handler(std::move(Exchange));
+}
+
+void HttpServerConnection::discardInput() {
+  auto *Input = bufferevent_get_input(this->Event);
+  evbuffer_drain(Input, evbuffer_get_length(Input));
+  // A client that is still sending a body reads the response afterwards.
+  if (this->LingerUntil)
+    this->LingerUntil =
+        std::min(this->Server->Loop.now() + LingerTimeout, this->LingerLimit);
+}
+
 void HttpServerConnection::rejectMalformed(impl::ParseResult Result) {
   int Status = 400;
   if (Result == impl::ParseResult::HeaderTooLarge)
@@ -141,17 +163,17 @@
 }
 
 void HttpServerConnection::rejectAndEnd(int Status) {
+  this->beginRequest(); // frees what was read of it
   this->Ending = true;
-  this->Pipeline.push_back({nullptr, {}, false, {}});
+  this->Pipeline.push_back(
+      {nullptr, {}, false, head(Status, {}, 0, false, true), {}});
   ++this->Server->OpenRequests;
-  this->Pipeline.back().Response = this->serialize(Status, {}, "", false, true);
   this->flush();
 }
 
-std::string HttpServerConnection::serialize(int Status,
-                                            const HttpHeaders &Headers,
-                                            const std::string &Body,
-                                            bool IsHead, bool Close) const {
+std::string HttpServerConnection::head(int Status, const HttpHeaders &Headers,
+                                       std::size_t BodyBytes, bool IsHead,
+                                       bool Close) {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " " +
                      impl::reasonPhrase(Status) + "\r\n";
   bool HasLength = false;
@@ -164,13 +186,10 @@
     Text.append(Name).append(": ").append(Value).append("\r\n");
   }
   if (!HasLength && Status != 204 && Status != 304)
-    Text.append("Content-Length: " + std::to_string(Body.size()) + "\r\n");
+    Text.append("Content-Length: " + std::to_string(BodyBytes) + "\r\n");
   if (Close)
     Text.append("Connection: close\r\n");
-  Text.append("\r\n");
-  if (!IsHead && Status != 204 && Status != 304)
-    Text.append(Body);
-  return Text;
+  return Text.append("\r\n");
 }
 
 void HttpServerConnection::endAfterPipeline() {
@@ -184,13 +203,15 @@
 
 void HttpServerConnection::respond(const HttpExchange &Exchange, int Status,
                                    const HttpHeaders &Headers,
-                                   const std::string &Body) {
+                                   const Body &Content) {
   for (auto &Entry : this->Pipeline) {
     if (Entry.Identity != &Exchange)
       continue;
-    bool Close = !Entry.KeepAlive;
-    Entry.Response = this->serialize(Status, Headers, Body,
-                                     Exchange.method() == "HEAD", Close);
+    bool IsHead = Exchange.method() == "HEAD";
+    Entry.Head =
+        head(Status, Headers, Content.size(), IsHead, !Entry.KeepAlive);
+    if (!IsHead && Status != 204 && Status != 304)
+      Entry.Body = Content;
     this->flush();
     return;
   }
@@ -198,8 +219,9 @@
 
 void HttpServerConnection::flush() {
   auto Self = this->shared_from_this();
-  while (!this->Pipeline.empty() && this->Pipeline.front().Response) {
-    this->write(*this->Pipeline.front().Response);
+  while (!this->Pipeline.empty() && this->Pipeline.front().Head) {
+    this->write(*this->Pipeline.front().Head);
+    this->writeBody(this->Pipeline.front().Body);
     this->Pipeline.pop_front();
     --this->Server->OpenRequests;
     this->LastActive = this->Server->Loop.now();
@@ -231,6 +253,11 @@
   bufferevent_write(this->Event, Bytes.data(), Bytes.size());
 }
 
+void HttpServerConnection::writeBody(const Body &Value) {
+  if (this->Event != nullptr && !Value.empty())
+    impl::addBody(bufferevent_get_output(this->Event), Value);
+}
+
 void HttpServerConnection::finishWriting() {
   if (!this->Pipeline.empty() || this->LingerUntil ||
       evbuffer_get_length(bufferevent_get_output(this->Event)) > 0)
@@ -239,6 +266,8 @@
   // the response in transit.
   shutdown(bufferevent_getfd(this->Event), SHUT_WR);
   this->LingerUntil = this->Server->Loop.now() + LingerTimeout;
+  this->LingerLimit =
+      this->Server->Loop.now() + this->Server->Options.RequestTimeout;
 }
 
 std::size_t HttpServerConnection::unsentBytes() const noexcept {
--- a/lib/connection/HttpServerConnection.h
+++ b/lib/connection/HttpServerConnection.h
@@ -38,7 +38,7 @@
 
   /// \brief Responds to a request once those before it are answered.
   void respond(const HttpExchange &Exchange, int Status,
-               const HttpHeaders &Headers, const std::string &Body);
+               const HttpHeaders &Headers, const Body &Content);
   /// \brief Closes the connection after the response to the last open request.
   void endAfterPipeline();
   [[nodiscard]] bool isUsable() const noexcept {
@@ -55,7 +55,9 @@
     const HttpExchange *Identity;
     std::weak_ptr<HttpExchange> Exchange;
     bool KeepAlive;
-    std::optional<std::string> Response;
+    /// Status line and headers; set when the request is answered.
+    std::optional<std::string> Head;
+    limpetdrum::Body Body;
   };
 
   void beginRequest();
@@ -65,11 +67,17 @@
   void rejectMalformed(impl::ParseResult Result);
   /// Responds to a request that could not be read and ends the connection.
   void rejectAndEnd(int Status);
-  [[nodiscard]] std::string serialize(int Status, const HttpHeaders &Headers,
-                                      const std::string &Body, bool IsHead,
-                                      bool Close) const;
+  /// Hands a request that has been read to the handler.
+  void handle(HttpRequest Request, bool KeepAlive);
+  /// Returns the status line and the headers of a response.
+  [[nodiscard]] static std::string head(int Status, const HttpHeaders &Headers,
+                                        std::size_t BodyBytes, bool IsHead,
+                                        bool Close);
   void flush();
   void write(const std::string &Bytes);
+  void writeBody(const Body &Value);
+  /// Reads and drops what a client sends after its last request.
+  void discardInput();
   void finishWriting();
   static void onReadable(bufferevent *Event, void *Context);
   static void onWritten(bufferevent *Event, void *Context);
@@ -81,6 +89,7 @@
   std::deque<PipelinedRequest> Pipeline;
   std::optional<TimePoint> RequestStarted;
   std::optional<TimePoint> LingerUntil;
+  TimePoint LingerLimit{}; ///< of LingerUntil, which input postpones
   TimePoint LastActive;
   std::size_t LastUnsent = 0; ///< response bytes unsent at the last check
   bool Ending = false;        ///< no further requests are read
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "limpetdrum/connection/PeerLink.h"
 
 #include "limpetdrum/Config.h"
+#include "limpetdrum/connection/BodyParts.h"
 #include "limpetdrum/connection/Deflate.h"
 #include "limpetdrum/connection/SocketAddress.h"
 #include "limpetdrum/process/Error.h"
@@ -29,6 +30,30 @@
 /// unreachable and the kernel ends the connection.
 constexpr unsigned UserTimeoutMillis = 3000;
 constexpr int ListenBacklog = 1024;
+/// Longer bodies follow their message in parts.
+constexpr std::size_t MaxInlineBodyBytes = 64U * 1024U;
+/// While more than BusyBytes wait on a link, bodies longer than this follow in
+/// parts, too, since a link with too many unsent bytes is closed.
+constexpr std::size_t MaxInlineBytesWhenBusy = 4096;
+constexpr std::size_t BusyBytes = MaxConnectionBacklogBytes / 8;
+/// Longest body in a message to a node that takes no parts. Packing makes
+/// a message longer by a quarter at most.
+constexpr std::size_t MaxBodyBytesWithoutParts = MaxFrameBytes / 4 * 3;
+/// Parts are written while less than this waits on the link: enough to keep it
+/// in use, and few milliseconds of delay for other messages.
+constexpr std::size_t PartBacklogBytes = 128U * 1024U;
+/// No node sends a longer body, whatever memory is free.
+constexpr std::size_t MaxAnnouncedBodyBytes = 256U * 1024U * 1024U;
+
+std::string encodePart(const BodySender::Part &Part) {
+  capnp::MallocMessageBuilder Message;
+  auto Builder = Message.initRoot<mesh::Frame>().initPart();
+  Builder.setCall(Part.Call);
+  Builder.setData(
+      kj::arrayPtr(reinterpret_cast<const kj::byte *>(Part.Bytes.data()),
+                   Part.Bytes.size()));
+  return encodeFrame(Message);
+}
 
 void setSocketOptions(evutil_socket_t Socket) {
   int Enable = 1;
@@ -58,7 +83,11 @@
   bufferevent *Event = nullptr;
   bool Connected = false;
   bool Stopped = false;
+  MemoryBudget *Memory;
+  bool TakesParts = false; ///< the peer
   TimePoint LastRead;
+  BodySender Bodies;
+  BodyReceiver IncomingBodies;
   std::vector<kj::byte> Packed; ///< the message being read
   /// Not set on the accepting side until the peer's first byte is read.
   std::optional<Format> WireFormat;
@@ -67,14 +96,16 @@
   std::string Inflated;         ///< decompressed bytes
   std::size_t InflatedUsed = 0; ///< bytes of them already delivered
 
-  State(EventLoop &Loop, Events Callbacks)
-      : Loop(Loop), Callbacks(std::move(Callbacks)), LastRead(Loop.now()) {}
+  State(EventLoop &Loop, Events Callbacks, MemoryBudget *Memory)
+      : Loop(Loop), Callbacks(std::move(Callbacks)), Memory(Memory),
+        LastRead(Loop.now()) {}
 
   void attach(evutil_socket_t Socket) {
     this->Event = bufferevent_socket_new(this->Loop.base(), Socket,
                                          BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(this->Event, &State::onReadable, nullptr, &State::onEvent,
-                      this);
+    bufferevent_setcb(this->Event, &State::onReadable, &State::onWritten,
+                      &State::onEvent, this);
+    bufferevent_setwatermark(this->Event, EV_WRITE, PartBacklogBytes / 2, 0);
     bufferevent_enable(this->Event, EV_READ | EV_WRITE);
   }
 
@@ -193,11 +224,86 @@
       kj::ArrayInputStream Input(
           kj::arrayPtr(this->Packed.data(), this->Packed.size()));
       capnp::PackedMessageReader Message(Input);
-      this->Callbacks.OnFrame(Message.getRoot<mesh::Frame>());
+      auto Frame = Message.getRoot<mesh::Frame>();
+      if (Frame.isPart())
+        return this->onPart(Frame.getPart());
+      if (Frame.getBodyCall() != 0)
+        return this->beginBody(Frame);
+      this->Callbacks.OnFrame(Frame, {});
       return true;
     } catch (const kj::Exception &) {
       return false;
+    } catch (const ValueError &) {
+      return false;
+    }
+  }
+
+  /// Handles a message whose body follows in parts.
+  bool beginBody(mesh::Frame::Reader Frame) {
+    auto Bytes = Frame.getBodyBytes();
+    if (Bytes == 0 || Bytes > MaxAnnouncedBodyBytes)
+      return false;
+    FrameBody Missing;
+    Missing.IsMissing = true;
+    if (this->Callbacks.NeedsBody && !this->Callbacks.NeedsBody(Frame)) {
+      this->Callbacks.OnFrame(Frame, std::move(Missing));
+      return true;
+    }
+    MemoryBudget::Share Held;
+    if (this->Memory != nullptr && Frame.isReply()) {
+      Held = this->Memory->takeAlways(Bytes);
+    } else if (this->Memory != nullptr) {
+      auto Share = this->Memory->take(Bytes);
+      if (!Share) {
+        Missing.ExceedsMemory = true;
+        this->Callbacks.OnFrame(Frame, std::move(Missing));
+        return true;
+      }
+      Held = std::move(*Share);
+    }
+    this->IncomingBodies.begin(Frame.getBodyCall(), Bytes, this->Packed,
+                               std::move(Held), this->Loop.now());
+    return true;
+  }
+
+  bool onPart(mesh::Part::Reader Part) {
+    auto Data = Part.getData();
+    auto Complete = this->IncomingBodies.append(
+        Part.getCall(),
+        {reinterpret_cast<const char *>(Data.begin()), Data.size()},
+        this->Loop.now());
+    if (!Complete)
+      return true;
+    kj::ArrayInputStream Input(
+        kj::arrayPtr(Complete->Message.data(), Complete->Message.size()));
+    capnp::PackedMessageReader Message(Input);
+    FrameBody Received;
+    Received.Content = std::move(Complete->Content);
+    Received.Duration = Complete->Duration;
+    this->Callbacks.OnFrame(Message.getRoot<mesh::Frame>(),
+                            std::move(Received));
+    return true;
+  }
+
+  void write(const std::string &Bytes) {
+    if (!this->Outgoing) {
+      bufferevent_write(this->Event, Bytes.data(), Bytes.size());
+      return;
     }
+    auto Compressed = this->Outgoing->compress(Bytes);
+    bufferevent_write(this->Event, Compressed.data(), Compressed.size());
+  }
+
+  /// Writes parts of bodies as long as the peer reads them.
+  void writeParts() {
+    while (this->Event != nullptr && !this->Bodies.empty() &&
+           evbuffer_get_length(bufferevent_get_output(this->Event)) <
+               PartBacklogBytes)
+      this->write(encodePart(this->Bodies.next()));
+  }
+
+  static void onWritten(bufferevent * /*Event*/, void *Context) {
+    static_cast<State *>(Context)->shared_from_this()->writeParts();
   }
 
   static void onReadable(bufferevent * /*Event*/, void *Context) {
@@ -226,8 +332,8 @@
 };
 
 PeerLink::PeerLink(EventLoop &Loop, Endpoint Peer, Events Callbacks,
-                   Format WireFormat)
-    : Impl(std::make_shared<State>(Loop, std::move(Callbacks))) {
+                   Format WireFormat, MemoryBudget *Memory)
+    : Impl(std::make_shared<State>(Loop, std::move(Callbacks), Memory)) {
   this->Impl->attach(-1);
   this->Impl->setFormat(WireFormat);
   auto First = static_cast<unsigned char>(WireFormat);
@@ -241,8 +347,9 @@
     setSocketOptions(bufferevent_getfd(this->Impl->Event));
 }
 
-PeerLink::PeerLink(EventLoop &Loop, int Socket, Events Callbacks)
-    : Impl(std::make_shared<State>(Loop, std::move(Callbacks))) {
+PeerLink::PeerLink(EventLoop &Loop, int Socket, Events Callbacks,
+                   MemoryBudget *Memory)
+    : Impl(std::make_shared<State>(Loop, std::move(Callbacks), Memory)) {
   setSocketOptions(Socket);
   this->Impl->attach(Socket);
   this->Impl->Connected = true;
@@ -261,18 +368,40 @@
     });
     return;
   }
-  if (!this->Impl->Outgoing) {
-    bufferevent_write(this->Impl->Event, Bytes.data(), Bytes.size());
-    return;
-  }
-  auto Packed = this->Impl->Outgoing->compress(Bytes);
-  bufferevent_write(this->Impl->Event, Packed.data(), Packed.size());
+  this->Impl->write(Bytes);
+}
+
+void PeerLink::setTakesParts(bool Value) noexcept {
+  this->Impl->TakesParts = Value;
+}
+
+bool PeerLink::sendsInParts(std::size_t BodyBytes) const noexcept {
+  if (!this->Impl->TakesParts)
+    return false;
+  return BodyBytes > MaxInlineBodyBytes ||
+         (BodyBytes > MaxInlineBytesWhenBusy &&
+          this->unsentBytes() > BusyBytes);
+}
+
+bool PeerLink::canSend(std::size_t BodyBytes) const noexcept {
+  return this->Impl->TakesParts || BodyBytes <= MaxBodyBytesWithoutParts;
+}
+
+void PeerLink::sendBody(std::uint64_t Call, Body Content) {
+  this->Impl->Bodies.add(Call, std::move(Content));
+  this->Impl->writeParts();
+}
+
+void PeerLink::cancelBody(std::uint64_t Call) {
+  this->Impl->Bodies.cancel(Call);
+  this->Impl->IncomingBodies.drop(Call);
 }
 
 std::size_t PeerLink::unsentBytes() const noexcept {
-  return this->Impl->Event == nullptr
-             ? 0
-             : evbuffer_get_length(bufferevent_get_output(this->Impl->Event));
+  if (this->Impl->Event == nullptr)
+    return 0;
+  return evbuffer_get_length(bufferevent_get_output(this->Impl->Event)) +
+         this->Impl->Bodies.unsentBytes();
 }
 
 void PeerLink::stop() noexcept {
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -31,6 +31,8 @@
 /// then it is connected to those that run.
 constexpr Milliseconds WarmUpLimit{1500};
 constexpr std::chrono::seconds CrashSweepPeriod{10};
+/// The other half is for connections, the state of the fleet and the process.
+constexpr std::size_t BodyMemoryDivisor = 2;
 
 std::int64_t unixMillis() {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -62,11 +64,13 @@
   HttpClient Client;
 };
 
-HttpClientOptions targetOptions(const HeaderNames &Names) {
+HttpClientOptions targetOptions(const HeaderNames &Names,
+                                MemoryBudget &BodyMemory) {
   HttpClientOptions Options;
   Options.EchoHeader = Names.RequestId;
   Options.AcceptCloseDelimited = true;
   Options.MaxBodyBytes = MaxConnectionBacklogBytes / 2;
+  Options.Memory = &BodyMemory;
   return Options;
 }
 
@@ -79,6 +83,7 @@
   EventLog &Log;
   Metrics &Counters;
   std::function<void()> OnLeft;
+  MemoryBudget BodyMemory;
   limpetdrum::Incarnation Incarnation = newIncarnation();
   std::uint64_t Seed;
   TimePoint Started;
@@ -116,9 +121,11 @@
         Metrics &Counters, std::function<void()> OnLeft)
       : Loop(Loop), Settings(Settings), Adapter(Adapter), Log(Log),
         Counters(Counters), OnLeft(std::move(OnLeft)),
+        BodyMemory(Settings.MemoryBytes / BodyMemoryDivisor),
         Seed(stableHash(Settings.Node.value(), this->Incarnation.value())),
         Started(Loop.now()),
-        TargetClient(Loop, Settings.Target, targetOptions(Adapter.headers())),
+        TargetClient(Loop, Settings.Target,
+                     targetOptions(Adapter.headers(), this->BodyMemory)),
         ProvenCrashes(Loop, Store, Log, unixMillis),
         LocalTarget({Settings.DrainTimeout / 2, this->Seed, unixMillis,
                      Settings.Service},
@@ -127,7 +134,8 @@
         RunningTarget(Settings.Service, Adapter.headers(), this->TargetClient,
                       this->LocalTarget, Log, Counters),
         Fleet(Loop, Store, this->member(), Log, Counters, this->Seed + 2),
-        Peers(Loop, this->contact(), this->Incarnation, Log, Counters),
+        Peers(Loop, this->contact(), this->Incarnation, Log, Counters,
+              &this->BodyMemory),
         Links(this->Fleet.members(), this->Peers, Loop),
         CrashNewsExchange(Settings.FailureDomain, this->Crashes,
                           this->ProvenCrashes, this->Links, this->Peers, Log,
@@ -178,6 +186,8 @@
 
   void start();
   [[nodiscard]] Mesh::Handlers meshHandlers();
+  /// Returns the limits on clients that no policy sets.
+  [[nodiscard]] HttpServerOptions clientOptions();
   void listen();
   void onReport(const std::shared_ptr<HttpExchange> &Exchange);
   void onPolicy(const TrafficPolicy &NewPolicy);
@@ -212,11 +222,18 @@
   return Status;
 }
 
+HttpServerOptions Sidecar::State::clientOptions() {
+  HttpServerOptions Options;
+  Options.Memory = &this->BodyMemory;
+  return Options;
+}
+
 void Sidecar::State::listen() {
   using Exchange = std::shared_ptr<HttpExchange>;
   this->Outbound = std::make_unique<HttpServer>(
       this->Loop, this->Settings.Outbound,
-      [this](Exchange E) { this->Forwarder.onRequest(std::move(E)); });
+      [this](Exchange E) { this->Forwarder.onRequest(std::move(E)); },
+      this->clientOptions());
   this->Readiness = std::make_unique<HttpServer>(
       this->Loop, this->Settings.Readiness, [this](const Exchange &E) {
         E->reply(this->isReady() ? 200 : 503, {}, "");
@@ -244,6 +261,10 @@
                                 (void)this->Peers.reply(Caller, Call, R);
                               });
   };
+  Handlers.IsKnown = [this](limpetdrum::Incarnation Caller,
+                            std::uint64_t Call) {
+    return this->LocalTarget.knows(Caller, Call);
+  };
   Handlers.OnCancel = [this](limpetdrum::Incarnation Caller,
                              std::uint64_t Call) {
     this->LocalTarget.cancel(Caller, Call);
@@ -385,6 +406,10 @@
   this->Counters.gauge(
       "allowances_binding",
       static_cast<double>(this->AllowanceParts.bindingCount()));
+  this->Counters.gauge("body_bytes_held",
+                       static_cast<double>(this->BodyMemory.used()));
+  this->Counters.gauge("body_bytes_limit",
+                       static_cast<double>(this->BodyMemory.limit()));
   this->Counters.gauge("holds_duties", this->Links.holdsDuties() ? 1 : 0);
 }
 
@@ -412,7 +437,7 @@
 
 void Sidecar::State::onPolicy(const TrafficPolicy &NewPolicy) {
   const auto &Limits = NewPolicy.limits();
-  HttpServerOptions Options;
+  auto Options = this->clientOptions();
   Options.MaxHeaderBytes = Limits.MaxHeaderBytes;
   Options.MaxBodyBytes = Limits.MaxBodyBytes;
   Options.RequestTimeout = Limits.HeaderTimeout * 4;
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -15,6 +15,8 @@
 constexpr Milliseconds ReturnMargin{5};
 constexpr Milliseconds NoPolicyRetryAfter{500};
 constexpr Milliseconds NoTargetRetryAfter{500};
+/// Bodies that fill the memory are passed on within about this time.
+constexpr Milliseconds NoMemoryRetryAfter{500};
 /// A request may wait in a queue for its latency target divided by this.
 constexpr int QueueWaitDivisor = 2;
 
@@ -93,6 +95,11 @@
   Request->Id = Request->Exchange->header(this->Names.RequestId);
   Request->Policy = this->Policy();
   Request->Message = Request->Exchange->request();
+  if (Request->Message.ExceedsMemory) {
+    this->Counters.count("requests_beyond_memory");
+    this->refuse(Request, Reason::Overload, NoMemoryRetryAfter);
+    return;
+  }
   if (!Request->Policy) {
     this->refuse(Request, Reason::NoTarget, NoPolicyRetryAfter);
     return;
@@ -582,7 +589,7 @@
 }
 
 void Forwarder::answer(const RequestPtr &Request, int Status,
-                       const HttpHeaders &Headers, const std::string &Body,
+                       const HttpHeaders &Headers, const limpetdrum::Body &Body,
                        const char *Outcome) {
   Request->Ended = true;
   Request->DeadlineTimer.cancel();
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -163,6 +163,11 @@
     this->finish(Id, notRun(Reason::WrongTarget, MinRetryAfter));
     return;
   }
+  if (Attempt.Request.ExceedsMemory) {
+    this->Counters.count("attempts_beyond_memory");
+    this->finish(Id, notRun(Reason::Overload, MinRetryAfter));
+    return;
+  }
   if (this->RetryAfterEnd) {
     this->Counters.count("attempts_refused_at_end");
     this->finish(Id, notRun(Reason::Draining, *this->RetryAfterEnd));
--- a/lib/daemon/fleet/IncomingLinks.cpp
+++ b/lib/daemon/fleet/IncomingLinks.cpp
@@ -13,8 +13,9 @@
   std::optional<Incarnation> Caller; ///< unset before the hello
 };
 
-IncomingLinks::IncomingLinks(EventLoop &Loop, EventLog &Log, Metrics &Counters)
-    : Loop(Loop), Log(Log), Counters(Counters) {}
+IncomingLinks::IncomingLinks(EventLoop &Loop, EventLog &Log, Metrics &Counters,
+                             MemoryBudget *Memory)
+    : Loop(Loop), Log(Log), Counters(Counters), Memory(Memory) {}
 
 IncomingLinks::~IncomingLinks() = default;
 
@@ -27,12 +28,18 @@
 void IncomingLinks::accept(int Socket) {
   auto Key = ++this->LastKey;
   PeerLink::Events Events;
-  Events.OnFrame = [this, Key](mesh::Frame::Reader Frame) {
-    this->onFrame(Key, Frame);
+  Events.OnFrame = [this, Key](mesh::Frame::Reader Frame, FrameBody Received) {
+    this->onFrame(Key, Frame, std::move(Received));
+  };
+  Events.NeedsBody = [this, Key](mesh::Frame::Reader Frame) {
+    const auto &Caller = this->Links.at(Key)->Caller;
+    return Frame.isAttempt() && Caller &&
+           !this->Callbacks.IsKnown(*Caller, Frame.getAttempt().getCall());
   };
   Events.OnClosed = [this, Key](bool /*WasConnected*/) { this->onClosed(Key); };
   auto Accepted = std::make_unique<IncomingLink>();
-  Accepted->Link = std::make_unique<PeerLink>(this->Loop, Socket, Events);
+  Accepted->Link =
+      std::make_unique<PeerLink>(this->Loop, Socket, Events, this->Memory);
   this->Links.emplace(Key, std::move(Accepted));
 }
 
@@ -54,14 +61,15 @@
       this->ReplyLinks[Caller] = Key;
 }
 
-void IncomingLinks::onFrame(std::uint64_t Key, mesh::Frame::Reader Frame) {
+void IncomingLinks::onFrame(std::uint64_t Key, mesh::Frame::Reader Frame,
+                            FrameBody Received) {
   auto &Source = *this->Links.at(Key);
   if (!Source.Caller && Frame.which() != mesh::Frame::HELLO) {
     this->Counters.count("mesh_frames_unexpected");
     return;
   }
   try {
-    this->dispatch(Key, Source, Frame);
+    this->dispatch(Key, Source, Frame, std::move(Received));
   } catch (const ValueError &E) {
     this->Counters.count("mesh_frames_malformed");
     this->Log.state("peer_malformed",
@@ -70,7 +78,7 @@
 }
 
 void IncomingLinks::dispatch(std::uint64_t Key, IncomingLink &Source,
-                             mesh::Frame::Reader Frame) {
+                             mesh::Frame::Reader Frame, FrameBody Received) {
   switch (Frame.which()) {
   case mesh::Frame::HELLO: {
     auto Hello = codec::decode(Frame.getHello());
@@ -78,18 +86,15 @@
     Source.Domain = Hello.Status.Self.FailureDomain;
     Source.Caller = callerKey(Source.Node, Hello.Status.Incarnation);
     this->ReplyLinks[*Source.Caller] = Key;
+    Source.Link->setTakesParts(Hello.Status.TakesBodyParts);
     this->Callbacks.OnHello(*Source.Link, Hello);
     break;
   }
-  case mesh::Frame::ATTEMPT: {
-    auto Attempt = Frame.getAttempt();
-    for (auto Call : Attempt.getAcknowledged())
-      this->Callbacks.OnAcknowledged(*Source.Caller, Call);
-    this->Callbacks.OnAttempt(Source.Node, *Source.Caller,
-                              codec::decode(Attempt));
+  case mesh::Frame::ATTEMPT:
+    this->onAttempt(Source, Frame.getAttempt(), std::move(Received));
     break;
-  }
   case mesh::Frame::CANCEL:
+    Source.Link->cancelBody(Frame.getCancel());
     this->Callbacks.OnCancel(*Source.Caller, Frame.getCancel());
     break;
   case mesh::Frame::ASK:
@@ -120,11 +125,32 @@
   }
 }
 
-bool IncomingLinks::sendToCaller(Incarnation Caller, const std::string &Frame) {
+void IncomingLinks::onAttempt(IncomingLink &Source,
+                              mesh::Attempt::Reader Attempt,
+                              FrameBody Received) {
+  for (auto Call : Attempt.getAcknowledged())
+    this->Callbacks.OnAcknowledged(*Source.Caller, Call);
+  auto Value = codec::decode(Attempt, this->Memory);
+  if (Received.ExceedsMemory || !Received.Content.empty()) {
+    Value.Request.ExceedsMemory = Received.ExceedsMemory;
+    Value.Request.Body = std::move(Received.Content);
+  }
+  // The time left is that of the moment when the message was sent.
+  Value.TimeLeft -= std::chrono::duration_cast<Milliseconds>(Received.Duration);
+  this->Callbacks.OnAttempt(Source.Node, *Source.Caller, std::move(Value));
+}
+
+bool IncomingLinks::reply(Incarnation Caller, std::uint64_t Call,
+                          const Reply &Value, const NodeStatus &Load) {
   auto Found = this->ReplyLinks.find(Caller);
   if (Found == this->ReplyLinks.end())
     return false;
-  this->Links.at(Found->second)->Link->send(Frame);
+  auto &Link = *this->Links.at(Found->second)->Link;
+  bool InParts = Link.sendsInParts(Value.Body.size());
+  Link.send(codec::encodeReply(
+      Call, Value, Load, InParts ? BodyPlace::InParts : BodyPlace::InMessage));
+  if (InParts)
+    Link.sendBody(Call, Value.Body);
   return true;
 }
 
--- a/lib/daemon/fleet/Mesh.cpp
+++ b/lib/daemon/fleet/Mesh.cpp
@@ -54,24 +54,25 @@
 };
 
 Mesh::Mesh(EventLoop &Loop, Contact Self, Incarnation Current, EventLog &Log,
-           Metrics &Counters)
+           Metrics &Counters, MemoryBudget *Memory)
     : Loop(Loop), Self(std::move(Self)), Current(Current), Log(Log),
-      Counters(Counters), Incoming(Loop, Log, Counters) {}
+      Counters(Counters), Memory(Memory),
+      Incoming(Loop, Log, Counters, Memory) {}
 
 Mesh::~Mesh() = default;
 
 void Mesh::start(Handlers Callbacks, Endpoint Listen) {
   this->Callbacks = std::move(Callbacks);
-  this->Incoming.start({[this](PeerLink &Link, const MeshHello &Hello) {
-                          this->onIncomingHello(Link, Hello);
-                        },
-                        this->Callbacks.OnAttempt, this->Callbacks.OnCancel,
-                        this->Callbacks.OnAcknowledged, this->Callbacks.OnUsage,
-                        this->Callbacks.OnOrganisationUsage,
-                        this->Callbacks.OnPolicy, this->Callbacks.OnCrashNews,
-                        this->Callbacks.LocalStatus,
-                        this->Callbacks.PolicyText},
-                       Listen);
+  this->Incoming.start(
+      {[this](PeerLink &Link, const MeshHello &Hello) {
+         this->onIncomingHello(Link, Hello);
+       },
+       this->Callbacks.OnAttempt, this->Callbacks.IsKnown,
+       this->Callbacks.OnCancel, this->Callbacks.OnAcknowledged,
+       this->Callbacks.OnUsage, this->Callbacks.OnOrganisationUsage,
+       this->Callbacks.OnPolicy, this->Callbacks.OnCrashNews,
+       this->Callbacks.LocalStatus, this->Callbacks.PolicyText},
+      Listen);
   this->Ticker = this->Loop.every(TickPeriod, [this]() { this->tick(); });
 }
 
@@ -133,8 +134,13 @@
   Events.OnConnected = [this, Node, AsSpare]() {
     this->onConnected(Node, AsSpare);
   };
-  Events.OnFrame = [this, Node, AsSpare](mesh::Frame::Reader Frame) {
-    this->onFrame(Node, AsSpare, Frame);
+  Events.OnFrame = [this, Node, AsSpare](mesh::Frame::Reader Frame,
+                                         FrameBody Received) {
+    this->onFrame(Node, AsSpare, Frame, std::move(Received));
+  };
+  Events.NeedsBody = [this, Node](mesh::Frame::Reader Frame) {
+    return Frame.isReply() && this->OutgoingLinks.at(Node)->Calls.contains(
+                                  Frame.getReply().getCall());
   };
   Events.OnClosed = [this, Node, AsSpare](bool WasConnected) {
     this->onClosed(Node, AsSpare, WasConnected);
@@ -144,8 +150,9 @@
   auto Format = Outgoing.Contact.FailureDomain == this->Self.FailureDomain
                     ? PeerLink::Format::Plain
                     : PeerLink::Format::Compressed;
-  auto Link = std::make_unique<PeerLink>(this->Loop, Outgoing.Contact.Link,
-                                         std::move(Events), Format);
+  auto Link =
+      std::make_unique<PeerLink>(this->Loop, Outgoing.Contact.Link,
+                                 std::move(Events), Format, this->Memory);
   this->Counters.count("peer_connections");
   if (AsSpare) {
     Outgoing.Spare = std::move(Link);
@@ -160,6 +167,7 @@
 void Mesh::sendHello(PeerLink &Link, const NodeId &Receiver) {
   MeshHello Hello;
   Hello.Status = this->Callbacks.LocalStatus();
+  Hello.Status.TakesBodyParts = true;
   auto Found = this->Peers.find(Receiver);
   if (Found != this->Peers.end() && Found->second.Status)
     Hello.ReceiverTarget = Found->second.Status->Target;
@@ -216,8 +224,8 @@
     this->Log.state("peer_answers", {{"node", Node.value()}});
 }
 
-void Mesh::onFrame(const NodeId &Node, bool AsSpare,
-                   mesh::Frame::Reader Frame) {
+void Mesh::onFrame(const NodeId &Node, bool AsSpare, mesh::Frame::Reader Frame,
+                   FrameBody Received) {
   if (!AsSpare)
     this->clearSuspicion(Node);
   try {
@@ -244,11 +252,15 @@
       this->requestPolicy(*Outgoing.Link, *Peer.Status);
       break;
     }
-    case mesh::Frame::REPLY:
+    case mesh::Frame::REPLY: {
       this->onLoad(Node, Frame.getReply());
+      auto Value = codec::decode(Frame.getReply(), this->Memory);
+      if (!Received.Content.empty())
+        Value.Body = std::move(Received.Content);
       this->onReply(*this->OutgoingLinks.at(Node), Frame.getReply().getCall(),
-                    codec::decode(Frame.getReply()));
+                    Value);
       break;
+    }
     case mesh::Frame::USAGE:
       this->Callbacks.OnUsage(codec::decode(Frame.getUsage()));
       break;
@@ -295,6 +307,7 @@
     return;
   }
   Outgoing.IsUp = true;
+  Outgoing.Link->setTakesParts(Hello.Status.TakesBodyParts);
   Outgoing.LinkLiveness = Liveness(LinkLimits);
   Outgoing.LastUpAt = this->Loop.now();
   Outgoing.RetryPause = MinRetryPause;
@@ -366,6 +379,9 @@
 void Mesh::onReply(OutgoingLink &Outgoing, std::uint64_t Number,
                    const Reply &Value) {
   Outgoing.Unacknowledged.push_back(Number);
+  // It may have been refused before its body had been sent.
+  if (Outgoing.Link)
+    Outgoing.Link->cancelBody(Number);
   if (Outgoing.Unacknowledged.size() >= MaxUnacknowledged && Outgoing.Link)
     Outgoing.Link->send(
         codec::encodeAcknowledged(std::exchange(Outgoing.Unacknowledged, {})));
@@ -392,12 +408,35 @@
 }
 
 void Mesh::send(OutgoingLink &Outgoing, std::uint64_t Number) {
+  auto Content = Outgoing.Calls.body(Number);
+  if (!Outgoing.Link->canSend(Content.size())) {
+    this->endUnsendable(Outgoing.Contact.Node, Number, Content.size());
+    return;
+  }
+  bool InParts = Outgoing.Link->sendsInParts(Content.size());
   auto Frame =
-      Outgoing.Calls.send(Number, Outgoing.Unacknowledged, this->Loop.now());
+      Outgoing.Calls.send(Number, Outgoing.Unacknowledged, this->Loop.now(),
+                          InParts ? BodyPlace::InParts : BodyPlace::InMessage);
   if (!Frame)
     return;
   Outgoing.Unacknowledged.clear();
   Outgoing.Link->send(*Frame);
+  if (InParts)
+    Outgoing.Link->sendBody(Number, std::move(Content));
+}
+
+void Mesh::endUnsendable(const NodeId &Node, std::uint64_t Number,
+                         std::size_t BodyBytes) {
+  this->Counters.count("bodies_too_long_for_peer");
+  this->Log.request(
+      "body_too_long_for_peer",
+      {{"node", Node.value()}, {"call", Number}, {"bytes", BodyBytes}});
+  // From the loop, as the caller does not know the number of the call yet.
+  this->Loop.post([this, Node, Number]() {
+    auto Found = this->OutgoingLinks.find(Node);
+    if (Found != this->OutgoingLinks.end())
+      Found->second->Calls.endUnsendable(Number);
+  });
 }
 
 void Mesh::cancel(const NodeId &Node, std::uint64_t Number) {
@@ -405,15 +444,17 @@
   if (Found == this->OutgoingLinks.end())
     return;
   auto &Outgoing = *Found->second;
-  if (Outgoing.Calls.cancel(Number) && Outgoing.IsUp && Outgoing.Link)
+  if (Outgoing.Calls.cancel(Number) && Outgoing.IsUp && Outgoing.Link) {
+    Outgoing.Link->cancelBody(Number);
     Outgoing.Link->send(codec::encodeCancel(Number));
+  }
 }
 
 bool Mesh::hasUnsentReplies() const { return this->Incoming.hasUnsent(); }
 
 bool Mesh::reply(Incarnation Caller, std::uint64_t Call, const Reply &Value) {
-  return this->Incoming.sendToCaller(
-      Caller, codec::encodeReply(Call, Value, this->Callbacks.LocalStatus()));
+  return this->Incoming.reply(Caller, Call, Value,
+                              this->Callbacks.LocalStatus());
 }
 
 void Mesh::broadcast() {
--- a/lib/daemon/fleet/MeshCodec.cpp
+++ b/lib/daemon/fleet/MeshCodec.cpp
@@ -81,6 +81,7 @@
   Builder.setStoreLost(Value.StoreLost);
   Builder.setPace(Value.Pace);
   Builder.setRefusesRuns(Value.RefusesRuns);
+  Builder.setTakesBodyParts(Value.TakesBodyParts);
 }
 
 template <typename MessageBuilder>
@@ -106,6 +107,13 @@
     Builder.set(I, Calls[I]);
 }
 
+/// Says that a body follows the message in parts.
+void announceBody(mesh::Frame::Builder Frame, std::uint64_t Call,
+                  const Body &Content) {
+  Frame.setBodyCall(Call);
+  Frame.setBodyBytes(Content.size());
+}
+
 /// \throws ValueError unless \p Value is the number of a scope.
 UsageScope readScope(std::uint8_t Value) {
   if (Value > static_cast<std::uint8_t>(UsageScope::Fleet))
@@ -146,15 +154,20 @@
 }
 
 std::string encodeAttempt(const MeshAttempt &Value,
-                          const std::vector<std::uint64_t> &Acknowledged) {
+                          const std::vector<std::uint64_t> &Acknowledged,
+                          BodyPlace Place) {
   capnp::MallocMessageBuilder Message;
-  auto Builder = Message.initRoot<mesh::Frame>().initAttempt();
+  auto Frame = Message.initRoot<mesh::Frame>();
+  auto Builder = Frame.initAttempt();
+  if (Place == BodyPlace::InParts)
+    announceBody(Frame, Value.Call, Value.Request.Body);
+  else
+    Builder.setBody(asData(Value.Request.Body));
   Builder.setCall(Value.Call);
   Builder.setRequestId(Value.RequestId);
   Builder.setMethod(Value.Request.Method);
   Builder.setPath(Value.Request.Target);
   writeHeaders(Builder, Value.Request.Headers);
-  Builder.setBody(asData(Value.Request.Body));
   Builder.setTimeLeft(static_cast<std::uint32_t>(Value.TimeLeft.count()));
   Builder.setWaitLimit(static_cast<std::uint32_t>(Value.WaitLimit.count()));
   Builder.setTargetId(Value.TargetId);
@@ -172,15 +185,19 @@
 }
 
 std::string encodeReply(std::uint64_t Call, const Reply &Value,
-                        const NodeStatus &Load) {
+                        const NodeStatus &Load, BodyPlace Place) {
   capnp::MallocMessageBuilder Message;
-  auto Builder = Message.initRoot<mesh::Frame>().initReply();
+  auto Frame = Message.initRoot<mesh::Frame>();
+  auto Builder = Frame.initReply();
+  if (Place == BodyPlace::InParts)
+    announceBody(Frame, Call, Value.Body);
+  else
+    Builder.setBody(asData(Value.Body));
   Builder.setCall(Call);
   Builder.setOutcome(static_cast<std::uint8_t>(Value.Outcome));
   Builder.setReason(static_cast<std::uint8_t>(Value.Reason));
   Builder.setStatus(Value.Status);
   writeHeaders(Builder, Value.Headers);
-  Builder.setBody(asData(Value.Body));
   Builder.setRetryAfter(static_cast<std::uint32_t>(Value.RetryAfter.count()));
   Builder.setRunning(Load.Running);
   Builder.setQueued(Load.Queued);
@@ -306,6 +323,7 @@
   Value.StoreLost = Reader.getStoreLost();
   Value.Pace = Reader.getPace();
   Value.RefusesRuns = Reader.getRefusesRuns();
+  Value.TakesBodyParts = Reader.getTakesBodyParts();
   if (!(Value.Threshold >= 0))
     throw ValueError("invalid admission threshold " +
                          std::to_string(Value.Threshold) +
@@ -324,14 +342,18 @@
   Status.Pace = Reader.getPace();
 }
 
-MeshAttempt decode(mesh::Attempt::Reader Reader) {
+MeshAttempt decode(mesh::Attempt::Reader Reader, MemoryBudget *Memory) {
   MeshAttempt Value;
   Value.Call = Reader.getCall();
   Value.RequestId = text(Reader.getRequestId());
   Value.Request.Method = text(Reader.getMethod());
   Value.Request.Target = text(Reader.getPath());
   Value.Request.Headers = readHeaders(Reader);
-  Value.Request.Body = bytes(Reader.getBody());
+  auto Share = Memory == nullptr ? std::optional(MemoryBudget::Share())
+                                 : Memory->take(Reader.getBody().size());
+  Value.Request.ExceedsMemory = !Share;
+  if (Share)
+    Value.Request.Body = {bytes(Reader.getBody()), std::move(*Share)};
   Value.TimeLeft = Milliseconds(Reader.getTimeLeft());
   Value.WaitLimit = Milliseconds(Reader.getWaitLimit());
   Value.TargetId = text(Reader.getTargetId());
@@ -415,7 +437,7 @@
   return Value;
 }
 
-Reply decode(mesh::Reply::Reader Reader) {
+Reply decode(mesh::Reply::Reader Reader, MemoryBudget *Memory) {
   if (Reader.getOutcome() > static_cast<std::uint8_t>(Outcome::Unknown) ||
       Reader.getReason() >= ReasonCount)
     throw ValueError("unknown reply outcome " +
@@ -429,7 +451,9 @@
   Value.Reason = static_cast<Reason>(Reader.getReason());
   Value.Status = Reader.getStatus();
   Value.Headers = readHeaders(Reader);
-  Value.Body = bytes(Reader.getBody());
+  auto Share = Memory == nullptr ? MemoryBudget::Share()
+                                 : Memory->takeAlways(Reader.getBody().size());
+  Value.Body = {bytes(Reader.getBody()), std::move(Share)};
   Value.RetryAfter = Milliseconds(Reader.getRetryAfter());
   return Value;
 }
--- a/lib/daemon/fleet/PendingCalls.cpp
+++ b/lib/daemon/fleet/PendingCalls.cpp
@@ -20,14 +20,20 @@
 std::optional<std::string>
 PendingCalls::send(std::uint64_t Number,
                    const std::vector<std::uint64_t> &Acknowledged,
-                   TimePoint Now) {
+                   TimePoint Now, BodyPlace Place) {
   auto &Sent = this->Calls.at(Number);
   Sent.Sent = true;
   auto TimeLeft = std::chrono::duration_cast<Milliseconds>(Sent.Deadline - Now);
   if (TimeLeft <= Milliseconds(0))
     return std::nullopt; // the caller ends the call at its deadline
   Sent.Attempt.TimeLeft = TimeLeft;
-  return codec::encodeAttempt(Sent.Attempt, Acknowledged);
+  return codec::encodeAttempt(Sent.Attempt, Acknowledged, Place);
+}
+
+Body PendingCalls::body(std::uint64_t Number) const {
+  auto Found = this->Calls.find(Number);
+  return Found == this->Calls.end() ? Body()
+                                    : Found->second.Attempt.Request.Body;
 }
 
 bool PendingCalls::cancel(std::uint64_t Number) {
@@ -95,6 +101,14 @@
     OnResult({MeshResult::Kind::Suspected, {}});
 }
 
+void PendingCalls::endUnsendable(std::uint64_t Number) {
+  auto Ended = this->Calls.extract(Number);
+  if (!Ended.empty())
+    Ended.mapped().OnResult({Ended.mapped().Sent ? MeshResult::Kind::Lost
+                                                 : MeshResult::Kind::NeverSent,
+                             {}});
+}
+
 void PendingCalls::endAll() {
   this->endIf([](const Call &Pending) {
     return std::optional(Pending.Sent ? MeshResult::Kind::Lost
--- a/lib/process/SidecarSettings.cpp
+++ b/lib/process/SidecarSettings.cpp
@@ -3,10 +3,17 @@
 #include "limpetdrum/process/Error.h"
 #include "limpetdrum/process/YamlMap.h"
 
+#include <charconv>
+
 namespace limpetdrum {
 
 namespace {
 
+constexpr std::size_t BytesPerMegabyte = 1000U * 1000U;
+/// Below it the process itself would not fit.
+constexpr std::uint64_t MinMemoryMegabytes = 64;
+constexpr std::uint64_t MaxMemoryMegabytes = 1'000'000;
+
 /// Returns a number from 0 to \p Max, which may have a fraction.
 double readNumber(YamlMap &Map, const std::string &Key, unsigned Max,
                   double Default) {
@@ -70,9 +77,27 @@
   Result.Store = Map.endpoint("store");
   Result.DrainTimeout = Map.duration("drain-timeout", Result.DrainTimeout);
   Result.ExitLimit = Map.duration("exit-limit", Result.ExitLimit);
+  Result.MemoryBytes =
+      Map.number("memory-mb", MinMemoryMegabytes, MaxMemoryMegabytes,
+                 Result.MemoryBytes / BytesPerMegabyte) *
+      BytesPerMegabyte;
   readRepeats(Result, Map.map("repeats"));
   Map.rejectUnknownKeys();
   return Result;
 }
 
+std::size_t parseMemoryMegabytes(const std::string &Text,
+                                 const std::string &Source) {
+  std::uint64_t Value = 0;
+  const auto *End = Text.data() + Text.size();
+  auto Parsed = std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End ||
+      Value < MinMemoryMegabytes || Value > MaxMemoryMegabytes)
+    throw ValueError(
+        "'" + Text + "' in " + Source + " is not a valid amount of memory",
+        "write whole megabytes from " + std::to_string(MinMemoryMegabytes) +
+            " to " + std::to_string(MaxMemoryMegabytes));
+  return Value * BytesPerMegabyte;
+}
+
 } // namespace limpetdrum
--- a/lib/request/KeyLedger.cpp
+++ b/lib/request/KeyLedger.cpp
@@ -59,7 +59,7 @@
     this->RemainingBodyBytes -= Value.Body.size();
     return;
   }
-  Record.Reply.Body.clear();
+  Record.Reply.Body = {};
   Record.Reply.Status = GoneStatus;
 }
 
--- a/lib/request/RequestFingerprint.cpp
+++ b/lib/request/RequestFingerprint.cpp
@@ -26,7 +26,7 @@
     const auto *Value = findHeader(Request.Headers, Name);
     Add(Value == nullptr ? std::string() : *Value);
   }
-  Add(Request.Body);
+  Add(Request.Body.text());
   return RequestFingerprint(Hash);
 }
 
--- a/lib/rpc/Mesh.capnp
+++ b/lib/rpc/Mesh.capnp
@@ -36,6 +36,7 @@
   storeLost @11 :Bool;     # the last call to the store failed
   pace @12 :UInt16;        # percent of the usual time that work takes; 0: unknown
   refusesRuns @13 :Bool;   # the target is given no further runs by this process
+  takesBodyParts @14 :Bool; # bodies may follow their messages in parts
 }
 
 struct Header { name @0 :Text; value @1 :Text; }
@@ -137,6 +138,11 @@
   sound @1 :List(UInt64);  # suspected requests that were answered
 }
 
+struct Part {              # part of the body of an attempt or reply
+  call @0 :UInt64;
+  data @1 :Data;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -152,5 +158,8 @@
     askPolicy @10 :Void;   # requests the text of the policy in force
     crashes @11 :Crashes;
     organisations @12 :OrganisationUsage;
+    part @13 :Part;
   }
+  bodyCall @14 :UInt64;    # call whose body follows this message in parts; 0: none
+  bodyBytes @15 :UInt64;   # length of that body
 }
--- a/lib/rpc/Mesh.capnp.h
+++ b/lib/rpc/Mesh.capnp.h
@@ -31,6 +31,7 @@
 CAPNP_DECLARE_SCHEMA(bd2d1ae1e954a18c);
 CAPNP_DECLARE_SCHEMA(d39b9f6b20fdc1f0);
 CAPNP_DECLARE_SCHEMA(a3209e220744ece8);
+CAPNP_DECLARE_SCHEMA(d777fbcf12499412);
 CAPNP_DECLARE_SCHEMA(f1944e7361dc9b30);
 
 }  // namespace schemas
@@ -264,6 +265,21 @@
   };
 };
 
+struct Part {
+  Part() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d777fbcf12499412, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Frame {
   Frame() = delete;
 
@@ -284,10 +300,11 @@
     ASK_POLICY,
     CRASHES,
     ORGANISATIONS,
+    PART,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f1944e7361dc9b30, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f1944e7361dc9b30, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -560,6 +577,8 @@
 
   inline bool getRefusesRuns() const;
 
+  inline bool getTakesBodyParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -638,6 +657,9 @@
   inline bool getRefusesRuns();
   inline void setRefusesRuns(bool value);
 
+  inline bool getTakesBodyParts();
+  inline void setTakesBodyParts(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1997,6 +2019,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Part::Reader {
+public:
+  typedef Part Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCall() const;
+
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Part::Builder {
+public:
+  typedef Part Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCall();
+  inline void setCall( ::uint64_t value);
+
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Part::Pipeline {
+public:
+  typedef Part Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Frame::Reader {
 public:
   typedef Frame Reads;
@@ -2064,6 +2172,14 @@
   inline bool hasOrganisations() const;
   inline  ::limpetdrum::mesh::OrganisationUsage::Reader getOrganisations() const;
 
+  inline bool isPart() const;
+  inline bool hasPart() const;
+  inline  ::limpetdrum::mesh::Part::Reader getPart() const;
+
+  inline  ::uint64_t getBodyCall() const;
+
+  inline  ::uint64_t getBodyBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2186,6 +2302,20 @@
   inline void adoptOrganisations(::capnp::Orphan< ::limpetdrum::mesh::OrganisationUsage>&& value);
   inline ::capnp::Orphan< ::limpetdrum::mesh::OrganisationUsage> disownOrganisations();
 
+  inline bool isPart();
+  inline bool hasPart();
+  inline  ::limpetdrum::mesh::Part::Builder getPart();
+  inline void setPart( ::limpetdrum::mesh::Part::Reader value);
+  inline  ::limpetdrum::mesh::Part::Builder initPart();
+  inline void adoptPart(::capnp::Orphan< ::limpetdrum::mesh::Part>&& value);
+  inline ::capnp::Orphan< ::limpetdrum::mesh::Part> disownPart();
+
+  inline  ::uint64_t getBodyCall();
+  inline void setBodyCall( ::uint64_t value);
+
+  inline  ::uint64_t getBodyBytes();
+  inline void setBodyBytes( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2694,6 +2824,20 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Status::Reader::getTakesBodyParts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool Status::Builder::getTakesBodyParts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void Status::Builder::setTakesBodyParts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4216,6 +4360,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Part::Reader::getCall() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Part::Builder::getCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Part::Builder::setCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Part::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Part::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Part::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Part::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Part::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Part::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Part::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Part::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::limpetdrum::mesh::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4849,6 +5041,88 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isPart() const {
+  return which() == Frame::PART;
+}
+inline bool Frame::Builder::isPart() {
+  return which() == Frame::PART;
+}
+inline bool Frame::Reader::hasPart() const {
+  if (which() != Frame::PART) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasPart() {
+  if (which() != Frame::PART) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::limpetdrum::mesh::Part::Reader Frame::Reader::getPart() const {
+  KJ_IREQUIRE((which() == Frame::PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Part>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::limpetdrum::mesh::Part::Builder Frame::Builder::getPart() {
+  KJ_IREQUIRE((which() == Frame::PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Part>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setPart( ::limpetdrum::mesh::Part::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::PART);
+  ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Part>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::limpetdrum::mesh::Part::Builder Frame::Builder::initPart() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::PART);
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Part>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptPart(
+    ::capnp::Orphan< ::limpetdrum::mesh::Part>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::PART);
+  ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Part>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::limpetdrum::mesh::Part> Frame::Builder::disownPart() {
+  KJ_IREQUIRE((which() == Frame::PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::limpetdrum::mesh::Part>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Frame::Reader::getBodyCall() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Frame::Builder::getBodyCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setBodyCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Frame::Reader::getBodyBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Frame::Builder::getBodyBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setBodyBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -435,7 +435,7 @@
           Record.AnswerMatches = Response.header(wire::Receipt) ==
                                  wire::receipt(Key, Response.Body);
         Record.RefusedAsCrashing =
-            Response.Body.find(CrashingReason) != std::string::npos;
+            Response.Body.text().find(CrashingReason) != std::string::npos;
         bool MayRepeat = Record.Idempotent || Record.Status == 503;
         if (Record.Status == 200 || Repeats == 0 || !MayRepeat ||
             !this->acceptsRequests())
--- a/standins/bench/LoadGenerator.cpp
+++ b/standins/bench/LoadGenerator.cpp
@@ -116,8 +116,9 @@
   if (IsSuccess) {
     auto Expected = "request " + this->keyOf(*R) + ";";
     constexpr std::size_t AnswerBytes = 200;
-    bool IsCorrect = Answer.Body.compare(0, Expected.size(), Expected) == 0 &&
-                     Answer.Body.size() == AnswerBytes;
+    bool IsCorrect =
+        Answer.Body.text().compare(0, Expected.size(), Expected) == 0 &&
+        Answer.Body.size() == AnswerBytes;
     if (!IsCorrect)
       ++Result.WrongAnswers;
     this->finish(R, IsCorrect);
--- a/tools/limpetctl/main.cpp
+++ b/tools/limpetctl/main.cpp
@@ -170,7 +170,7 @@
     throw NetworkError("no answer with status 200 from the node at " +
                            FLAGS_node + " within 5 s",
                        "pass the admin address of a running node in --node");
-  return nlohmann::json::parse(Response.Body);
+  return nlohmann::json::parse(Response.Body.text());
 }
 
 int showInForce(const std::string & /*Path*/) {
--- a/unittests/DeflateTest.cpp
+++ b/unittests/DeflateTest.cpp
@@ -71,7 +71,7 @@
   PeerListener Listener(Loop, Address, [&](int Socket) {
     PeerLink::Events Events;
     // Echoes the texts to the sender.
-    Events.OnFrame = [&](mesh::Frame::Reader Frame) {
+    Events.OnFrame = [&](mesh::Frame::Reader Frame, const FrameBody &) {
       capnp::MallocMessageBuilder Message;
       Message.initRoot<mesh::Frame>().setPolicy(Frame.getPolicy());
       Accepted->send(encodeFrame(Message));
@@ -82,7 +82,7 @@
   std::vector<std::string> Sent;
   std::vector<std::string> Received;
   PeerLink::Events Events;
-  Events.OnFrame = [&](mesh::Frame::Reader Frame) {
+  Events.OnFrame = [&](mesh::Frame::Reader Frame, const FrameBody &) {
     Received.emplace_back(Frame.getPolicy().cStr());
     if (Received.size() == Sent.size())
       Loop.stop();
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -144,11 +144,11 @@
   HttpCall Call;
   Call.Method = "POST";
   SECTION("body at the limit") {
-    Call.Body.assign(MaxBodyBytes, 'x');
+    Call.Body = std::string(MaxBodyBytes, 'x');
     CHECK(sendRequest(Loop, Call).Status == 200);
   }
   SECTION("body above the limit") {
-    Call.Body.assign(MaxBodyBytes + 1, 'x');
+    Call.Body = std::string(MaxBodyBytes + 1, 'x');
     CHECK(sendRequest(Loop, Call).Status != 200);
     CHECK(Served == 0);
   }
--- a/unittests/MeshTest.cpp
+++ b/unittests/MeshTest.cpp
@@ -1,144 +1,13 @@
 #include "limpetdrum/daemon/fleet/Mesh.h"
-#include "OwnAddress.h"
+#include "MeshNode.h"
 #include "RawClient.h"
 
 #include <catch2/catch.hpp>
-#include <fcntl.h>
 #include <limits>
-#include <unistd.h>
 
 using namespace limpetdrum;
 using namespace limpetdrum::test;
 
-namespace {
-
-Endpoint local(std::uint16_t Port) { return {test::ownAddress(), Port}; }
-
-Contact contact(const std::string &Name, std::uint16_t Port) {
-  return {NodeId(Name), local(Port), FailureDomain("a")};
-}
-
-/// Node that replies to attempts with its name, at once or on answer().
-struct MeshNode {
-  EventLoop &Loop;
-  std::string Name;
-  Incarnation Current;
-  Metrics Counters;
-  EventLog Log{open("/dev/null", O_WRONLY)};
-  Mesh Links;
-  std::vector<MeshAttempt> Attempts;
-  std::vector<Incarnation> Callers;
-  bool HoldsReplies = false;
-  TargetRecord RecordFromPeer;
-  TargetRecord Target;
-  std::uint64_t Version = 0;
-  std::uint32_t Running = 0;
-  std::vector<MeshUsage> Usages;
-  Revision Policy;
-  std::vector<std::string> PoliciesReceived;
-  std::vector<NodeId> Removed;
-  CrashHistory Crashes;
-
-  MeshNode(EventLoop &Loop, const std::string &Name, std::uint16_t Port,
-           std::uint64_t IncarnationValue)
-      : Loop(Loop), Name(Name), Current(IncarnationValue),
-        Links(Loop, contact(Name, Port), Incarnation(IncarnationValue),
-              this->Log, this->Counters) {
-    Mesh::Handlers Handlers;
-    Handlers.OnAttempt = [this](const NodeId &, Incarnation Caller,
-                                const MeshAttempt &Attempt) {
-      this->Attempts.push_back(Attempt);
-      this->Callers.push_back(Caller);
-      if (!this->HoldsReplies)
-        this->answer(this->Attempts.size() - 1);
-    };
-    Handlers.OnCancel = [](Incarnation, std::uint64_t) {};
-    Handlers.OnAcknowledged = [](Incarnation, std::uint64_t) {};
-    Handlers.OnStatus = [](const NodeId &) {};
-    Handlers.OnRemoved = [this](const NodeId &Node) {
-      this->Removed.push_back(Node);
-    };
-    Handlers.OnUsage = [this](MeshUsage Usage) {
-      this->Usages.push_back(std::move(Usage));
-    };
-    Handlers.OnPolicy = [this](const std::string &Text) {
-      this->PoliciesReceived.push_back(Text);
-      this->Policy = Revision(std::stoull(Text));
-    };
-    Handlers.OnCrashNews = [this](const CrashNews &News) {
-      (void)this->Crashes.merge(News, this->Loop.now());
-    };
-    Handlers.KnownCrashes = [this]() {
-      return this->Crashes.known(this->Loop.now());
-    };
-    Handlers.OnRecordFromPeer = [this](const TargetRecord &Record) {
-      if (!Record.Id.empty())
-        this->RecordFromPeer = Record;
-    };
-    Handlers.LocalStatus = [this, Port]() {
-      NodeStatus Status;
-      Status.Self = contact(this->Name, Port);
-      Status.Incarnation = this->Current;
-      Status.Version = ++this->Version;
-      Status.Target = this->Target;
-      Status.Running = this->Running;
-      Status.Policy = this->Policy;
-      return Status;
-    };
-    Handlers.PolicyText = [this]() {
-      return std::to_string(this->Policy.value());
-    };
-    this->Links.start(std::move(Handlers), local(Port));
-  }
-
-  void answer(std::size_t Index) {
-    Reply Value;
-    Value.Outcome = Outcome::Answered;
-    Value.Status = 200;
-    Value.Body = this->Name;
-    (void)this->Links.reply(this->Callers[Index], this->Attempts[Index].Call,
-                            Value);
-  }
-};
-
-struct CallResults {
-  std::vector<MeshResult> All;
-  Mesh::Done recorder() {
-    return [this](const MeshResult &Result) { this->All.push_back(Result); };
-  }
-};
-
-MeshAttempt attempt() {
-  MeshAttempt Attempt;
-  Attempt.RequestId = "r";
-  Attempt.TimeLeft = Milliseconds(5000);
-  return Attempt;
-}
-
-void wait(EventLoop &Loop, int Millis) {
-  auto Timeout = Loop.after(Milliseconds(Millis), [&]() { Loop.stop(); });
-  Loop.run();
-}
-
-/// Runs the loop until \p IsMet returns true, for at most five seconds.
-template <typename Condition> void waitUntil(EventLoop &Loop, Condition IsMet) {
-  constexpr Milliseconds Limit{5000};
-  auto Start = Loop.now();
-  while (!IsMet() && Loop.now() - Start < Limit)
-    wait(Loop, 5);
-}
-
-bool reaches(const MeshNode &Node, const char *Peer) {
-  auto Found = Node.Links.peers().find(NodeId(Peer));
-  return Found != Node.Links.peers().end() && Found->second.IsReachable;
-}
-
-constexpr std::uint16_t PortA = 20981;
-constexpr std::uint16_t PortB = 20982;
-constexpr std::uint16_t PortC = 20983;
-
-} // namespace
-
 TEST_CASE("Mesh links to an added node only, and calls it", "[rpc]") {
   EventLoop Loop;
   MeshNode A(Loop, "a", PortA, 1);
@@ -490,7 +359,7 @@
   PeerListener Listener(Loop, local(PortB), [&](int Socket) {
     bool IsFirst = Accepted.empty();
     PeerLink::Events Ignored;
-    Ignored.OnFrame = [](mesh::Frame::Reader) {};
+    Ignored.OnFrame = [](mesh::Frame::Reader, const FrameBody &) {};
     Ignored.OnClosed = [](bool) {};
     Accepted.push_back(std::make_unique<PeerLink>(Loop, Socket, Ignored));
     if (IsFirst)
--- a/unittests/SidecarFixture.h
+++ b/unittests/SidecarFixture.h
@@ -101,6 +101,12 @@
     return Value;
   }
 
+  static HttpServerOptions targetOptions() {
+    HttpServerOptions Options;
+    Options.MaxBodyBytes = 67'108'864;
+    return Options;
+  }
+
   static Contact peerContact() {
     return {NodeId("catalogue-1"), local(PeerPort), FailureDomain("b")};
   }
@@ -116,10 +122,12 @@
   std::string Body = "done"; ///< of the target's answers
   std::vector<Timer> Runs;
   std::size_t StartedRuns = 0;
+  std::size_t ReceivedBytes = 0; ///< in the bodies of the runs
   HttpServer Target{this->Loop, local(TargetPort),
                     [this](const std::shared_ptr<HttpExchange> &Exchange) {
                       this->run(Exchange);
-                    }};
+                    },
+                    targetOptions()};
   Mesh Peer{this->Loop, peerContact(), Incarnation(9), this->Log,
             this->Counters};
   bool HasLeft = false;
@@ -187,6 +195,7 @@
 
   void run(const std::shared_ptr<HttpExchange> &Exchange) {
     ++this->StartedRuns;
+    this->ReceivedBytes += Exchange->body().size();
     auto Id = Exchange->header(HeaderNames().RequestId);
     this->Runs.push_back(
         this->Loop.after(this->RunTime, [this, Exchange, Id]() {
