Stop to receive from a client behind a full pipeline

Found by reading, while related paths of that fault were searched; not seen with a real client. Cause: no request was read then, but the connection went on receiving into its buffer, without a bound and outside the memory that counts. Change: a connection receives at most the headers of one request and 64 KiB beyond what is read.

--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -18,6 +18,9 @@
 /// is reset.
 constexpr Milliseconds LingerTimeout{1000};
 constexpr int ListenBacklog = 1024;
+/// Bytes received on a connection beyond the headers of its next request while
+/// no request is read.
+constexpr std::size_t ReadAheadBytes = 64U * 1024U;
 
 } // namespace
 
@@ -88,6 +91,10 @@
                      this->Server->Options.MaxBodyBytes,
                      this->Server->Options.Memory);
   this->RequestStarted.reset();
+  // The parser takes headers only as a whole, so they have to fit.
+  bufferevent_setwatermark(this->Event, EV_READ, 0,
+                           this->Server->Options.MaxHeaderBytes +
+                               ReadAheadBytes);
 }
 
 bool HttpServerConnection::canReadRequest() const {
@@ -163,7 +170,8 @@
 }
 
 void HttpServerConnection::rejectAndEnd(int Status) {
-  this->beginRequest(); // frees what was read of it
+  if (this->Event != nullptr)
+    this->beginRequest(); // frees what was read of it
   this->Ending = true;
   this->Pipeline.push_back(
       {nullptr, {}, false, head(Status, {}, 0, false, true), {}});
--- a/unittests/HttpMemoryTest.cpp
+++ b/unittests/HttpMemoryTest.cpp
@@ -1,3 +1,4 @@
+#include "MemoryMeter.h"
 #include "OwnAddress.h"
 #include "limpetdrum/connection/Http.h"
 #include "limpetdrum/connection/SocketAddress.h"
@@ -117,6 +118,35 @@
   CHECK(Fixture.Memory.used() == 0);
 }
 
+// Guards against input that piles up while no request is read.
+TEST_CASE("HttpServer stops to receive behind a full pipeline", "[http]") {
+  MemoryFixture Fixture;
+  HttpServerOptions Options = Fixture.options();
+  Options.PipelineDepth = 4;
+  Fixture.Server.setOptions(Options);
+  const std::string Request = "POST /x HTTP/1.1\r\nHost: a\r\n"
+                              "Content-Length: 5000000\r\n\r\n" +
+                              std::string(5 * Megabyte, 'p');
+  std::string Bytes;
+  for (int I = 0; I < 4; ++I)
+    Bytes += "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (int I = 0; I < 4; ++I)
+    Bytes += Request;
+  RawConnection Client(Fixture.Loop, Bytes);
+  Bytes.clear();
+  Bytes.shrink_to_fit();
+  MemoryMeter Meter;
+  Fixture.waitUntil([&]() { return Fixture.Exchanges.size() == 4; });
+  auto Start = Fixture.Loop.now();
+  Fixture.waitUntil(
+      [&]() { return Fixture.Loop.now() - Start > Milliseconds(300); });
+  CHECK(Meter.peak() < Megabyte);
+  for (auto &Exchange : std::exchange(Fixture.Exchanges, {}))
+    Exchange->reply(200, {}, "ok");
+  Fixture.waitUntil([&]() { return Fixture.Exchanges.size() >= 1; });
+  CHECK(Fixture.Exchanges.at(0)->body().size() == 5 * Megabyte);
+}
+
 TEST_CASE("HttpServer counts a body of unknown length as it arrives",
           "[http]") {
   MemoryFixture Fixture;
