Accept a leaving node's calls only if they can end before it

Callers would see: a call that a node passed on in the last second of its stop is closed without an answer, although its target works on it. Cause: calls were accepted until 1 s before the exit limit whatever they take, and the node closes 0.4 s before the limit. Change: a call is accepted if its latency target fits into the time until the node closes, at least 0.6 s as before and at most 1.5 s. Ruled out: refusing all calls from 1.5 s before the close; most take some 20 ms, and a run whose call is refused fails. Test: "LeavePlan accepts only calls that can end before the process"; the schedule before accepted a call with a target of 1.2 s until 0.6 s before the close.

--- a/include/limpetdrum/request/LeavePlan.h
+++ b/include/limpetdrum/request/LeavePlan.h
@@ -35,10 +35,11 @@
     return this->BeganAt.has_value();
   }
   /// \param IsCall true if the local target sent the request.
+  /// \param LatencyTarget time in which the request is expected to be answered.
   /// \returns nothing if the request is accepted, else the delay after which it
   ///   may be retried.
-  [[nodiscard]] std::optional<Milliseconds> refusalDelay(bool IsCall,
-                                                         TimePoint Now) const;
+  [[nodiscard]] std::optional<Milliseconds>
+  refusalDelay(bool IsCall, Milliseconds LatencyTarget, TimePoint Now) const;
   /// \brief Returns the delay after which a refused request may be retried.
   [[nodiscard]] Milliseconds retryAfter(TimePoint Now) const;
   /// \brief Returns true if the local target is given no further runs.
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -235,7 +235,8 @@
                                      Request->ParentRoute);
   bool IsCall = !Request->ParentId.empty() ||
                 this->Overload.isInternalRoute(Request->Route->Name);
-  if (auto RetryAfter = this->Leaving.refusalDelay(IsCall, Time)) {
+  if (auto RetryAfter = this->Leaving.refusalDelay(
+          IsCall, Request->Route->LatencyTarget, Time)) {
     this->refuse(Request, Reason::Draining, *RetryAfter);
     return;
   }
--- a/lib/request/LeavePlan.cpp
+++ b/lib/request/LeavePlan.cpp
@@ -13,9 +13,11 @@
 /// Divisor of the exit limit. Requests of clients are accepted in the first
 /// half of it, so that they have the other half to complete.
 constexpr int ClientLimitDivisor = 2;
-/// Time before the exit limit at which calls are refused; calls accepted before
-/// have this long to be answered.
-constexpr Milliseconds CallMargin{1000};
+/// Bounds of the time that an accepted call has until the node closes: its
+/// latency target, but no less than a few round trips and a short run take, and
+/// no more than most runs take.
+constexpr Milliseconds MinCallTime{600};
+constexpr Milliseconds MaxCallTime{1500};
 /// Time before the exit limit from which no run begins. Most runs take less
 /// than 1.5 s, so those that began earlier end before the process.
 constexpr Milliseconds RunMargin{2000};
@@ -48,11 +50,14 @@
 }
 
 std::optional<Milliseconds> LeavePlan::refusalDelay(bool IsCall,
+                                                    Milliseconds LatencyTarget,
                                                     TimePoint Now) const {
   if (!this->BeganAt)
     return std::nullopt;
-  auto RefusedFrom = IsCall ? this->ExitLimit - CallMargin
-                            : this->ExitLimit / ClientLimitDivisor;
+  auto RefusedFrom =
+      IsCall ? this->ExitLimit - CloseMargin -
+                   std::clamp(LatencyTarget, MinCallTime, MaxCallTime)
+             : this->ExitLimit / ClientLimitDivisor;
   if (!this->ClosedAt && this->elapsed(Now) < RefusedFrom)
     return std::nullopt;
   return this->retryAfter(Now);
--- a/unittests/LeavePlanTest.cpp
+++ b/unittests/LeavePlanTest.cpp
@@ -6,10 +6,16 @@
 using namespace limpetdrum;
 using namespace limpetdrum::test;
 
+namespace {
+
+constexpr Milliseconds LatencyTarget{300};
+
+} // namespace
+
 TEST_CASE("LeavePlan accepts all requests until the node leaves") {
   FakeClock Clock;
   LeavePlan Plan(Milliseconds(6000));
-  CHECK_FALSE(Plan.refusalDelay(false, Clock.now()));
+  CHECK_FALSE(Plan.refusalDelay(false, LatencyTarget, Clock.now()));
   CHECK_FALSE(Plan.mayClose(true, Clock.now()));
 }
 
@@ -18,15 +24,15 @@
   LeavePlan Plan(Milliseconds(6000));
   Plan.begin(Clock.now());
   Clock.advance(Milliseconds(2900));
-  CHECK_FALSE(Plan.refusalDelay(false, Clock.now()));
+  CHECK_FALSE(Plan.refusalDelay(false, LatencyTarget, Clock.now()));
   Clock.advance(Milliseconds(200));
-  auto RetryDelay = Plan.refusalDelay(false, Clock.now());
+  auto RetryDelay = Plan.refusalDelay(false, LatencyTarget, Clock.now());
   REQUIRE(RetryDelay);
   CHECK(*RetryDelay >= Milliseconds(1000));
   // Calls complete requests in flight and are accepted for longer.
-  CHECK_FALSE(Plan.refusalDelay(true, Clock.now()));
+  CHECK_FALSE(Plan.refusalDelay(true, LatencyTarget, Clock.now()));
   Clock.advance(Milliseconds(2000));
-  CHECK(Plan.refusalDelay(true, Clock.now()));
+  CHECK(Plan.refusalDelay(true, LatencyTarget, Clock.now()));
 }
 
 TEST_CASE("LeavePlan closes the node when idle, at the latest before the "
@@ -48,11 +54,11 @@
   Plan.begin(Clock.now());
   Clock.advance(Milliseconds(2600));
   REQUIRE(Plan.mayClose(true, Clock.now()));
-  CHECK_FALSE(Plan.refusalDelay(false, Clock.now()));
+  CHECK_FALSE(Plan.refusalDelay(false, LatencyTarget, Clock.now()));
   CHECK_FALSE(Plan.mayExit(true, Clock.now()));
   Plan.close(Clock.now());
-  CHECK(Plan.refusalDelay(false, Clock.now()));
-  CHECK(Plan.refusalDelay(true, Clock.now()));
+  CHECK(Plan.refusalDelay(false, LatencyTarget, Clock.now()));
+  CHECK(Plan.refusalDelay(true, LatencyTarget, Clock.now()));
 }
 
 // Guards against runs that begin while the process ends.
@@ -131,3 +137,27 @@
   Clock.advance(Milliseconds(4000));
   CHECK(Plan.mayClose(false, Clock.now()));
 }
+
+// Guards against calls that are passed on shortly before the process ends, and
+// cut with it.
+TEST_CASE("LeavePlan accepts only calls that can end before the process") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  Plan.begin(Clock.now());
+  constexpr bool IsCall = true;
+  Clock.advance(Milliseconds(4300));
+  CHECK_FALSE(Plan.refusalDelay(IsCall, Milliseconds(1200), Clock.now()));
+  Clock.advance(Milliseconds(200)); // the node closes in 1.1 s
+  CHECK(Plan.refusalDelay(IsCall, Milliseconds(1200), Clock.now()));
+  CHECK_FALSE(Plan.refusalDelay(IsCall, Milliseconds(300), Clock.now()));
+  Clock.advance(Milliseconds(500));
+  CHECK(Plan.refusalDelay(IsCall, Milliseconds(300), Clock.now()));
+}
+
+TEST_CASE("LeavePlan accepts calls of slow routes for a while") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  Plan.begin(Clock.now());
+  Clock.advance(Milliseconds(3900));
+  CHECK_FALSE(Plan.refusalDelay(true, Milliseconds(60'000), Clock.now()));
+}
