Keep departures of targets in the store, for a restart of all nodes

All processes had been killed 0.2 s after the acknowledgement, and a report of before the leave arrived afterwards. Cause: nodes knew of the leave in their memory only. After a restart of all, the first report of a target is in force whatever its age. Change: a node stores which of its targets are leaving or have left before it acknowledges, waiting 0.5 s at most, and a restarted process reads this before it believes that a target is ready. Related: the same for targets that report that they drain.

--- a/include/limpetdrum/connection/ObjectStore.h
+++ b/include/limpetdrum/connection/ObjectStore.h
@@ -57,6 +57,10 @@
   /// \param Purpose the purpose of the call as named in metrics and logs.
   virtual void list(const std::string &Kind, bool AllowStale,
                     const char *Purpose, ListDone OnDone) = 0;
+  /// \brief Reads one object.
+  /// \param OnDone called with the object, or without one if there is none.
+  virtual void get(const std::string &Kind, const std::string &Name,
+                   const char *Purpose, ListDone OnDone) = 0;
   /// \brief Waits for changes after the revision \p After.
   /// \param Limit how long the store may hold the call open without a change.
   /// \param Era in which \p After was read; the watch ends with RevisionExpired
--- a/include/limpetdrum/daemon/calls/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -65,6 +65,9 @@
   ///   left.
   /// \returns true: a leave can always be acknowledged.
   bool onLeave(const std::string &Id);
+  /// \brief Handles a departure that an earlier process of this node stored.
+  /// \param At its time in milliseconds since the Unix epoch.
+  void onDeparture(const TargetRecord &Departed, std::int64_t At);
   /// \brief Sets the target from its answer to a status check, unless a target
   ///   is known already.
   /// \param AnnouncedSlots number of slots of the target.
--- /dev/null
+++ b/include/limpetdrum/daemon/fleet/DepartureArchive.h
@@ -0,0 +1,82 @@
+#ifndef LIMPETDRUM_DAEMON_FLEET_DEPARTUREARCHIVE_H
+#define LIMPETDRUM_DAEMON_FLEET_DEPARTUREARCHIVE_H
+
+#include "limpetdrum/connection/EventLoop.h"
+#include "limpetdrum/connection/ObjectStore.h"
+#include "limpetdrum/process/EventLog.h"
+#include "limpetdrum/process/Metrics.h"
+#include "limpetdrum/process/NodeStatus.h"
+
+#include <vector>
+
+namespace limpetdrum {
+
+/// \brief A target that reported that it is leaving, or that it has left.
+struct Departure {
+  /// Its record; with nothing but the id and the state if no report of it was
+  /// received.
+  TargetRecord Target;
+  std::int64_t At = 0; ///< Unix time in milliseconds
+};
+
+/// \brief Keeps which targets of a node are leaving in the object store, for
+///   the case that all nodes that know it end at once.
+///
+/// After that, a report of before the leave that arrives late would be taken
+/// for news. A node that restarts alone also learns of a leave from the others.
+class DepartureArchive {
+public:
+  using OnRead = std::function<void(const std::vector<Departure> &)>;
+
+  /// \param Self name of the node whose targets it keeps.
+  /// \param UnixMillis returns the time of day in milliseconds since the Unix
+  ///   epoch.
+  DepartureArchive(EventLoop &Loop, ObjectStore &Store, NodeId Self,
+                   EventLog &Log, Metrics &Counters,
+                   std::function<std::int64_t()> UnixMillis);
+
+  /// \brief Reads what earlier processes of this node wrote, until the store
+  ///   answers.
+  /// \param Done called once.
+  void read(OnRead Done);
+  /// \brief Returns true once the store has been read, or if there is nothing
+  ///   to read.
+  [[nodiscard]] bool isRead() const noexcept { return this->IsRead; }
+  /// \brief States that no earlier process of this node has run.
+  void skipReading() noexcept { this->IsRead = true; }
+  /// \brief Stores a departure, and tries again until it is stored.
+  /// \param Done called when it is stored, or after 500 ms without: the target
+  ///   waits no longer than a second for its acknowledgement.
+  void write(const TargetRecord &Target, std::function<void()> Done);
+  /// \brief Removes the departures of nodes that may be gone, once they are so
+  ///   old that no report of before them can arrive.
+  void removeOld();
+
+private:
+  [[nodiscard]] std::vector<Departure> decode(const StoredObject &Object) const;
+  [[nodiscard]] bool isOld(const Departure &Value) const;
+  [[nodiscard]] std::string encode() const;
+  void store();
+  void onStored(std::uint64_t Version, StoreOutcome Outcome);
+  void callWaiting();
+
+  EventLoop &Loop;
+  ObjectStore &Store;
+  NodeId Self;
+  EventLog &Log;
+  Metrics &Counters;
+  std::function<std::int64_t()> UnixMillis;
+  bool IsRead = false;
+  std::vector<Departure> Known; ///< the latest last
+  std::uint64_t Version = 0;    ///< of Known
+  std::uint64_t StoredVersion = 0;
+  bool IsStoring = false;
+  std::vector<std::function<void()>> Waiting; ///< for the current version
+  Timer ReadTimer;
+  Timer RetryTimer;
+  Timer WaitTimer;
+};
+
+} // namespace limpetdrum
+
+#endif
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -4,6 +4,7 @@
 #include "limpetdrum/daemon/calls/TargetCheck.h"
 #include "limpetdrum/daemon/fleet/AllowanceExchange.h"
 #include "limpetdrum/daemon/fleet/CrashExchange.h"
+#include "limpetdrum/daemon/fleet/DepartureArchive.h"
 #include "limpetdrum/daemon/fleet/FleetView.h"
 #include "limpetdrum/daemon/fleet/UsageExchange.h"
 #include "limpetdrum/daemon/policy/PolicyFeed.h"
@@ -31,6 +32,10 @@
 /// then it is connected to those that run.
 constexpr Milliseconds WarmUpLimit{1500};
 constexpr std::chrono::seconds CrashSweepPeriod{10};
+constexpr std::chrono::minutes DepartureSweepPeriod{10};
+/// Time after which a process does without the departures that it cannot read:
+/// a target has to serve although the store is down.
+constexpr Milliseconds DepartureTimeout{3000};
 /// The other half is for connections, the state of the fleet and the process.
 constexpr std::size_t BodyMemoryDivisor = 2;
 
@@ -90,6 +95,7 @@
   HttpTarget TargetClient;
   CrashHistory Crashes;
   CrashArchive ProvenCrashes;
+  DepartureArchive Departures;
   limpetdrum::LocalTarget LocalTarget;
   TargetCheck RunningTarget;
   FleetView Fleet;
@@ -127,6 +133,7 @@
         TargetClient(Loop, Settings.Target,
                      targetOptions(Adapter.headers(), this->BodyMemory)),
         ProvenCrashes(Loop, Store, Log, unixMillis),
+        Departures(Loop, Store, Settings.Node, Log, Counters, unixMillis),
         LocalTarget({Settings.DrainTimeout / 2, this->Seed, unixMillis,
                      Settings.Service},
                     Adapter.headers(), this->TargetClient, this->Crashes, Log,
@@ -189,7 +196,18 @@
   /// Returns the limits on clients that no policy sets.
   [[nodiscard]] HttpServerOptions clientOptions();
   void listen();
-  void onReport(const std::shared_ptr<HttpExchange> &Exchange);
+  using Exchange = std::shared_ptr<HttpExchange>;
+  /// Starts to learn which targets left before this process started.
+  void readDepartures();
+  void onDepartures(const std::vector<Departure> &Stored);
+  /// Asks a target that may be running already who it is, once it is known
+  /// which targets have left.
+  void checkRunningTarget();
+  void onReport(const Exchange &Report);
+  void onLeave(const Exchange &Report, const std::string &Id);
+  void onTargetReport(const Exchange &Report, const LocalTarget::Report &Value);
+  void acknowledge(const Exchange &Report);
+  void refuseReport(const Exchange &Report, const TargetRecord &Target);
   void onPolicy(const TrafficPolicy &NewPolicy);
   [[nodiscard]] bool isReady();
   [[nodiscard]] NodeStatus status();
@@ -229,7 +247,6 @@
 }
 
 void Sidecar::State::listen() {
-  using Exchange = std::shared_ptr<HttpExchange>;
   this->Outbound = std::make_unique<HttpServer>(
       this->Loop, this->Settings.Outbound,
       [this](Exchange E) { this->Forwarder.onRequest(std::move(E)); },
@@ -334,6 +351,7 @@
     this->ProvenCrashes.read([this](const CrashNews &News) {
       this->CrashNewsExchange.onNews(News, this->Loop.now());
     });
+  this->readDepartures();
   this->Fleet.start(this->Settings.FirstStart
                         ? ContactRegistry::Start::WithFleet
                         : ContactRegistry::Start::Alone);
@@ -446,49 +464,119 @@
   this->AllowanceNews.setPolicy(this->Policies.current(), this->Loop.now());
   // Tells the linked nodes, which then ask for the policy.
   this->Peers.broadcastLoad();
+  this->checkRunningTarget();
+}
+
+void Sidecar::State::readDepartures() {
+  this->Timers.push_back(this->Loop.every(DepartureSweepPeriod, [this]() {
+    if (this->Links.holdsDuties())
+      this->Departures.removeOld();
+  }));
+  if (this->Settings.FirstStart) {
+    this->Departures.skipReading();
+    return;
+  }
+  this->Departures.read([this](const std::vector<Departure> &Stored) {
+    this->onDepartures(Stored);
+  });
+  this->Timers.push_back(this->Loop.after(DepartureTimeout, [this]() {
+    if (this->Departures.isRead())
+      return;
+    this->Log.state("departures_unknown", {});
+    this->checkRunningTarget();
+  }));
+}
+
+void Sidecar::State::onDepartures(const std::vector<Departure> &Stored) {
+  for (const auto &Each : Stored)
+    this->LocalTarget.onDeparture(Each.Target, Each.At);
+  this->checkRunningTarget();
+}
+
+void Sidecar::State::checkRunningTarget() {
   // After a restart of the process the target may already be running.
-  if (!this->Settings.FirstStart)
-    this->RunningTarget.run(NewPolicy);
+  bool IsLate = this->Loop.now() - this->Started >= DepartureTimeout;
+  if (!this->Settings.FirstStart && this->Policies.current() &&
+      (this->Departures.isRead() || IsLate))
+    this->RunningTarget.run(*this->Policies.current());
 }
 
-void Sidecar::State::onReport(const std::shared_ptr<HttpExchange> &Exchange) {
+void Sidecar::State::onReport(const Exchange &Report) {
   TargetMessage Message;
   try {
-    Message = this->Adapter.decodeTargetMessage(*Exchange);
+    Message = this->Adapter.decodeTargetMessage(*Report);
   } catch (const ValueError &E) {
     this->Counters.count("target_reports_malformed");
     this->Log.state("target_report_malformed", {{"error", E.what()}});
-    Exchange->reply(400, {}, E.what());
+    Report->reply(400, {}, E.what());
     return;
   }
-  bool Accepted = false;
   switch (Message.Kind) {
   case TargetMessage::Kind::Other:
-    Exchange->reply(404, {}, "");
+    Report->reply(404, {}, "");
     return;
   case TargetMessage::Kind::Leave:
-    Accepted = this->LocalTarget.onLeave(Message.Id);
-    break;
+    this->onLeave(Report, Message.Id);
+    return;
   case TargetMessage::Kind::Report:
-    if (Message.Report.Target.Service != this->Settings.Service) {
-      this->Counters.count("target_reports_foreign");
-      break;
-    }
-    Accepted = this->LocalTarget.onReport(Message.Report);
-    this->HasReport = this->HasReport || Accepted;
-    break;
+    this->onTargetReport(Report, Message.Report);
+    return;
+  }
+}
+
+void Sidecar::State::onLeave(const Exchange &Report, const std::string &Id) {
+  (void)this->LocalTarget.onLeave(Id);
+  TargetRecord Left = this->LocalTarget.record();
+  if (Left.Id != Id) {
+    Left = {};
+    Left.Id = Id;
+    Left.State = TargetState::Left;
+  }
+  this->Departures.write(Left, [this, Report]() { this->acknowledge(Report); });
+}
+
+void Sidecar::State::onTargetReport(const Exchange &Report,
+                                    const LocalTarget::Report &Value) {
+  const auto &Reported = Value.Target;
+  if (Reported.Service != this->Settings.Service) {
+    this->Counters.count("target_reports_foreign");
+    this->refuseReport(Report, Reported);
+    return;
+  }
+  bool IsLeaving = Reported.State >= TargetState::Draining;
+  bool IsUnread = !this->Departures.isRead() &&
+                  this->Loop.now() - this->Started < DepartureTimeout;
+  if (!IsLeaving && IsUnread && this->LocalTarget.record().Id.empty()) {
+    // It may be older than a departure; the target reports again.
+    this->Counters.count("target_reports_early");
+    Report->reply(503, {}, "the departures have not been read yet\n");
+    return;
   }
-  if (!Accepted) {
-    this->Log.state("target_report_refused",
-                    {{"target", Message.Report.Target.Id},
-                     {"started", Message.Report.Target.Started},
-                     {"sequence", Message.Report.Target.Sequence},
-                     {"known", this->LocalTarget.record().Id}});
-    Exchange->reply(409, {}, "");
+  if (!this->LocalTarget.onReport(Value)) {
+    this->refuseReport(Report, Reported);
     return;
   }
-  Exchange->reply(200, {{"Content-Type", "application/json"}},
-                  this->Adapter.acknowledgement());
+  this->HasReport = true;
+  if (IsLeaving)
+    this->Departures.write(this->LocalTarget.record(),
+                           [this, Report]() { this->acknowledge(Report); });
+  else
+    this->acknowledge(Report);
+}
+
+void Sidecar::State::acknowledge(const Exchange &Report) {
+  Report->reply(200, {{"Content-Type", "application/json"}},
+                this->Adapter.acknowledgement());
+}
+
+void Sidecar::State::refuseReport(const Exchange &Report,
+                                  const TargetRecord &Target) {
+  this->Log.state("target_report_refused",
+                  {{"target", Target.Id},
+                   {"started", Target.Started},
+                   {"sequence", Target.Sequence},
+                   {"known", this->LocalTarget.record().Id}});
+  Report->reply(409, {}, "");
 }
 
 bool Sidecar::State::isReady() {
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -112,6 +112,27 @@
   return true;
 }
 
+void LocalTarget::onDeparture(const TargetRecord &Departed, std::int64_t At) {
+  if (Departed.State == TargetState::Left) {
+    this->Identity.onLeave(Departed.Id, At);
+    // It may be in use by a report that arrived before the store could be read.
+    if (this->Identity.hasDeparted(this->Record) &&
+        this->Record.State != TargetState::Left) {
+      auto Left = this->Record;
+      Left.State = TargetState::Left;
+      this->setRecord(Left, Milliseconds(0));
+      this->Gate.close(this->Now());
+    }
+    return;
+  }
+  // The reports of a draining target go on, and have to be acknowledged.
+  if (!this->Record.Id.empty() && !isLater(Departed, this->Record))
+    return;
+  this->setRecord(Departed, Milliseconds(0));
+  // The time of the acknowledgement lies before the start of this process.
+  this->Gate.close(this->Now());
+}
+
 void LocalTarget::onStatusCheck(const std::string &Id,
                                 const ServiceName &Service,
                                 Slots AnnouncedSlots) {
--- a/unittests/MockStore.h
+++ b/unittests/MockStore.h
@@ -14,6 +14,10 @@
 public:
   MAKE_MOCK4(list, void(const std::string &, bool, const char *, ListDone),
              override);
+  MAKE_MOCK4(get,
+             void(const std::string &, const std::string &, const char *,
+                  ListDone),
+             override);
   MAKE_MOCK6(watch,
              void(const std::string &, std::uint64_t, StoreEra, Milliseconds,
                   const char *, ListDone),
--- a/unittests/PolicyFeedTest.cpp
+++ b/unittests/PolicyFeedTest.cpp
@@ -190,6 +190,8 @@
   void list(const std::string &, bool, const char *, ListDone OnDone) override {
     OnDone(this->Unreachable ? outcome(StoreOutcome::Lost) : this->answer());
   }
+  void get(const std::string &, const std::string &, const char *,
+           ListDone) override {}
   void watch(const std::string &, std::uint64_t After, StoreEra Era,
              Milliseconds, const char *, ListDone OnDone) override {
     this->Watch = std::move(OnDone);
--- a/unittests/SidecarFixture.h
+++ b/unittests/SidecarFixture.h
@@ -1,7 +1,7 @@
 #ifndef LIMPETDRUM_UNITTESTS_SIDECARFIXTURE_H
 #define LIMPETDRUM_UNITTESTS_SIDECARFIXTURE_H
 
-#include "MockStore.h"
+#include "MemoryStore.h"
 #include "OwnAddress.h"
 #include "limpetdrum/daemon/Sidecar.h"
 #include "limpetdrum/daemon/fleet/Mesh.h"
@@ -11,7 +11,7 @@
 namespace limpetdrum::test {
 
 /// \brief Adapter of a platform whose reports name a target and its state in
-///   the path: `/ID/STATE`.
+///   the path: `/ID/STATE`, where the state is ready, draining or left.
 class PathAdapter final : public PlatformAdapter {
 public:
   [[nodiscard]] const HeaderNames &headers() const override {
@@ -54,11 +54,13 @@
     Message.Kind = TargetMessage::Kind::Report;
     auto &Target = Message.Report.Target;
     Target.Id = Message.Id;
-    Target.Started = 1000;
-    Target.Sequence = 1;
+    Target.Started = Message.Id == "t1" ? 1000 : 2000;
+    Target.Sequence = Exchange.path().substr(Slash) == "/draining" ? 3 : 2;
     Target.Service = ServiceName("ordering");
     Target.Slots = Slots(20);
-    Target.State = TargetState::Ready;
+    Target.State = Exchange.path().substr(Slash) == "/draining"
+                       ? TargetState::Draining
+                       : TargetState::Ready;
     return Message;
   }
   [[nodiscard]] std::optional<std::string>
@@ -115,9 +117,7 @@
   Metrics Counters;
   EventLog Log{open("/dev/null", O_WRONLY)};
   PathAdapter Adapter;
-  MockStore Store;
-  std::vector<std::unique_ptr<trompeloeil::expectation>> StoreCalls =
-      this->allowStoreCalls();
+  MemoryStore Store{this->Loop};
   Milliseconds RunTime{150};
   std::string Body = "done"; ///< of the target's answers
   std::vector<Timer> Runs;
@@ -128,14 +128,30 @@
                       this->run(Exchange);
                     },
                     targetOptions()};
-  Mesh Peer{this->Loop, peerContact(), Incarnation(9), this->Log,
-            this->Counters};
+  std::uint64_t LastIncarnation = 8; ///< of the other node
+  std::unique_ptr<Mesh> Peer = this->makePeer();
   bool HasLeft = false;
-  std::unique_ptr<Sidecar> Process = std::make_unique<Sidecar>(
-      this->Loop, settings(), this->Adapter, this->Store, this->Log,
-      this->Counters, [this]() { this->onLeft(); });
+  std::unique_ptr<Sidecar> Process = this->makeProcess(true);
 
   SidecarFixture() {
+    (void)this->report("/t1/ready");
+    this->waitUntil([this]() {
+      return this->status() != nullptr && this->status()->Policy == Revision(1);
+    });
+  }
+
+  std::unique_ptr<Sidecar> makeProcess(bool IsFirstStart) {
+    auto Values = settings();
+    Values.FirstStart = IsFirstStart;
+    return std::make_unique<Sidecar>(this->Loop, Values, this->Adapter,
+                                     this->Store, this->Log, this->Counters,
+                                     [this]() { this->onLeft(); });
+  }
+
+  std::unique_ptr<Mesh> makePeer() {
+    auto Result = std::make_unique<Mesh>(this->Loop, peerContact(),
+                                         Incarnation(++this->LastIncarnation),
+                                         this->Log, this->Counters);
     Mesh::Handlers Handlers;
     Handlers.OnStatus = [](const NodeId &) {};
     Handlers.OnRemoved = [](const NodeId &) {};
@@ -145,52 +161,52 @@
     Handlers.OnOrganisationUsage = [](const MeshOrganisationUsage &) {};
     Handlers.KnownCrashes = []() { return CrashNews(); };
     Handlers.OnRecordFromPeer = [](const TargetRecord &) {};
-    Handlers.LocalStatus = []() {
+    Handlers.LocalStatus = [Current = Incarnation(this->LastIncarnation)]() {
       NodeStatus Status;
       Status.Self = peerContact();
-      Status.Incarnation = Incarnation(9);
+      Status.Incarnation = Current;
       Status.Policy = Revision(1);
       return Status;
     };
     Handlers.PolicyText = []() { return std::string("policy"); };
-    this->Peer.start(std::move(Handlers), peerContact().Link);
-    this->Peer.add({NodeId("ordering-1"), local(LinkPort), FailureDomain("a")});
-    this->report("/t1/ready");
-    this->waitUntil([this]() {
-      return this->status() != nullptr && this->status()->Policy == Revision(1);
-    });
+    Result->start(std::move(Handlers), peerContact().Link);
+    Result->add({NodeId("ordering-1"), local(LinkPort), FailureDomain("a")});
+    return Result;
   }
 
-  /// Lets the store take all calls and answer none.
-  std::vector<std::unique_ptr<trompeloeil::expectation>> allowStoreCalls() {
-    using trompeloeil::_;
-    std::vector<std::unique_ptr<trompeloeil::expectation>> Allowed;
-    Allowed.push_back(NAMED_ALLOW_CALL(this->Store, list(_, _, _, _)));
-    Allowed.push_back(NAMED_ALLOW_CALL(this->Store, watch(_, _, _, _, _, _)));
-    Allowed.push_back(NAMED_ALLOW_CALL(this->Store, put(_, _, _, _)));
-    Allowed.push_back(NAMED_ALLOW_CALL(this->Store, remove(_, _, _, _)));
-    return Allowed;
+  /// Ends the processes of both nodes at once, and starts them again.
+  void restartAll() {
+    this->Process.reset();
+    this->Peer.reset();
+    this->Store.dropCalls();
+    this->wait(Milliseconds(20));
+    this->Process = this->makeProcess(false);
+    this->Peer = this->makePeer();
   }
 
   /// Returns the status of the sidecar as the other node knows it, once it has
   /// a target; else null.
   [[nodiscard]] const NodeStatus *status() const {
-    auto Found = this->Peer.peers().find(NodeId("ordering-1"));
-    if (Found == this->Peer.peers().end() || !Found->second.Status ||
+    auto Found = this->Peer->peers().find(NodeId("ordering-1"));
+    if (Found == this->Peer->peers().end() || !Found->second.Status ||
         Found->second.Status->Target.Id.empty())
       return nullptr;
     return &*Found->second.Status;
   }
 
-  void report(const std::string &Path) {
+  /// Sends a message of the target.
+  /// \returns the status of the answer.
+  int report(const std::string &Path) {
     HttpClient Client(this->Loop, local(ReportsPort));
     HttpCall Call;
     Call.Method = "PUT";
     Call.Path = Path;
     Call.Timeout = Milliseconds(1000);
-    bool IsDone = false;
-    (void)Client.send(Call, [&](const HttpResponse &) { IsDone = true; });
-    this->waitUntil([&]() { return IsDone; });
+    std::optional<int> Status;
+    (void)Client.send(
+        Call, [&](const HttpResponse &Value) { Status = Value.Status; });
+    this->waitUntil([&]() { return Status.has_value(); });
+    return Status.value_or(0);
   }
 
   void run(const std::shared_ptr<HttpExchange> &Exchange) {
@@ -206,7 +222,10 @@
   /// The process ends: all of its sockets are closed.
   void onLeft() {
     this->HasLeft = true;
-    this->Loop.post([this]() { this->Process.reset(); });
+    this->Loop.post([this]() {
+      this->Process.reset();
+      this->Store.dropCalls();
+    });
   }
 
   void wait(Milliseconds Time) {
--- a/unittests/SidecarLeaveTest.cpp
+++ b/unittests/SidecarLeaveTest.cpp
@@ -78,7 +78,8 @@
     Attempt.Request.Headers = {{HeaderNames().RequestId, Attempt.RequestId}};
     Attempt.TimeLeft = Milliseconds(3000);
     Attempt.TargetId = "t1";
-    (void)Fixture.Peer.call(NodeId("ordering-1"), std::move(Attempt), OnResult);
+    (void)Fixture.Peer->call(NodeId("ordering-1"), std::move(Attempt),
+                             OnResult);
   };
   Fixture.Process->leave();
   // The schedule lets an idle process end after 2.5 s. The node is idle between
--- a/unittests/SidecarMemoryTest.cpp
+++ b/unittests/SidecarMemoryTest.cpp
@@ -55,7 +55,7 @@
     Attempt.Request.Body = std::string(BodyBytes, 'b');
     Attempt.TimeLeft = Milliseconds(5000);
     Attempt.TargetId = "t1";
-    (void)Fixture.Peer.call(
+    (void)Fixture.Peer->call(
         NodeId("ordering-1"), std::move(Attempt),
         [&](const MeshResult &Value) { Results.push_back(Value); });
   }
