Read the store's objects one by one, without recursion

Callers would see: nodes that end again and again, or never learn of others, once another writer has left one odd entry in the store. Reported by operators of a similar system. Cause: an answer was parsed as one document, and its objects were written back to text by recursion. A deeply nested object exhausted the stack; a number that no type holds made the whole answer unreadable. Change: an answer is split into the texts of its objects by a parser that neither recurses nor converts (yajl, a package of the distribution); what is nested more than 64 deep or cannot be parsed is counted, logged and passed over. Numbers in contacts and in proofs of crashes are checked. Ids that are no UTF-8 are stored with replacements.

--- a/lib/daemon/fleet/ContactRegistry.cpp
+++ b/lib/daemon/fleet/ContactRegistry.cpp
@@ -49,8 +49,12 @@
     Result.FailureDomain = FailureDomain(Text("failure-domain"));
     Result.Region = Region(Text("region"));
     Result.Service = ServiceName(Text("service"));
-    Result.Incarnation =
-        Incarnation(Value.at("incarnation").get<std::uint64_t>());
+    const auto &Started = Value.at("incarnation");
+    if (!Started.is_number_unsigned())
+      throw ValueError("incarnation " + Started.dump() + " of node '" +
+                           Object.Name + "' is no whole number from 0",
+                       "delete the object");
+    Result.Incarnation = Incarnation(Started.get<std::uint64_t>());
     Result.Target = TargetState::Ready;
     return Result;
   } catch (const nlohmann::json::exception &E) {
--- a/lib/daemon/fleet/CrashArchive.cpp
+++ b/lib/daemon/fleet/CrashArchive.cpp
@@ -34,8 +34,13 @@
 CrashArchive::StoredProof
 CrashArchive::decode(const StoredObject &Object) const {
   try {
-    auto Ended =
-        nlohmann::json::parse(Object.Value).at(EndedField).get<std::int64_t>();
+    auto Value = nlohmann::json::parse(Object.Value).at(EndedField);
+    if (!Value.is_number_integer())
+      throw ValueError("'" + std::string(EndedField) +
+                           "' of the stored crashing request '" + Object.Name +
+                           "' is no whole number",
+                       "delete the object");
+    auto Ended = Value.get<std::int64_t>();
     // The clocks of two instances may differ.
     auto Age = std::max<std::int64_t>(0, this->UnixMillis() - Ended);
     return {parseFingerprint(Object.Name), Milliseconds(Age)};
--- a/lib/daemon/fleet/DepartureArchive.cpp
+++ b/lib/daemon/fleet/DepartureArchive.cpp
@@ -91,7 +91,9 @@
   auto Departures = nlohmann::json::array();
   for (const auto &Each : this->Known)
     Departures.push_back(limpetdrum::encode(Each));
-  return nlohmann::json({{"departures", Departures}}).dump();
+  // Ids are any bytes that a target sent.
+  return nlohmann::json({{"departures", Departures}})
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 bool DepartureArchive::isOld(const Departure &Value) const {
--- a/unittests/DepartureArchiveTest.cpp
+++ b/unittests/DepartureArchiveTest.cpp
@@ -159,3 +159,11 @@
   REQUIRE_CALL(Fixture.Store, remove("limpetdrum-departures", "n1", _, _));
   Fixture.Archive.removeOld();
 }
+
+// Guards against a process that ends by an exception for an id that is no text.
+TEST_CASE("DepartureArchive stores ids that are no UTF-8") {
+  ArchiveFixture Fixture;
+  Fixture.write("t\xff\xfe", TargetState::Left);
+  REQUIRE(Fixture.Written.size() == 1);
+  CHECK(Fixture.read(Fixture.Written[0]).size() == 1);
+}
--- a/unittests/HttpObjectStoreTest.cpp
+++ b/unittests/HttpObjectStoreTest.cpp
@@ -2,6 +2,7 @@
 #include "OwnAddress.h"
 
 #include <catch2/catch.hpp>
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
 
 using namespace limpetdrum;
@@ -17,9 +18,11 @@
   struct Answer {
     json Body;
     std::string Era;
+    std::string Text = {}; ///< sent in place of Body unless it is empty
   };
   EventLoop Loop;
   Metrics Counters;
+  EventLog Log{open("/dev/null", O_WRONLY)};
   std::vector<Answer> Answers;
   std::vector<std::string> Targets; ///< paths and queries of the calls
   HttpServer Server{
@@ -30,9 +33,10 @@
         HttpHeaders Headers;
         if (!Answer.Era.empty())
           Headers.emplace_back("Store-Era", Answer.Era);
-        Exchange->reply(200, Headers, Answer.Body.dump());
+        Exchange->reply(200, Headers,
+                        Answer.Text.empty() ? Answer.Body.dump() : Answer.Text);
       }};
-  platform::HttpObjectStore Store{Loop, Address, Counters};
+  platform::HttpObjectStore Store{Loop, Address, Log, Counters};
 
   static json page(const std::vector<std::string> &Names, bool More) {
     json Result = {{"items", json::array()}, {"more", More}, {"at", 7}};
@@ -102,6 +106,73 @@
   CHECK(Listing.Era == StoreEra(1));
 }
 
+// Guards against one odd object of another writer that ends each process which
+// reads the list, or keeps it from the others.
+TEST_CASE("HttpObjectStore reads the objects beside an odd one", "[http]") {
+  StoreFixture F;
+  auto Object = [](const std::string &Name, const std::string &Value) {
+    return R"({"metadata":{"name":")" + Name +
+           R"(","revision":3},"specification":)" + Value + "}";
+  };
+  auto Deep = std::string(200'000, '[') + std::string(200'000, ']');
+  auto DeepMap = std::string();
+  for (int I = 0; I < 100'000; ++I)
+    DeepMap += R"({"a":)";
+  DeepMap += "1" + std::string(100'000, '}');
+  const std::vector<std::string> OddObjects = {
+      Object("odd", Deep),
+      Object("odd", DeepMap),
+      Object("odd", "1e999"),
+      Object("odd", "-1e99999999999999999999"),
+      Object("odd", std::string(5000, '9')),
+      Object("odd", R"({"link":"10.0.0.1:99999999999999999999"})"),
+      Object("odd", "\"\xff\xfe\""),
+      Object("\xc3", "{}"),
+      std::string(R"({"metadata":{"name":7,"revision":3},"specification":{}})"),
+      std::string(R"({"metadata":{"name":"odd","revision":1e999}})"),
+      std::string(R"({"metadata":[]})"),
+      std::string("[]"),
+      std::string("7"),
+      std::string("1e999"),
+      std::string("null"),
+      Deep};
+  auto Odd = OddObjects[GENERATE(range(0U, 16U))];
+  REQUIRE(OddObjects.size() == 16);
+  auto Place = GENERATE(0, 1, 2);
+  std::vector<std::string> Items = {Object("a", "{}"), Object("b", "{}")};
+  Items.insert(Items.begin() + Place, Odd);
+  std::string Text;
+  for (const auto &Item : Items)
+    Text += (Text.empty() ? "" : ",") + Item;
+  F.Answers = {{{}, "", R"({"items":[)" + Text + R"(],"more":false,"at":9})"}};
+  auto Listing = F.list();
+  CHECK(Listing.Outcome == StoreOutcome::Done);
+  CHECK(Listing.Revision == 9);
+  std::vector<std::string> Names;
+  for (const auto &Each : Listing.Objects)
+    if (Each.Name != "odd")
+      Names.push_back(Each.Name);
+  CHECK(Names == std::vector<std::string>{"a", "b"});
+}
+
+TEST_CASE("HttpObjectStore follows a watch beside an odd object", "[http]") {
+  StoreFixture F;
+  auto Deep = std::string(200'000, '[') + std::string(200'000, ']');
+  auto Odd = GENERATE(true, false) ? Deep : std::string("1e999");
+  F.Answers = {
+      {{},
+       "1",
+       R"({"at":8,"events":[{"object":{"metadata":{"name":"odd","revision":8},)"
+       R"("specification":)" +
+           Odd +
+           R"(},"deleted":false},{"object":{"metadata":{"name":"b",)"
+           R"("revision":8},"specification":{}},"deleted":true}]})"}};
+  auto Listing = F.watch(StoreEra(1));
+  CHECK(Listing.Outcome == StoreOutcome::Done);
+  CHECK(Listing.Revision == 8);
+  CHECK(Listing.Deleted == std::vector<std::string>{"b"});
+}
+
 TEST_CASE("HttpObjectStore refuses to write a value that is no JSON",
           "[http]") {
   StoreFixture F;
--- a/unittests/PlatformAdapterTest.cpp
+++ b/unittests/PlatformAdapterTest.cpp
@@ -237,6 +237,21 @@
   CHECK_THROWS_AS(decode("PUT", "/-/instances/i-7", "\xff\xfe"), ValueError);
 }
 
+// Guards against a process that a deeply nested message of another writer ends.
+TEST_CASE("Adapter rejects deeply nested messages") {
+  constexpr std::size_t Depth = 300'000;
+  auto Lists = std::string(Depth, '[') + std::string(Depth, ']');
+  std::string Maps;
+  for (std::size_t I = 0; I < Depth; ++I)
+    Maps += R"({"status":)";
+  Maps += "1" + std::string(Depth, '}');
+  for (const auto &Text : {Lists, Maps, std::string("1e999"),
+                           std::string(R"({"status":{"sequence":1e999}})")}) {
+    CHECK_THROWS_AS(decode("PUT", "/-/instances/i-7", Text), ValueError);
+    CHECK_THROWS_AS(platform::Adapter().decodePolicy(Text), ValueError);
+  }
+}
+
 TEST_CASE("parseDuration accepts only a number with the unit ms or s") {
   CHECK(platform::parseDuration("1500ms") == Milliseconds(1500));
   CHECK(platform::parseDuration("2.5s") == Milliseconds(2500));
