Send a refused request again on another connection

Callers would see: "not run, try again" for a request that is running, or a second run at another target, when a target writes an earlier refusal once more on a kept connection. Reported by operators of a similar system. Cause: a request that its only target refused is sent to it again with the same id, on the connection that carried the refusal; the copy has the id of the request. Evidence: "HttpClient sends a request again on another connection" got 503 before, where the target had answered 200. Change: a connection remembers the last 64 requests that were refused or failed on it, and does not carry them again.

--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "limpetdrum/connection/SocketAddress.h"
 
 #include <algorithm>
+#include <deque>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/tcp.h>
@@ -21,6 +22,11 @@
 /// Interim responses, and responses to other requests, that are skipped before
 /// the response to a request. A server that sends more is not answering.
 constexpr unsigned MaxSkippedResponses = 16;
+/// From this status on, a response may be followed by the same request.
+constexpr int MinFailureStatus = 400;
+/// Failed requests that a connection remembers. A request is sent again within
+/// its time left, while one connection carries few others.
+constexpr std::size_t MaxFailedRequests = 64;
 /// The address of an ended process refuses connections at once.
 constexpr Milliseconds EndCheckTimeout{200};
 
@@ -84,6 +90,9 @@
   bool Connected = false;
   /// True once a response to another request was received on it.
   bool ReceivedForeignResponse = false;
+  /// Latest requests that were refused or failed on it. A server may write such
+  /// a response once more, so they are not sent on it again.
+  std::deque<std::string> FailedRequests;
   std::uint64_t CallId = 0;      ///< 0 while idle
   unsigned SkippedResponses = 0; ///< since the request was sent
   std::optional<impl::ResponseParser> Parser;
@@ -97,6 +106,16 @@
       bufferevent_free(this->Event);
   }
 
+  [[nodiscard]] bool hasFailed(const std::string &Echo) const {
+    return !Echo.empty() &&
+           std::find(this->FailedRequests.begin(), this->FailedRequests.end(),
+                     Echo) != this->FailedRequests.end();
+  }
+  void addFailed(std::string Echo) {
+    this->FailedRequests.push_back(std::move(Echo));
+    if (this->FailedRequests.size() > MaxFailedRequests)
+      this->FailedRequests.pop_front();
+  }
   void open();
   void onConnected();
   void onReadable();
@@ -125,11 +144,15 @@
   State(EventLoop &Loop, Endpoint Server, HttpClientOptions Options)
       : Loop(Loop), Server(Server), Options(std::move(Options)) {}
 
-  std::shared_ptr<ClientConnection> takeIdle() {
+  /// \param Echo id of the request to send; empty if it has none.
+  std::shared_ptr<ClientConnection> takeIdle(const std::string &Echo) {
     auto Now = this->Loop.now();
-    while (!this->Idle.empty()) {
-      auto Last = std::move(this->Idle.back());
-      this->Idle.pop_back();
+    for (auto Index = this->Idle.size(); Index-- > 0;) {
+      auto Position = this->Idle.begin() + static_cast<std::ptrdiff_t>(Index);
+      if (Now < (*Position)->IdleUntil && (*Position)->hasFailed(Echo))
+        continue;
+      auto Last = std::move(*Position);
+      this->Idle.erase(Position);
       if (Now < Last->IdleUntil)
         return Last;
       this->destroyLater(std::move(Last));
@@ -159,6 +182,8 @@
     Connection->CallId = 0;
     Connection->Parser.reset();
     if (Reusable) {
+      if (Response.Status >= MinFailureStatus && !Call.Echo.empty())
+        Connection->addFailed(std::move(Call.Echo));
       auto Limit = keepAliveTimeout(Response.Headers)
                        .value_or(this->Options.DefaultIdleLimit);
       Connection->IdleUntil =
@@ -325,7 +350,7 @@
 
 std::uint64_t HttpClient::send(const HttpCall &Call, Callback Done) {
   auto &Self = *this->Impl;
-  auto Connection = Self.takeIdle();
+  auto Connection = Self.takeIdle(Call.ExpectedEcho);
   bool Reused = Connection != nullptr;
   if (!Connection)
     Connection = std::make_shared<ClientConnection>(Self);
--- a/unittests/HttpPipelineTest.cpp
+++ b/unittests/HttpPipelineTest.cpp
@@ -318,6 +318,25 @@
   CHECK(Result.Body == "all of it");
 }
 
+// Guards against an answer that ends within its head and is taken for one with
+// an empty body that the end of the connection completes.
+TEST_CASE("HttpClient rejects an answer that ends within its head", "[http]") {
+  EventLoop Loop;
+  const std::string Lengths[] = {
+      "", "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n",
+      "Connection: close\r\n", "Content-Length: 0\r\n"};
+  const auto &Length = Lengths[GENERATE(range(0, 5))];
+  std::string Head =
+      "HTTP/1.1 200 OK\r\nEcho: 1\r\n" + Length + "Receipt: abcdef\r\n\r\n";
+  for (std::size_t Size = 1; Size < Head.size(); ++Size) {
+    ScriptedServer Server(Loop, {Head.substr(0, Size)}, true);
+    HttpClient Client(Loop, ServerAddress, strictOptions());
+    auto Outcome = sendRequest(Loop, Client, "1").Outcome;
+    CAPTURE(Head.substr(0, Size));
+    CHECK(Outcome == HttpOutcome::Broken);
+  }
+}
+
 TEST_CASE("HttpClient rejects a body shorter than its length", "[http]") {
   EventLoop Loop;
   ScriptedServer Server(
@@ -378,6 +397,48 @@
   CHECK(Server.Accepted == 2);
 }
 
+// Guards against a refusal that a target writes once more, which is taken for
+// the answer to the same request when it was sent again.
+TEST_CASE("HttpClient sends a request again on another connection", "[http]") {
+  EventLoop Loop;
+  const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\nEcho: 1\r\n"
+                              "not-executed: 1\r\nContent-Length: 0\r\n\r\n";
+  ScriptedServer Server(Loop, {Refusal, ""});
+  HttpClient Client(Loop, ServerAddress, strictOptions());
+  REQUIRE(sendRequest(Loop, Client, "1").Status == 503);
+  HttpCall Call;
+  Call.Path = "/x";
+  Call.ExpectedEcho = "1";
+  Call.Timeout = Milliseconds(1000);
+  std::optional<HttpResponse> Received;
+  Client.send(Call, [&](HttpResponse Response) {
+    Received = std::move(Response);
+    Loop.stop();
+  });
+  auto Late = Loop.after(Milliseconds(10), [&]() { Loop.stop(); });
+  Loop.run();
+  bufferevent_write(Server.Connections.front(), Refusal.data(), Refusal.size());
+  auto Ran = ok("1", "ran");
+  bufferevent_write(Server.Connections.back(), Ran.data(), Ran.size());
+  if (!Received)
+    Loop.run();
+  REQUIRE(Received);
+  CHECK(Received->Status == 200);
+  CHECK(Received->Body == "ran");
+}
+
+TEST_CASE("HttpClient sends other requests on a connection after a refusal",
+          "[http]") {
+  EventLoop Loop;
+  const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\nEcho: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  ScriptedServer Server(Loop, {Refusal, ok("2", "next")});
+  HttpClient Client(Loop, ServerAddress, strictOptions());
+  REQUIRE(sendRequest(Loop, Client, "1").Status == 503);
+  CHECK(sendRequest(Loop, Client, "2").Body == "next");
+  CHECK(Server.Accepted == 1);
+}
+
 TEST_CASE("HttpClient does not reuse a connection on which a byte came late",
           "[http]") {
   EventLoop Loop;
