Build the benchmark of decisions with shared bodies

Cause: it assigned to a body in place; the targets that were built while the change was made did not include it.

--- a/benchmarks/Decisions.cpp
+++ b/benchmarks/Decisions.cpp
@@ -136,7 +136,7 @@
     KeyLedger Keys(std::chrono::minutes(10), 64U << 20U);
     Reply Answer;
     Answer.Outcome = Outcome::Answered;
-    Answer.Body.assign(200, 'x');
+    Answer.Body = std::string(200, 'x');
     auto Before = mallinfo2().uordblks;
     for (std::uint64_t I = 0; I < Count; ++I) {
       IdempotencyKey Key("1234567890123456789/ordering/place key-" +
@@ -161,7 +161,7 @@
     for (std::uint64_t I = 1; I <= Count; ++I) {
       benchmark::DoNotOptimize(Ledger.onArrival(attempt(I), StartTime));
       Reply Answer;
-      Answer.Body.assign(200, 'x');
+      Answer.Body = std::string(200, 'x');
       Ledger.finish(attempt(I), std::make_shared<const Reply>(Answer),
                     StartTime);
     }
