Send to nodes of an earlier release what their limit allows

Cause: bodies from 6 to 8 MiB, which such nodes took, were refused for them since bodies go in parts, as the bound allowed for the worst case of packing. Change: the encoded message is measured, and a call counts as sent only once it is. A call whose deadline has passed before it could be sent is no longer taken for one that may have run. Also: the linter's exception for a name that Boost.Beast requires.

--- a/include/limpetdrum/connection/PeerLink.h
+++ b/include/limpetdrum/connection/PeerLink.h
@@ -65,8 +65,9 @@
   /// \brief Returns true if a body is to be sent after its message, by
   ///   sendBody(), and not within it.
   [[nodiscard]] bool sendsInParts(std::size_t BodyBytes) const noexcept;
-  /// \brief Returns false if the peer cannot take a message with such a body.
-  [[nodiscard]] bool canSend(std::size_t BodyBytes) const noexcept;
+  /// \brief Returns false if an encoded message is longer than a peer accepts,
+  ///   which would close the link.
+  [[nodiscard]] static bool canSend(const std::string &Bytes) noexcept;
   /// \brief Sends the body of a message that was sent before.
   void sendBody(std::uint64_t Call, Body Content);
   /// \brief Stops to send the body of a call and to receive one for it.
--- a/include/limpetdrum/daemon/fleet/PendingCalls.h
+++ b/include/limpetdrum/daemon/fleet/PendingCalls.h
@@ -38,12 +38,14 @@
   /// \brief Adds a call that is sent over the next link.
   /// \param Attempt with the number of the call, higher than those before.
   void add(MeshAttempt Attempt, Done OnResult, TimePoint Now);
-  /// \brief Marks a call as sent and encodes it.
+  /// \brief Encodes a call.
   /// \param Acknowledged calls whose replies the node may discard.
   /// \returns nothing if the deadline of the call has passed.
   [[nodiscard]] std::optional<std::string>
-  send(std::uint64_t Number, const std::vector<std::uint64_t> &Acknowledged,
-       TimePoint Now, BodyPlace Place = BodyPlace::InMessage);
+  encode(std::uint64_t Number, const std::vector<std::uint64_t> &Acknowledged,
+         TimePoint Now, BodyPlace Place = BodyPlace::InMessage);
+  /// \brief Marks a call as sent: from now on the node may execute it.
+  void onSent(std::uint64_t Number);
   /// \brief Returns the body of a call; empty if the call has ended.
   [[nodiscard]] Body body(std::uint64_t Number) const;
   /// \brief Returns true if the call has no final result yet.
--- a/lib/connection/HttpParser.cpp
+++ b/lib/connection/HttpParser.cpp
@@ -138,7 +138,7 @@
 struct BlockBody {
   using value_type = ReceivedBody;
 
-  class reader {
+  class reader { // NOLINT(readability-identifier-naming)
   public:
     template <bool IsRequest, typename Fields>
     reader(http::header<IsRequest, Fields> & /*Header*/, value_type &Value)
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -36,9 +36,6 @@
 /// parts, too, since a link with too many unsent bytes is closed.
 constexpr std::size_t MaxInlineBytesWhenBusy = 4096;
 constexpr std::size_t BusyBytes = MaxConnectionBacklogBytes / 8;
-/// Longest body in a message to a node that takes no parts. Packing makes
-/// a message longer by a quarter at most.
-constexpr std::size_t MaxBodyBytesWithoutParts = MaxFrameBytes / 4 * 3;
 /// Parts are written while less than this waits on the link: enough to keep it
 /// in use, and few milliseconds of delay for other messages.
 constexpr std::size_t PartBacklogBytes = 128U * 1024U;
@@ -383,8 +380,8 @@
           this->unsentBytes() > BusyBytes);
 }
 
-bool PeerLink::canSend(std::size_t BodyBytes) const noexcept {
-  return this->Impl->TakesParts || BodyBytes <= MaxBodyBytesWithoutParts;
+bool PeerLink::canSend(const std::string &Bytes) noexcept {
+  return Bytes.size() <= LengthBytes + MaxFrameBytes;
 }
 
 void PeerLink::sendBody(std::uint64_t Call, Body Content) {
--- a/lib/daemon/fleet/Mesh.cpp
+++ b/lib/daemon/fleet/Mesh.cpp
@@ -409,16 +409,17 @@
 
 void Mesh::send(OutgoingLink &Outgoing, std::uint64_t Number) {
   auto Content = Outgoing.Calls.body(Number);
-  if (!Outgoing.Link->canSend(Content.size())) {
-    this->endUnsendable(Outgoing.Contact.Node, Number, Content.size());
-    return;
-  }
   bool InParts = Outgoing.Link->sendsInParts(Content.size());
-  auto Frame =
-      Outgoing.Calls.send(Number, Outgoing.Unacknowledged, this->Loop.now(),
-                          InParts ? BodyPlace::InParts : BodyPlace::InMessage);
+  auto Frame = Outgoing.Calls.encode(
+      Number, Outgoing.Unacknowledged, this->Loop.now(),
+      InParts ? BodyPlace::InParts : BodyPlace::InMessage);
   if (!Frame)
     return;
+  if (!PeerLink::canSend(*Frame)) {
+    this->endUnsendable(Outgoing.Contact.Node, Number, Content.size());
+    return;
+  }
+  Outgoing.Calls.onSent(Number);
   Outgoing.Unacknowledged.clear();
   Outgoing.Link->send(*Frame);
   if (InParts)
@@ -431,7 +432,8 @@
   this->Log.request(
       "body_too_long_for_peer",
       {{"node", Node.value()}, {"call", Number}, {"bytes", BodyBytes}});
-  // From the loop, as the caller does not know the number of the call yet.
+  // Called from the loop, as the caller does not know the number of the call
+  // yet.
   this->Loop.post([this, Node, Number]() {
     auto Found = this->OutgoingLinks.find(Node);
     if (Found != this->OutgoingLinks.end())
--- a/lib/daemon/fleet/PendingCalls.cpp
+++ b/lib/daemon/fleet/PendingCalls.cpp
@@ -18,16 +18,20 @@
 }
 
 std::optional<std::string>
-PendingCalls::send(std::uint64_t Number,
-                   const std::vector<std::uint64_t> &Acknowledged,
-                   TimePoint Now, BodyPlace Place) {
-  auto &Sent = this->Calls.at(Number);
-  Sent.Sent = true;
-  auto TimeLeft = std::chrono::duration_cast<Milliseconds>(Sent.Deadline - Now);
+PendingCalls::encode(std::uint64_t Number,
+                     const std::vector<std::uint64_t> &Acknowledged,
+                     TimePoint Now, BodyPlace Place) {
+  auto &Encoded = this->Calls.at(Number);
+  auto TimeLeft =
+      std::chrono::duration_cast<Milliseconds>(Encoded.Deadline - Now);
   if (TimeLeft <= Milliseconds(0))
     return std::nullopt; // the caller ends the call at its deadline
-  Sent.Attempt.TimeLeft = TimeLeft;
-  return codec::encodeAttempt(Sent.Attempt, Acknowledged, Place);
+  Encoded.Attempt.TimeLeft = TimeLeft;
+  return codec::encodeAttempt(Encoded.Attempt, Acknowledged, Place);
+}
+
+void PendingCalls::onSent(std::uint64_t Number) {
+  this->Calls.at(Number).Sent = true;
 }
 
 Body PendingCalls::body(std::uint64_t Number) const {
--- a/unittests/PendingCallsTest.cpp
+++ b/unittests/PendingCallsTest.cpp
@@ -38,7 +38,10 @@
         this->Clock.now());
   }
   bool send(std::uint64_t Number) {
-    return this->Calls.send(Number, {}, this->Clock.now()).has_value();
+    if (!this->Calls.encode(Number, {}, this->Clock.now()))
+      return false;
+    this->Calls.onSent(Number);
+    return true;
   }
   /// Handles a new link and sends over it.
   std::vector<std::uint64_t> link(const NodeStatus &Status) {
