Remove a stored departure by its revision, and only what is a departure

Cause: found while the change was read again. Old departures are removed after a list that may be seconds old; a departure that their node wrote meanwhile would have been removed with it. An object of another writer in that kind would have been removed, too. Change: the removal names the revision that was read, and leaves what it cannot read. Result: "DepartureArchive removes departures of an hour ago" asks for the revision; the unit tests pass.

--- a/include/limpetdrum/connection/BodyParts.h
+++ b/include/limpetdrum/connection/BodyParts.h
@@ -22,8 +22,7 @@
     std::string_view Bytes; ///< valid until the sender is changed
   };
 
-  /// \brief Adds a body. It is sent after those that were added before only if
-  ///   they end earlier.
+  /// \brief Adds a body, whose parts are sent in turn with those of the others.
   void add(std::uint64_t Call, Body Content);
   /// \brief Removes a body that is no longer needed, if there is one.
   void cancel(std::uint64_t Call);
--- a/include/limpetdrum/connection/ObjectStore.h
+++ b/include/limpetdrum/connection/ObjectStore.h
@@ -71,8 +71,11 @@
   /// \brief Creates an object or replaces an existing one.
   virtual void put(const std::string &Kind, const StoredObject &Object,
                    const char *Purpose, WriteDone OnDone) = 0;
+  /// \brief Removes an object.
+  /// \param Revision removes it only if this is its revision; 0: in any case.
   virtual void remove(const std::string &Kind, const std::string &Name,
-                      const char *Purpose, WriteDone OnDone) = 0;
+                      std::uint64_t Revision, const char *Purpose,
+                      WriteDone OnDone) = 0;
 };
 
 } // namespace limpetdrum
--- a/include/limpetdrum/daemon/calls/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -84,9 +84,8 @@
   ///   before it ends, which replaces the callback.
   void execute(Incarnation Caller, const MeshAttempt &Attempt,
                ReplyCallback OnReply);
-  /// \brief Returns true if an attempt is running, queued, or ended a short
-  /// time
-  ///   ago, so that executing it again needs no body.
+  /// \brief Returns true if an attempt is queued, running or has ended lately,
+  ///   so that executing it again needs no body.
   [[nodiscard]] bool knows(Incarnation Caller, std::uint64_t Call) const {
     return this->Ledger.contains({Caller, Call});
   }
--- a/lib/daemon/fleet/ContactRegistry.cpp
+++ b/lib/daemon/fleet/ContactRegistry.cpp
@@ -171,7 +171,7 @@
 }
 
 void ContactRegistry::unregister() {
-  this->Store.remove(ContactKind, this->Self.Node.value(), "contacts-remove",
+  this->Store.remove(ContactKind, this->Self.Node.value(), 0, "contacts-remove",
                      [this](StoreOutcome Outcome) {
                        if (Outcome != StoreOutcome::Done)
                          this->Log.state("contact_not_removed",
--- a/lib/daemon/fleet/CrashArchive.cpp
+++ b/lib/daemon/fleet/CrashArchive.cpp
@@ -89,7 +89,7 @@
 
 void CrashArchive::remove(const std::string &Name) {
   this->Store.remove(
-      ProofKind, Name, "crashing-requests-remove",
+      ProofKind, Name, 0, "crashing-requests-remove",
       [this, Name](StoreOutcome Outcome) {
         if (Outcome != StoreOutcome::Done)
           this->Log.state("crashing_request_not_removed",
--- a/lib/daemon/fleet/DepartureArchive.cpp
+++ b/lib/daemon/fleet/DepartureArchive.cpp
@@ -174,10 +174,11 @@
           bool IsOver = std::all_of(
               Stored.begin(), Stored.end(),
               [this](const Departure &Each) { return this->isOld(Each); });
-          if (!IsOver)
+          if (Stored.empty() || !IsOver)
             continue;
+          // By its revision, as its node may have written another departure.
           this->Store.remove(
-              DepartureKind, Object.Name, "departures-remove",
+              DepartureKind, Object.Name, Object.Revision, "departures-remove",
               [this, Name = Object.Name](StoreOutcome Outcome) {
                 if (Outcome != StoreOutcome::Done)
                   this->Log.state(
--- a/unittests/CrashArchiveTest.cpp
+++ b/unittests/CrashArchiveTest.cpp
@@ -67,8 +67,8 @@
   for (const auto *Value : {"", "[]", "{}", R"({"target-ended":"x"})"})
     Fixture.Objects.push_back({"0000000000000003", 0, Value});
   Fixture.Objects.push_back({"name", 0, Fixture.Objects[1].Value});
-  REQUIRE_CALL(Fixture.Store, remove(_, "0000000000000001", _, _))
-      .SIDE_EFFECT(_4(StoreOutcome::Done));
+  REQUIRE_CALL(Fixture.Store, remove(_, "0000000000000001", _, _, _))
+      .SIDE_EFFECT(_5(StoreOutcome::Done));
   Fixture.read();
   REQUIRE(Fixture.News->Reports.size() == 1);
   CHECK(Fixture.News->Reports[0].Request == RequestFingerprint(2));
--- a/unittests/DepartureArchiveTest.cpp
+++ b/unittests/DepartureArchiveTest.cpp
@@ -150,13 +150,14 @@
   Fixture.write("t1", TargetState::Left);
   StoreListing Listing;
   Listing.Outcome = StoreOutcome::Done;
-  Listing.Objects.push_back({"n1", 1, Fixture.Written.back()});
+  Listing.Objects.push_back({"n1", 33, Fixture.Written.back()});
+  Listing.Objects.push_back({"odd", 34, "{}"});
   ALLOW_CALL(Fixture.Store, list("limpetdrum-departures", true, _, _))
       .LR_SIDE_EFFECT(_4(Listing));
   Fixture.UnixTime += 3'500'000;
   Fixture.Archive.removeOld(); // the mock allows no removal
   Fixture.UnixTime += 200'000;
-  REQUIRE_CALL(Fixture.Store, remove("limpetdrum-departures", "n1", _, _));
+  REQUIRE_CALL(Fixture.Store, remove("limpetdrum-departures", "n1", 33U, _, _));
   Fixture.Archive.removeOld();
 }
 
--- a/unittests/MemoryStore.h
+++ b/unittests/MemoryStore.h
@@ -46,7 +46,8 @@
     });
   }
   void remove(const std::string &Kind, const std::string &Name,
-              const char * /*Purpose*/, WriteDone OnDone) override {
+              std::uint64_t /*Revision*/, const char * /*Purpose*/,
+              WriteDone OnDone) override {
     this->answer([this, Kind, Name, OnDone](StoreOutcome Outcome) {
       if (Outcome == StoreOutcome::Done)
         this->Kinds[Kind].erase(Name);
--- a/unittests/MockStore.h
+++ b/unittests/MockStore.h
@@ -26,9 +26,9 @@
              void(const std::string &, const StoredObject &, const char *,
                   WriteDone),
              override);
-  MAKE_MOCK4(remove,
-             void(const std::string &, const std::string &, const char *,
-                  WriteDone),
+  MAKE_MOCK5(remove,
+             void(const std::string &, const std::string &, std::uint64_t,
+                  const char *, WriteDone),
              override);
 };
 
--- a/unittests/PolicyFeedTest.cpp
+++ b/unittests/PolicyFeedTest.cpp
@@ -200,8 +200,8 @@
   }
   void put(const std::string &, const StoredObject &, const char *,
            WriteDone) override {}
-  void remove(const std::string &, const std::string &, const char *,
-              WriteDone) override {}
+  void remove(const std::string &, const std::string &, std::uint64_t,
+              const char *, WriteDone) override {}
 
   void write(std::uint64_t Version) {
     this->Copy = this->Current;
