Acknowledge long replies at once

A node keeps the bodies of its replies until they are acknowledged, which a caller does with its next attempt or after 32 replies. Long ones filled the memory that new requests need. Also: a connection that ends discards what it has received before it waits for its client, since it receives no more behind that.

--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -271,7 +271,8 @@
       evbuffer_get_length(bufferevent_get_output(this->Event)) > 0)
     return;
   // Closing a socket with unread input resets the connection, which can destroy
-  // the response in transit.
+  // the response in transit. Input that has been received holds up the rest.
+  this->discardInput();
   shutdown(bufferevent_getfd(this->Event), SHUT_WR);
   this->LingerUntil = this->Server->Loop.now() + LingerTimeout;
   this->LingerLimit =
--- a/lib/daemon/fleet/Mesh.cpp
+++ b/lib/daemon/fleet/Mesh.cpp
@@ -33,6 +33,9 @@
 /// Number of unacknowledged replies on one link at which an acknowledgement is
 /// sent without waiting for the next attempt to carry it.
 constexpr std::size_t MaxUnacknowledged = 32;
+/// A reply with a longer body is acknowledged at once, as its node keeps it
+/// until then.
+constexpr std::size_t MaxUnacknowledgedBytes = 64U * 1024U;
 
 } // namespace
 
@@ -382,7 +385,9 @@
   // It may have been refused before its body had been sent.
   if (Outgoing.Link)
     Outgoing.Link->cancelBody(Number);
-  if (Outgoing.Unacknowledged.size() >= MaxUnacknowledged && Outgoing.Link)
+  bool IsDue = Outgoing.Unacknowledged.size() >= MaxUnacknowledged ||
+               Value.Body.size() > MaxUnacknowledgedBytes;
+  if (IsDue && Outgoing.Link)
     Outgoing.Link->send(
         codec::encodeAcknowledged(std::exchange(Outgoing.Unacknowledged, {})));
   Outgoing.Calls.onReply(Number, Value);
--- a/unittests/MeshBodyTest.cpp
+++ b/unittests/MeshBodyTest.cpp
@@ -75,6 +75,22 @@
   CHECK(A.Counters.counter("peers_lost") == 0);
 }
 
+// Guards against long replies that fill the memory of their node until the
+// caller's next attempt.
+TEST_CASE("Mesh acknowledges long replies at once", "[rpc]") {
+  EventLoop Loop;
+  MeshNode A(Loop, "a", PortA, 1);
+  MeshNode B(Loop, "b", PortB, 2);
+  A.Links.add(contact("b", PortB));
+  waitUntil(Loop, [&]() { return reaches(A, "b"); });
+  B.Answer = noise(1'000'000);
+  CallResults Results;
+  A.Links.call(NodeId("b"), attempt(), Results.recorder());
+  waitUntil(Loop, [&]() { return Results.All.size() == 1; });
+  wait(Loop, 50);
+  CHECK(B.Acknowledged == 1);
+}
+
 TEST_CASE("Mesh refuses an attempt whose body exceeds the memory", "[rpc]") {
   EventLoop Loop;
   MeshNode A(Loop, "a", PortA, 1);
--- a/unittests/MeshNode.h
+++ b/unittests/MeshNode.h
@@ -26,6 +26,7 @@
   Mesh Links;
   std::vector<MeshAttempt> Attempts;
   std::vector<Incarnation> Callers;
+  std::size_t Acknowledged = 0; ///< replies that callers have received
   bool HoldsReplies = false;
   Body Answer; ///< empty: the name
   TargetRecord RecordFromPeer;
@@ -53,7 +54,9 @@
     };
     Handlers.IsKnown = [](Incarnation, std::uint64_t) { return false; };
     Handlers.OnCancel = [](Incarnation, std::uint64_t) {};
-    Handlers.OnAcknowledged = [](Incarnation, std::uint64_t) {};
+    Handlers.OnAcknowledged = [this](Incarnation, std::uint64_t) {
+      ++this->Acknowledged;
+    };
     Handlers.OnStatus = [](const NodeId &) {};
     Handlers.OnRemoved = [this](const NodeId &Node) {
       this->Removed.push_back(Node);
