Meter the memory of tests under the sanitizer, too

Cause: the meter replaced operator new but not its variant that does not throw, for which the sanitizer has a version of its own; each unit test ended by a mismatch of new and delete at its exit. Change: the variant is replaced as well. What was allocated before the meter may be freed later.

--- a/unittests/MemoryMeter.cpp
+++ b/unittests/MemoryMeter.cpp
@@ -8,18 +8,28 @@
 
 namespace {
 
-std::size_t Held = 0;
-std::size_t Highest = 0;
+// Signed, because what was allocated before the meter may be freed later.
+std::ptrdiff_t Held = 0;
+std::ptrdiff_t Highest = 0;
+
+void add(std::size_t Size) noexcept {
+  Held += static_cast<std::ptrdiff_t>(Size);
+  Highest = std::max(Highest, Held);
+}
+
+void subtract(std::size_t Size) noexcept {
+  Held -= static_cast<std::ptrdiff_t>(Size);
+}
 
 void *take(std::size_t Size) noexcept {
   auto *Result = std::malloc(std::max<std::size_t>(Size, 1));
-  Held += malloc_usable_size(Result);
-  Highest = std::max(Highest, Held);
+  if (Result != nullptr)
+    add(malloc_usable_size(Result));
   return Result;
 }
 
 void give(void *Bytes) noexcept {
-  Held -= malloc_usable_size(Bytes);
+  subtract(malloc_usable_size(Bytes));
   std::free(Bytes);
 }
 
@@ -27,8 +37,8 @@
   auto Before = malloc_usable_size(Bytes);
   auto *Result = std::realloc(Bytes, Size);
   if (Result != nullptr) {
-    Held += malloc_usable_size(Result) - Before;
-    Highest = std::max(Highest, Held);
+    subtract(Before);
+    add(malloc_usable_size(Result));
   }
   return Result;
 }
@@ -47,6 +57,11 @@
   throw std::bad_alloc();
 }
 
+// A sanitizer has its own version of it, which would not match the deletes.
+void *operator new(std::size_t Size, const std::nothrow_t & /*Tag*/) noexcept {
+  return take(Size);
+}
+
 void operator delete(void *Bytes) noexcept { give(Bytes); }
 void operator delete(void *Bytes, std::size_t /*Size*/) noexcept {
   give(Bytes);
@@ -57,7 +72,7 @@
 MemoryMeter::MemoryMeter() noexcept : Before(Held) { Highest = Held; }
 
 std::size_t MemoryMeter::peak() const noexcept {
-  return Highest - this->Before;
+  return static_cast<std::size_t>(Highest - this->Before);
 }
 
 } // namespace limpetdrum::test
--- a/unittests/MemoryMeter.h
+++ b/unittests/MemoryMeter.h
@@ -5,7 +5,7 @@
 
 namespace limpetdrum::test {
 
-/// \brief Counts the bytes that the tests hold, by operator new and in
+/// \brief Counts the bytes that the tests allocate, by operator new and in
 ///   libevent's buffers.
 class MemoryMeter {
 public:
@@ -15,7 +15,7 @@
   [[nodiscard]] std::size_t peak() const noexcept;
 
 private:
-  std::size_t Before;
+  std::ptrdiff_t Before;
 };
 
 } // namespace limpetdrum::test
