--- a/fuzz/Http.cpp
+++ b/fuzz/Http.cpp
@@ -8,17 +8,18 @@
 using namespace limpetdrum;
 
 void readRequests(evbuffer *Input) {
+  MemoryBudget Memory(MaxBodyBytes / 2);
   impl::RequestParser Parser;
-  Parser.reset(MaxHeaderBytes, MaxBodyBytes);
+  Parser.reset(MaxHeaderBytes, MaxBodyBytes, &Memory);
   while (Parser.read(Input) == impl::ParseResult::Done) {
     auto Request = Parser.release();
     removeConnectionHeaders(Request.Headers);
-    Parser.reset(MaxHeaderBytes, MaxBodyBytes);
+    Parser.reset(MaxHeaderBytes, MaxBodyBytes, &Memory);
   }
 }
 
 void readResponse(evbuffer *Input, bool IsHeadResponse) {
-  impl::ResponseParser Parser(IsHeadResponse, MaxBodyBytes);
+  impl::ResponseParser Parser(IsHeadResponse, MaxBodyBytes, nullptr);
   HttpResponse Response;
   if (Parser.read(Input) == impl::ParseResult::Done || Parser.finishAtClose())
     Parser.release(Response);
