Let the soak's targets copy, delay, break and refuse answers

A target now has a server of its own, which writes an answer twice (at once, within 100 ms, or before the next one), late, in halves, in part, not at all, without a length, or before bytes that are no answer. Targets refuse a share of the requests although they have room, queue requests and refuse those whose time has passed, and fail with the status of a refusal but without its mark. Clients send in bursts. The promises are those of before: "at most once" and "not run means not run", by what the targets ran.

--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <sstream>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -14,8 +15,12 @@
 DEFINE_uint32(nodes, 9, "number of nodes, each with one target");
 DEFINE_uint32(seconds, 20, "seconds with faults in each run");
 DEFINE_double(rate, 12, "requests per second and node");
+DEFINE_uint32(max_attempts, 3, "targets that a request may be sent to");
+DEFINE_uint32(repeat_slack, 20, "repeats that the fleet may make in a window");
 DEFINE_uint32(first_port, 26000, "first port; each node uses twelve ports");
-DEFINE_string(fault, "", "name of the only fault to inject; by default all");
+DEFINE_string(fault, "",
+              "names of the only faults to inject, separated by commas; by "
+              "default all");
 DEFINE_string(sidecar, "",
               "path of the sidecar; by default in the folder of this program");
 DEFINE_string(folder, "",
@@ -40,8 +45,12 @@
   Options.Nodes = FLAGS_nodes;
   Options.FaultDuration = std::chrono::seconds(FLAGS_seconds);
   Options.RequestsPerNode = FLAGS_rate;
+  Options.MaxAttempts = FLAGS_max_attempts;
+  Options.RepeatSlack = FLAGS_repeat_slack;
   Options.Program = Program;
-  Options.OnlyFault = FLAGS_fault;
+  std::istringstream Names(FLAGS_fault);
+  for (std::string Name; std::getline(Names, Name, ',');)
+    Options.OnlyFaults.push_back(Name);
   Options.Folder = RunFolder.string();
   Options.FirstPort = static_cast<std::uint16_t>(FLAGS_first_port);
   soak::Soak Run(Loop, Options);
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -38,6 +38,8 @@
 constexpr Milliseconds AddressReuseDelay{2000};
 /// One client in this many disconnects early.
 constexpr std::uint64_t AbandonOneIn = 12;
+/// Requests sent in place of each one in a burst.
+constexpr unsigned BurstFactor = 4;
 /// Times that a client repeats a request that failed.
 constexpr unsigned ClientRepeats = 2;
 /// Text in the answer to a request that is refused because it crashes targets.
@@ -57,6 +59,12 @@
     {"/view/", "a", true, 2000, 2, true},
 };
 
+Bounds boundsOf(const Soak::Options &Config) {
+  Bounds Value;
+  Value.RepeatSlack = Config.RepeatSlack;
+  return Value;
+}
+
 std::vector<std::string> servicesOf(unsigned Nodes) {
   std::vector<std::string> Names;
   for (unsigned I = 0; I < Nodes; ++I)
@@ -96,6 +104,12 @@
     {"name rate", &Soak::nameRate, 3},
     {"drain service", &Soak::drainService, 2},
     {"stall target", &Soak::stallTarget, 2},
+    {"copy answers", &Soak::copyAnswers, 3},
+    {"delay answers", &Soak::delayAnswers, 2},
+    {"break answers", &Soak::breakAnswers, 3},
+    {"shed requests", &Soak::shedRequests, 3},
+    {"fail unmarked", &Soak::failUnmarked, 2},
+    {"burst", &Soak::burst, 2},
     {"move policy", &Soak::reassignRoute, 3},
     {"storm policy", &Soak::publishPolicyBurst, 1},
     {"change keys", &Soak::changeKeys, 3},
@@ -111,7 +125,7 @@
 Soak::Soak(EventLoop &Loop, Options Config)
     : Loop(Loop), Config(std::move(Config)), Random(this->Config.Seed),
       Started(Loop.now()), LastLagCheck(this->Started),
-      Observations({}, servicesOf(this->Config.Nodes)) {
+      Observations(boundsOf(this->Config), servicesOf(this->Config.Nodes)) {
   this->ObjectStore =
       std::make_unique<Store>(Loop, Endpoint{Loopback, this->Config.FirstPort});
   for (const auto &Route : Routes)
@@ -176,7 +190,8 @@
       << "\n  metrics: " << toString(this->address(N, MetricsPort))
       << "\nstore: " << toString(this->address(N, StoreRelayPort))
       << "\ndrain-timeout: 2s\nexit-limit: 6s\n"
-      << "repeats: {ratio: 0.2, slack: 20, window: 10s}\n";
+      << "repeats: {ratio: 0.2, slack: " << this->Config.RepeatSlack
+      << ", window: 10s}\n";
   Out.close();
   N.Stopping = false;
   N.IsPaused = false;
@@ -322,7 +337,7 @@
         {"target-latency", "1000ms"},
         {"priority", Route.Priority},
         {"service", Service},
-        {"max-attempts", 3},
+        {"max-attempts", this->Config.MaxAttempts},
         {"public", Route.IsOpen}};
   }
   for (const auto &[Name, Values] : this->Keys)
@@ -378,7 +393,9 @@
 void Soak::sendRequests() {
   if (!this->acceptsRequests())
     return;
-  this->send(*this->Nodes[this->randomBelow(this->Nodes.size())]);
+  auto Count = this->Loop.now() < this->BurstUntil ? BurstFactor : 1;
+  for (unsigned I = 0; I < Count; ++I)
+    this->send(*this->Nodes[this->randomBelow(this->Nodes.size())]);
 }
 
 void Soak::send(Node &Entry) {
@@ -475,8 +492,9 @@
   }
   unsigned Sum = 0;
   auto IsPlayed = [this](const FaultKind &Kind) {
-    return this->Config.OnlyFault.empty() ||
-           this->Config.OnlyFault == Kind.Name;
+    const auto &Names = this->Config.OnlyFaults;
+    return Names.empty() ||
+           std::find(Names.begin(), Names.end(), Kind.Name) != Names.end();
   };
   for (const auto &Kind : FaultKinds)
     Sum += IsPlayed(Kind) ? Kind.Weight : 0;
@@ -593,6 +611,58 @@
     N.Target->stall(this->randomSpan(500, 2500));
 }
 
+void Soak::copyAnswers(Node &N) {
+  static constexpr std::array<AnswerStyle, 3> Styles = {
+      AnswerStyle::CopiedAtOnce, AnswerStyle::CopiedLater,
+      AnswerStyle::CopiedBeforeNext};
+  this->spoilAnswers(N, Styles[this->randomBelow(Styles.size())]);
+}
+
+void Soak::delayAnswers(Node &N) {
+  static constexpr std::array<AnswerStyle, 2> Styles = {AnswerStyle::Late,
+                                                        AnswerStyle::InHalves};
+  this->spoilAnswers(N, Styles[this->randomBelow(Styles.size())]);
+}
+
+void Soak::breakAnswers(Node &N) {
+  static constexpr std::array<AnswerStyle, 5> Styles = {
+      AnswerStyle::CutInHalf, AnswerStyle::Lost, AnswerStyle::Closed,
+      AnswerStyle::WithoutLength, AnswerStyle::BeforeNoise};
+  this->spoilAnswers(N, Styles[this->randomBelow(Styles.size())]);
+}
+
+void Soak::spoilAnswers(Node &N, AnswerStyle Style) {
+  auto Share = this->randomShare();
+  auto Span = this->randomSpan(1000, 5000);
+  // All targets of a service, in every other case.
+  bool IsOfService = this->randomBelow(2) == 0;
+  for (auto &Each : this->Nodes)
+    if (Each->Target &&
+        (Each.get() == &N || (IsOfService && Each->Service == N.Service)))
+      Each->Target->spoilAnswers(Style, Share, Span);
+}
+
+double Soak::randomShare() {
+  return static_cast<double>(1 + this->randomBelow(10)) / 10;
+}
+
+void Soak::shedRequests(Node &N) {
+  auto Share = this->randomShare();
+  auto Span = this->randomSpan(1000, 5000);
+  for (auto &Each : this->Nodes)
+    if (Each->Service == N.Service && Each->Target)
+      Each->Target->shed(Share, Span);
+}
+
+void Soak::failUnmarked(Node &N) {
+  if (N.Target)
+    N.Target->failUnmarked(this->randomShare(), this->randomSpan(1000, 5000));
+}
+
+void Soak::burst(Node & /*N*/) {
+  this->BurstUntil = this->Loop.now() + this->randomSpan(500, 3000);
+}
+
 void Soak::reassignRoute(Node & /*N*/) { this->publishPolicy(true); }
 
 void Soak::publishPolicyBurst(Node & /*N*/) {
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -23,7 +23,10 @@
     std::string Program;                    ///< path of the sidecar
     std::string Folder;                     ///< for settings and logs
     std::uint16_t FirstPort = 26000;
-    std::string OnlyFault; ///< name of the only fault to inject; empty: all
+    unsigned MaxAttempts = 3;  ///< targets for one request, by the policy
+    unsigned RepeatSlack = 20; ///< repeats that the whole fleet may make
+    /// Names of the only faults to inject; empty: all.
+    std::vector<std::string> OnlyFaults;
   };
 
   Soak(EventLoop &Loop, Options Config);
@@ -96,6 +99,10 @@
   ///   the nodes that use it.
   bench::Relay &selectRelay(Node &N, Milliseconds Span);
 
+  void spoilAnswers(Node &N, AnswerStyle Style);
+  /// \brief Returns a random share from a tenth to all.
+  [[nodiscard]] double randomShare();
+
   void kill(Node &N);
   void killMany(Node &N);
   void pause(Node &N);
@@ -109,6 +116,12 @@
   void nameRate(Node &N);
   void drainService(Node &N);
   void stallTarget(Node &N);
+  void copyAnswers(Node &N);
+  void delayAnswers(Node &N);
+  void breakAnswers(Node &N);
+  void shedRequests(Node &N);
+  void failUnmarked(Node &N);
+  void burst(Node &N);
   void reassignRoute(Node &N);
   void publishPolicyBurst(Node &N);
   void changeKeys(Node &N);
@@ -125,6 +138,7 @@
   std::mt19937_64 Random;
   TimePoint Started;
   TimePoint LastLagCheck;
+  TimePoint BurstUntil{};               ///< clients send more often until then
   std::optional<TimePoint> FaultsEnded; ///< start of the recovery period
   Witness Observations;
   std::unique_ptr<Store> ObjectStore;
--- a/soak/Target.cpp
+++ b/soak/Target.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t SlotCount = 40;
+constexpr std::size_t QueueLength = 20;
 constexpr Milliseconds ReportPeriod{1500};
 constexpr Milliseconds ReportTimeout{1000};
 constexpr Milliseconds DrainTimeout{2000};
@@ -37,9 +38,10 @@
       Observations(Observations), Random(Seed), StartTime(unixMillis()),
       ReportsClient(Loop, this->Settings.Reports),
       OutboundClient(Loop, this->Settings.Outbound),
-      Server(std::make_unique<HttpServer>(
+      Server(std::make_unique<TargetServer>(
           Loop, this->Settings.Listen,
-          [this](const Exchange &Request) { this->onRequest(Request); })) {
+          [this](const Exchange &Request) { this->onRequest(Request); },
+          Seed + 1)) {
   this->Timers.push_back(
       Loop.every(ReportPeriod, [this]() { this->report(); }));
   this->report();
@@ -54,6 +56,23 @@
   this->StalledUntil = this->Loop.now() + Span;
 }
 
+void Target::spoilAnswers(AnswerStyle Style, double Share, Milliseconds Span) {
+  this->Server->spoil(Style, Share, Span);
+}
+
+void Target::shed(double Share, Milliseconds Span) {
+  this->Shed = {Share, this->Loop.now() + Span};
+}
+
+void Target::failUnmarked(double Share, Milliseconds Span) {
+  this->FailedUnmarked = {Share, this->Loop.now() + Span};
+}
+
+bool Target::isIn(const Part &Value) {
+  std::uniform_real_distribution<double> Draw(0, 1);
+  return this->Loop.now() < Value.Until && Draw(this->Random) < Value.Share;
+}
+
 void Target::nameRate(double PerSecond, Milliseconds Span) {
   if (this->RateNotice)
     return;
@@ -167,8 +186,10 @@
 }
 
 void Target::onRequest(const Exchange &Request) {
-  auto Route = Request->path().substr(0, Request->path().rfind('/') + 1);
-  auto Content = Request->path().substr(Route.size());
+  auto Path = Request->path();
+  auto Route = Path.substr(0, Path.rfind('/') + 1);
+  auto Content = Path.substr(Route.size());
+  const auto &Message = Request->request();
   RunRecord Run;
   Run.Id = Request->header(wire::RequestId);
   Run.Node = this->Settings.Node;
@@ -176,36 +197,68 @@
   Run.Service = this->Settings.Service;
   Run.CallerService = Request->header(wire::Caller);
   Run.Organisation = Request->header(wire::Organisation);
-  Run.HasKey = findHeader(Request->request().Headers, wire::Key) != nullptr;
+  Run.HasKey = findHeader(Message.Headers, wire::Key) != nullptr;
   Run.Route = Route;
-  Run.Started = this->Loop.now();
   auto Sent = this->Observations.Requests.find(Run.Id);
   Run.Intact = Sent != this->Observations.Requests.end() &&
                Content == Sent->second.Content &&
-               Request->body() == (Request->method() == "POST" ? Content : "");
-  HttpHeaders Headers = {{wire::RequestId, Run.Id}};
-  for (auto &Entry : this->notices(Run.Id))
-    Headers.push_back(std::move(Entry));
-  if (Request->path() == "/health") {
+               Message.Body.text() == (Message.Method == "POST" ? Content : "");
+  if (Path == "/health") {
+    auto Headers = this->notices(Run.Id);
+    Headers.emplace_back(wire::RequestId, Run.Id);
     Headers.emplace_back(wire::Instance, this->Id);
     Request->reply(this->Leaving ? 503 : 200, Headers, "");
     return;
   }
   auto Expected = Request->header(wire::Expected);
-  bool WrongTarget = !Expected.empty() && Expected != this->Id;
-  if (WrongTarget || this->Running.size() >= SlotCount) {
-    Headers.emplace_back(wire::NotExecuted, "1");
-    Run.Executed = false;
-    this->Observations.Runs.push_back(Run);
-    Request->reply(WrongTarget ? 421 : 503, Headers, "");
-    return;
+  if (!Expected.empty() && Expected != this->Id)
+    this->refuse(Request, Run, 421);
+  else if (this->isIn(this->Shed) || (this->Running.size() >= SlotCount &&
+                                      this->Queue.size() >= QueueLength))
+    this->refuse(Request, Run, 503);
+  else if (this->Running.size() < SlotCount)
+    this->run(Request, Run);
+  else
+    this->Queue.push_back(
+        {Request, Run,
+         this->Loop.now() +
+             Milliseconds(std::strtoul(Request->header(wire::TimeLeft).c_str(),
+                                       nullptr, 10))});
+}
+
+void Target::refuse(const Exchange &Request, RunRecord Run, int Status) {
+  Run.Executed = false;
+  Run.Started = this->Loop.now();
+  auto Headers = this->notices(Run.Id);
+  Headers.emplace_back(wire::RequestId, Run.Id);
+  Headers.emplace_back(wire::NotExecuted, "1");
+  this->Observations.Runs.push_back(std::move(Run));
+  Request->reply(Status, Headers, "");
+}
+
+void Target::runQueued() {
+  while (!this->Queue.empty() && this->Running.size() < SlotCount) {
+    auto Next = std::move(this->Queue.front());
+    this->Queue.pop_front();
+    if (!Next.Request->isOpen())
+      continue;
+    if (Next.Deadline <= this->Loop.now())
+      this->refuse(Next.Request, Next.Run, 503);
+    else
+      this->run(Next.Request, Next.Run);
   }
-  this->Observations.Runs.push_back(Run);
+}
+
+void Target::run(const Exchange &Request, RunRecord Run) {
+  auto Route = Run.Route;
+  auto Content = Request->path().substr(Route.size());
+  Run.Started = this->Loop.now();
+  this->Observations.Runs.push_back(std::move(Run));
   auto Job = std::make_shared<Work>();
   Job->Request = Request;
   Job->Run = this->Observations.Runs.size() - 1;
   this->Running.push_back(Job);
-  Request->onClientDisconnect([this, Weak = std::weak_ptr<Work>(Job)]() {
+  Request->onDisconnect([this, Weak = std::weak_ptr<Work>(Job)]() {
     if (auto Pending = Weak.lock())
       this->finish(Pending, 0);
   });
@@ -229,17 +282,21 @@
   if (this->Loop.now() < this->StalledUntil)
     Span = StalledSpan;
   this->Observations.Runs[Job->Run].ExpectedEnd = this->Loop.now() + Span;
-  Job->Completion =
-      this->Loop.after(Span, [this, Route, Weak = std::weak_ptr<Work>(Job)]() {
-        // The work is destroyed with a target that crashed.
-        auto Pending = Weak.lock();
-        if (Pending == nullptr)
-          return;
-        if (Route == "/order/")
-          this->callLookup(Pending);
-        else
-          this->finish(Pending, 200);
-      });
+  Job->Completion = this->Loop.after(Span, [this, Route,
+                                            Weak = std::weak_ptr<Work>(Job)]() {
+    // The work is destroyed with a target that crashed.
+    auto Pending = Weak.lock();
+    if (Pending == nullptr)
+      return;
+    constexpr std::array<int, 3> UnmarkedStatuses = {503, 429, 408};
+    if (this->isIn(this->FailedUnmarked))
+      this->finish(Pending,
+                   UnmarkedStatuses[this->Random() % UnmarkedStatuses.size()]);
+    else if (Route == "/order/")
+      this->callLookup(Pending);
+    else
+      this->finish(Pending, 200);
+  });
 }
 
 void Target::crash(const std::shared_ptr<Work> &Cause) {
@@ -289,14 +346,19 @@
   Run.Ended = this->Loop.now();
   Job->Completion.cancel();
   this->Running.remove(Job);
-  if (Status == 0)
-    return;
+  if (Status != 0)
+    this->answer(Job->Request, Run.Id, Status);
+  this->runQueued();
+}
+
+void Target::answer(const Exchange &Request, const std::string &RequestId,
+                    int Status) {
   auto Body =
-      Run.Id + " at " + this->Id + std::string(this->Random() % 900, '.');
-  auto Headers = this->notices(Run.Id);
-  Headers.emplace_back(wire::RequestId, Run.Id);
-  Headers.emplace_back(wire::Receipt, wire::receipt(Run.Id, Body));
-  Job->Request->reply(Status, Headers, Body);
+      RequestId + " at " + this->Id + std::string(this->Random() % 900, '.');
+  auto Headers = this->notices(RequestId);
+  Headers.emplace_back(wire::RequestId, RequestId);
+  Headers.emplace_back(wire::Receipt, wire::receipt(RequestId, Body));
+  Request->reply(Status, Headers, Body);
 }
 
 } // namespace limpetdrum::soak
--- a/soak/Target.h
+++ b/soak/Target.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETDRUM_SOAK_TARGET_H
 #define LIMPETDRUM_SOAK_TARGET_H
 
+#include "TargetServer.h"
 #include "Witness.h"
 
 #include "limpetdrum/connection/Http.h"
@@ -67,25 +68,49 @@
   void leaveAfterNotice(Milliseconds Delay);
   /// \brief Names a request rate in all answers for \p Span.
   void nameRate(double PerSecond, Milliseconds Span);
+  /// \brief Writes answers in a style for \p Span.
+  /// \param Share of the answers, from 0 to 1.
+  void spoilAnswers(AnswerStyle Style, double Share, Milliseconds Span);
+  /// \brief Refuses a share of the requests for \p Span although it has room.
+  void shed(double Share, Milliseconds Span);
+  /// \brief Runs a share of the requests for \p Span, and answers with the
+  ///   status of a refusal but without its mark.
+  void failUnmarked(double Share, Milliseconds Span);
   /// \brief Makes each request that starts within \p Span from now take 4 s.
   void stall(Milliseconds Span);
   [[nodiscard]] bool hasExited() const noexcept { return this->HasExited; }
   [[nodiscard]] bool isLeaving() const noexcept { return this->Leaving; }
 
 private:
-  using Exchange = std::shared_ptr<HttpExchange>;
+  using Exchange = std::shared_ptr<TargetExchange>;
   struct Work {
     Exchange Request;
     std::size_t Run = 0; ///< index in the witness
     Timer Completion;
   };
 
+  /// A share of the requests that is handled otherwise for a while.
+  struct Part {
+    double Share = 0;
+    TimePoint Until{};
+  };
+
   void onRequest(const Exchange &Request);
+  /// Begins to run a request.
+  void run(const Exchange &Request, RunRecord Run);
+  /// Refuses a request as not run.
+  void refuse(const Exchange &Request, RunRecord Run, int Status);
+  /// Runs the requests in the queue that there is room for.
+  void runQueued();
+  /// Draws whether the next request belongs to a part.
+  [[nodiscard]] bool isIn(const Part &Value);
   /// Ends the target by a request that it has begun to run.
   void crash(const std::shared_ptr<Work> &Cause);
   void callLookup(const std::shared_ptr<Work> &Parent);
   /// \param Status of the answer; 0 sends none.
   void finish(const std::shared_ptr<Work> &Job, int Status);
+  void answer(const Exchange &Request, const std::string &RequestId,
+              int Status);
   void report();
   void withdraw();
   void onLeaveAcknowledged();
@@ -110,11 +135,19 @@
   std::optional<std::size_t> RateNotice;
   std::optional<std::size_t> LeavingNotice;
   TimePoint StalledUntil{};
+  Part Shed;
+  Part FailedUnmarked;
+  struct QueuedRequest {
+    Exchange Request;
+    RunRecord Run;
+    TimePoint Deadline{};
+  };
+  std::list<QueuedRequest> Queue;
   std::list<std::shared_ptr<Work>> Running;
   std::vector<Timer> Timers;
   HttpClient ReportsClient;
   HttpClient OutboundClient;
-  std::unique_ptr<HttpServer> Server;
+  std::unique_ptr<TargetServer> Server;
 };
 
 } // namespace limpetdrum::soak
