Answer each request of a leaving node before its process ends

Operators of a similar system: in a planned stop of one machine, requests that came late in the grace were taken and passed on, and cut without an answer at its end (LOST). It happens here, too: calls of the local target are accepted until 1.0 to 2.0 s before the exit limit, by their latency target, and keep the whole time of their route. What its target still worked on when the process ended was cut; so were requests of clients from the first half.

Cause: acceptance went by the time that a request usually takes, and nothing bounded the time that it may take by the end of the process.

Evidence: a call passed on 4.2 s after the signal, to another node's target that works for 2.5 s, and a request that was open at the signal, ended as HttpOutcome::Broken on the code before (both new tests of SidecarLeaveTest).

A leaving node now bounds the deadline of all its requests, those that are open at the signal included, by LeavePlan::answerLimit(), 350 ms before the exit limit. What is passed on carries that time, so its target stops at it and answers; what is open at the limit gets 504, or 503 if it was never sent. The wire is unchanged. Runs that other nodes wait for keep their time: if they are cut, their callers may still run them elsewhere.

The soak now counts calls among the requests that a graceful stop must not cut.

--- a/include/limpetdrum/daemon/calls/Forwarder.h
+++ b/include/limpetdrum/daemon/calls/Forwarder.h
@@ -12,6 +12,7 @@
 #include "limpetdrum/version/TrafficPolicy.h"
 
 #include <random>
+#include <unordered_set>
 
 namespace limpetdrum {
 
@@ -36,6 +37,9 @@
             Metrics &Counters);
 
   void onRequest(std::shared_ptr<HttpExchange> Exchange);
+  /// \brief Ends each open request by the time at which a leaving node has to
+  ///   have answered it.
+  void limitOpenRequests();
 
 private:
   struct ForwardedRequest;
@@ -58,6 +62,9 @@
   [[nodiscard]] bool takeAllowance(const RequestPtr &Request);
   /// Gives back what takeAllowance() took, for a request that has not run.
   void giveAllowanceBack(ForwardedRequest &Request);
+  /// Ends the request at its deadline, and by the time at which a leaving node
+  /// has to have answered it.
+  void setDeadline(const RequestPtr &Request, TimePoint Deadline);
   void admit(const RequestPtr &Request);
   void send(const RequestPtr &Request);
   [[nodiscard]] static RequestFingerprint
@@ -124,6 +131,7 @@
   SplitChooser Splits;
   std::mt19937_64 Random;
   std::uint64_t LastLocalCall = 0;
+  std::unordered_set<RequestPtr> Open;
 };
 
 } // namespace limpetdrum
--- a/include/limpetdrum/request/LeavePlan.h
+++ b/include/limpetdrum/request/LeavePlan.h
@@ -42,6 +42,10 @@
   refusalDelay(bool IsCall, Milliseconds LatencyTarget, TimePoint Now) const;
   /// \brief Returns the delay after which a refused request may be retried.
   [[nodiscard]] Milliseconds retryAfter(TimePoint Now) const;
+  /// \brief Returns the time by which each accepted request has to be answered,
+  ///   so that its answer is written before the process ends; nothing before
+  ///   the leave.
+  [[nodiscard]] std::optional<TimePoint> answerLimit() const;
   /// \brief Returns true if the local target is given no further runs.
   ///
   /// Before that, the other nodes have received the leave and send only
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -607,6 +607,7 @@
   this->Log.state("leave", {{"open", this->Outbound->openRequests()},
                             {"running", this->LocalTarget.outstanding()}});
   this->Outbound->drain();
+  this->Forwarder.limitOpenRequests();
   this->Peers.broadcast();
   this->Fleet.announce(TargetState::Draining);
   this->Timers.push_back(this->Loop.every(
@@ -675,6 +676,7 @@
   auto &Current = this->Impl->Settings;
   Current.ExitLimit = Settings.ExitLimit;
   this->Impl->Leaving.setExitLimit(Settings.ExitLimit);
+  this->Impl->Forwarder.limitOpenRequests();
   Current.RepeatSlack = Settings.RepeatSlack;
   bool NeedsRestart = Settings.Link != Current.Link ||
                       Settings.Outbound != Current.Outbound ||
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -120,7 +120,6 @@
     return;
   auto Limit = readTimeLeft(Request->Exchange->header(this->Names.TimeLeft),
                             Request->Route->Timeout);
-  Request->Deadline = Request->Message.Started + Limit;
   Request->Service = this->Splits.choose(*Request->Route);
   Request->Plan =
       RetryPlan(Request->Route->Idempotent, Request->Route->MaxAttempts);
@@ -129,12 +128,8 @@
                            &this->Names.CallerService})
     removeHeader(Request->Message.Headers, *Name);
   removeHeader(Request->Message.Headers, "Expect");
-  Request->DeadlineTimer = this->Loop.after(
-      Request->Deadline - this->Loop.now(),
-      [this, Weak = std::weak_ptr<ForwardedRequest>(Request)]() {
-        if (auto Request = Weak.lock())
-          this->onDeadline(Request);
-      });
+  this->Open.insert(Request);
+  this->setDeadline(Request, Request->Message.Started + Limit);
   Request->Exchange->onClientDisconnect(
       [this, Weak = std::weak_ptr<ForwardedRequest>(Request)]() {
         if (auto Request = Weak.lock())
@@ -145,6 +140,22 @@
   this->admit(Request);
 }
 
+void Forwarder::setDeadline(const RequestPtr &Request, TimePoint Deadline) {
+  Request->Deadline =
+      std::min(Deadline, this->Leaving.answerLimit().value_or(Deadline));
+  Request->DeadlineTimer = this->Loop.after(
+      Request->Deadline - this->Loop.now(),
+      [this, Weak = std::weak_ptr<ForwardedRequest>(Request)]() {
+        if (auto Request = Weak.lock())
+          this->onDeadline(Request);
+      });
+}
+
+void Forwarder::limitOpenRequests() {
+  for (const auto &Request : this->Open)
+    this->setDeadline(Request, Request->Deadline);
+}
+
 bool Forwarder::identify(const RequestPtr &Request) {
   auto Found =
       this->Identifier.identify(Request->Message, Request->Id, *Request->Policy,
@@ -522,6 +533,7 @@
 void Forwarder::onClientDisconnect(const RequestPtr &Request) {
   if (std::exchange(Request->Ended, true))
     return;
+  this->Open.erase(Request);
   Request->DeadlineTimer.cancel();
   this->Log.request("client_left", {{"id", Request->Id},
                                     {"route", Request->Route->Name},
@@ -593,6 +605,7 @@
                        const HttpHeaders &Headers, const limpetdrum::Body &Body,
                        const char *Outcome) {
   Request->Ended = true;
+  this->Open.erase(Request);
   Request->DeadlineTimer.cancel();
   auto Latency = std::chrono::duration_cast<Microseconds>(
       this->Loop.now() - Request->Message.Started);
--- a/lib/request/LeavePlan.cpp
+++ b/lib/request/LeavePlan.cpp
@@ -23,6 +23,9 @@
 constexpr Milliseconds RunMargin{2000};
 /// Time before the exit limit at which the node closes whatever is in flight.
 constexpr Milliseconds CloseMargin{400};
+/// Time before the exit limit by which requests are answered: the shutdown of
+/// the process and one check of its leave before it.
+constexpr Milliseconds AnswerMargin{350};
 /// Part of the exit limit that is reserved for the shutdown of the process
 /// itself.
 constexpr Milliseconds ExitMargin{300};
@@ -63,6 +66,12 @@
   return this->retryAfter(Now);
 }
 
+std::optional<TimePoint> LeavePlan::answerLimit() const {
+  if (!this->BeganAt)
+    return std::nullopt;
+  return *this->BeganAt + this->ExitLimit - AnswerMargin;
+}
+
 bool LeavePlan::refusesRuns(TimePoint Now) const {
   return this->ClosedAt ||
          (this->BeganAt && this->elapsed(Now) >= this->ExitLimit - RunMargin);
--- a/soak/Target.cpp
+++ b/soak/Target.cpp
@@ -331,6 +331,7 @@
         auto &Record = this->Observations.Requests[Key];
         Record.Ended = this->Loop.now();
         Record.Status = Response.Status;
+        Record.ConnectionLost = Response.Outcome == HttpOutcome::Broken;
         bool Served =
             Response.Outcome == HttpOutcome::Answered && Response.Status == 200;
         Record.AnswerMatches = !Served || Response.header(wire::Receipt) ==
--- a/soak/Witness.cpp
+++ b/soak/Witness.cpp
@@ -218,7 +218,7 @@
       RunIds.insert(Run.Id);
   unsigned LostConnections = 0;
   for (const auto &[Id, Request] : this->Requests) {
-    if (!Request.ConnectionLost || Request.IsCall || RunIds.count(Id) == 0)
+    if (!Request.ConnectionLost || RunIds.count(Id) == 0)
       continue;
     bool Disturbed = !this->isUndisturbed(Request.Entry, Request.Sent,
                                           *Request.Ended, false);
--- a/unittests/LeavePlanTest.cpp
+++ b/unittests/LeavePlanTest.cpp
@@ -161,3 +161,15 @@
   Clock.advance(Milliseconds(3900));
   CHECK_FALSE(Plan.refusalDelay(true, Milliseconds(60'000), Clock.now()));
 }
+
+TEST_CASE("LeavePlan has each request answered before the process ends") {
+  FakeClock Clock;
+  LeavePlan Plan(Milliseconds(6000));
+  CHECK_FALSE(Plan.answerLimit());
+  Plan.begin(Clock.now());
+  auto Limit = Plan.answerLimit();
+  REQUIRE(Limit);
+  Clock.advance(*Limit - Clock.now());
+  Plan.close(Clock.now());
+  CHECK_FALSE(Plan.mayExit(false, Clock.now()));
+}
--- a/unittests/SidecarFixture.h
+++ b/unittests/SidecarFixture.h
@@ -7,6 +7,7 @@
 #include "limpetdrum/daemon/fleet/Mesh.h"
 
 #include <fcntl.h>
+#include <nlohmann/json.hpp>
 
 namespace limpetdrum::test {
 
@@ -38,8 +39,12 @@
     Limits.MaxBodyBytes = 67'108'864;
     Limits.HeaderTimeout = Milliseconds(5000);
     Limits.IdleTimeout = Milliseconds(30'000);
+    auto PeerRoute = Route;
+    PeerRoute.Name = "catalogue";
+    PeerRoute.Prefix = "/catalogue/";
+    PeerRoute.Services = {{ServiceName("catalogue"), 1}};
     return std::make_shared<const TrafficPolicy>(
-        Revision(1), std::vector<TrafficRoute>{Route},
+        Revision(1), std::vector<TrafficRoute>{Route, PeerRoute},
         std::map<ServiceName, ServicePolicy>(), Limits, Text, Organisations());
   }
   [[nodiscard]] TargetMessage
@@ -64,8 +69,11 @@
     return Message;
   }
   [[nodiscard]] std::optional<std::string>
-  parentRequestId(const std::string & /*RequestId*/) const override {
-    return std::nullopt;
+  parentRequestId(const std::string &RequestId) const override {
+    auto Dot = RequestId.find('.');
+    if (Dot == std::string::npos)
+      return std::nullopt;
+    return RequestId.substr(0, Dot);
   }
   [[nodiscard]] std::string acknowledgement() const override { return "{}"; }
 
@@ -75,7 +83,8 @@
 };
 
 /// \brief A sidecar `ordering-1` beside a target of its own and linked to
-///   another node, all on one event loop.
+///   another node with a target of the service `catalogue`, all on one event
+///   loop.
 struct SidecarFixture {
   static Endpoint local(std::uint16_t Port) { return {ownAddress(), Port}; }
 
@@ -128,6 +137,8 @@
                       this->run(Exchange);
                     },
                     targetOptions()};
+  Milliseconds PeerRunTime{150};
+  std::size_t StartedPeerRuns = 0;
   std::uint64_t LastIncarnation = 8; ///< of the other node
   std::unique_ptr<Mesh> Peer = this->makePeer();
   bool HasLeft = false;
@@ -153,6 +164,13 @@
                                          Incarnation(++this->LastIncarnation),
                                          this->Log, this->Counters);
     Mesh::Handlers Handlers;
+    Handlers.OnAttempt = [this](const NodeId &, Incarnation Caller,
+                                const MeshAttempt &Attempt) {
+      this->runAtPeer(Caller, Attempt);
+    };
+    Handlers.IsKnown = [](Incarnation, std::uint64_t) { return false; };
+    Handlers.OnCancel = [](Incarnation, std::uint64_t) {};
+    Handlers.OnAcknowledged = [](Incarnation, std::uint64_t) {};
     Handlers.OnStatus = [](const NodeId &) {};
     Handlers.OnRemoved = [](const NodeId &) {};
     Handlers.OnCrashNews = [](const CrashNews &) {};
@@ -166,6 +184,11 @@
       Status.Self = peerContact();
       Status.Incarnation = Current;
       Status.Policy = Revision(1);
+      Status.Target.Id = "p1";
+      Status.Target.Service = ServiceName("catalogue");
+      Status.Target.Slots = Slots(20);
+      Status.Target.State = TargetState::Ready;
+      Status.Limit = 20;
       return Status;
     };
     Handlers.PolicyText = []() { return std::string("policy"); };
@@ -194,6 +217,35 @@
     return &*Found->second.Status;
   }
 
+  /// Restarts both nodes so that the sidecar links to the other node, too.
+  void linkPeer() {
+    nlohmann::json Contact = {{"link", toString(peerContact().Link)},
+                              {"gossip", toString(peerContact().Link)},
+                              {"service", "catalogue"},
+                              {"failure-domain", "b"},
+                              {"region", "r"},
+                              {"incarnation", this->LastIncarnation + 1}};
+    this->Store.Kinds["limpetdrum-nodes"]["catalogue-1"] = {"catalogue-1", 0,
+                                                            Contact.dump()};
+    this->restartAll();
+    (void)this->report("/t1/ready");
+    this->waitUntil([this]() { return this->hasPeerTarget(); });
+    this->StartedPeerRuns = 0;
+  }
+
+  /// Returns true if the sidecar can send requests to the other node's target.
+  [[nodiscard]] bool hasPeerTarget() {
+    HttpClient Client(this->Loop, local(OutboundPort));
+    HttpCall Call;
+    Call.Path = "/catalogue/0";
+    Call.Headers = {{"Host", "shop.example"}, {HeaderNames().RequestId, "r0"}};
+    std::optional<int> Status;
+    (void)Client.send(
+        Call, [&](const HttpResponse &Value) { Status = Value.Status; });
+    this->waitUntil([&]() { return Status.has_value(); });
+    return Status == 200;
+  }
+
   /// Sends a message of the target.
   /// \returns the status of the answer.
   int report(const std::string &Path) {
@@ -219,6 +271,20 @@
         }));
   }
 
+  /// Runs an attempt at the other node's target, which stops its work with a
+  /// failure at the time left that it is given.
+  void runAtPeer(Incarnation Caller, const MeshAttempt &Attempt) {
+    ++this->StartedPeerRuns;
+    Reply Value;
+    Value.Outcome = Outcome::Answered;
+    Value.Status = Attempt.TimeLeft < this->PeerRunTime ? 504 : 200;
+    this->Runs.push_back(
+        this->Loop.after(std::min(Attempt.TimeLeft, this->PeerRunTime),
+                         [this, Caller, Call = Attempt.Call, Value]() {
+                           (void)this->Peer->reply(Caller, Call, Value);
+                         }));
+  }
+
   /// The process ends: all of its sockets are closed.
   void onLeft() {
     this->HasLeft = true;
--- a/unittests/SidecarLeaveTest.cpp
+++ b/unittests/SidecarLeaveTest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -134,3 +135,68 @@
   REQUIRE(HeadEnd != std::string::npos);
   CHECK(Client.Received.size() - HeadEnd - 4 == Fixture.Body.size());
 }
+
+// Guards against calls that a leaving node passes on late and cuts unanswered
+// when its process ends.
+TEST_CASE("Sidecar answers each call that it passes on while it leaves",
+          "[rpc]") {
+  SidecarFixture Fixture;
+  Fixture.linkPeer();
+  HttpClient Client(Fixture.Loop,
+                    SidecarFixture::local(SidecarFixture::OutboundPort));
+  std::map<std::string, HttpResponse> Answers;
+  auto Send = [&](const std::string &Id, const std::string &Path) {
+    HttpCall Call;
+    Call.Method = "POST";
+    Call.Path = Path;
+    Call.Headers = {{"Host", "shop.example"},
+                    {HeaderNames().RequestId, Id},
+                    {HeaderNames().TimeLeft, "5000"}};
+    Call.Timeout = Milliseconds(8000);
+    (void)Client.send(
+        Call, [&, Id](HttpResponse Value) { Answers[Id] = std::move(Value); });
+  };
+  Fixture.RunTime = Milliseconds(4800);
+  Fixture.PeerRunTime = Milliseconds(2500);
+  Send("r1", "/orders/1");
+  Fixture.wait(Milliseconds(300));
+  REQUIRE(Fixture.StartedRuns == 1);
+  Fixture.Process->leave();
+  Fixture.wait(Milliseconds(4200));
+  Send("r1.1", "/catalogue/1");
+  Fixture.wait(Milliseconds(200));
+  REQUIRE(Fixture.StartedPeerRuns == 1);
+  Fixture.waitUntil([&]() { return Fixture.HasLeft; });
+  Fixture.wait(Milliseconds(100));
+  CHECK(Answers["r1"].Status == 200);
+  CHECK(Answers["r1.1"].Outcome == HttpOutcome::Answered);
+  CHECK(Answers["r1.1"].Status == 504);
+}
+
+// Guards against requests that are open when the leave begins and are cut
+// unanswered when the process ends.
+TEST_CASE("Sidecar answers requests that are open when it leaves", "[rpc]") {
+  SidecarFixture Fixture;
+  auto Settings = SidecarFixture::settings();
+  Settings.ExitLimit = Milliseconds(4000);
+  Fixture.Process->reload(Settings);
+  Fixture.RunTime = Milliseconds(9000);
+  HttpClient Client(Fixture.Loop,
+                    SidecarFixture::local(SidecarFixture::OutboundPort));
+  HttpCall Call;
+  Call.Method = "POST";
+  Call.Path = "/orders/1";
+  Call.Headers = {{"Host", "shop.example"}, {HeaderNames().RequestId, "r1"}};
+  Call.Timeout = Milliseconds(8000);
+  std::optional<HttpResponse> Answer;
+  (void)Client.send(Call,
+                    [&](HttpResponse Value) { Answer = std::move(Value); });
+  Fixture.wait(Milliseconds(200));
+  REQUIRE(Fixture.StartedRuns == 1);
+  Fixture.Process->leave();
+  Fixture.waitUntil([&]() { return Fixture.HasLeft; });
+  Fixture.wait(Milliseconds(100));
+  REQUIRE(Answer);
+  CHECK(Answer->Outcome == HttpOutcome::Answered);
+  CHECK(Answer->Status == 504);
+}
