Report at once that no connection could be opened

Found while each place that says "not run" was tried with real sockets. When a connection fails before it is begun, because no port is free or there is no route, libevent reports nothing: a request that was never sent was held until its time had passed and then answered 504, as if it might have run.

HttpClient now reports such a connection as not connected, from the loop, so that the caller has the id of its call. The target's node then answers "not run" at once, which is true.

Evidence: "HttpClient reports a connection that fails at once, from the loop" got HttpOutcome::TimedOut after 1 s on the code before.

--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -84,9 +84,10 @@
 }
 
 /// Connection that carries one request at a time.
-struct ClientConnection {
+struct ClientConnection : std::enable_shared_from_this<ClientConnection> {
   HttpClient::State &Owner;
   bufferevent *Event = nullptr;
+  bool Opening = false; ///< within open()
   bool Connected = false;
   /// True once a response to another request was received on it.
   bool ReceivedForeignResponse = false;
@@ -220,17 +221,27 @@
         auto *Self = static_cast<ClientConnection *>(Context);
         if ((Events & BEV_EVENT_CONNECTED) != 0)
           Self->onConnected();
-        else if ((Events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+        else if (!Self->Opening &&
+                 (Events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
           Self->onEnd((Events & BEV_EVENT_EOF) != 0);
       },
       this);
   bufferevent_enable(this->Event, EV_READ | EV_WRITE);
   auto Address = toSocketAddress(this->Owner.Server);
   ++this->Owner.OpenedConnections;
-  bufferevent_socket_connect(
+  this->Opening = true;
+  int Result = bufferevent_socket_connect(
       this->Event, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
-  if (this->Event != nullptr)
+  this->Opening = false;
+  if (Result == 0) {
     setSocketOptions(bufferevent_getfd(this->Event), this->Owner.Options);
+    return;
+  }
+  // No port is free or there is no route. The caller has no id of the call yet.
+  this->Owner.Loop.post([Weak = this->weak_from_this()]() {
+    if (auto Self = Weak.lock(); Self && Self->Event != nullptr)
+      Self->onEnd(false);
+  });
 }
 
 void ClientConnection::onConnected() {
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -342,3 +342,29 @@
   Loop.run();
   CHECK(HasEnded == false);
 }
+
+// Guards against a request that could not be sent and is held until its time
+// has passed.
+TEST_CASE("HttpClient reports a connection that fails at once, from the loop",
+          "[http]") {
+  EventLoop Loop;
+  constexpr Endpoint LoopbackBroadcast{0x7fffffff, 20998};
+  HttpClient Client(Loop, LoopbackBroadcast);
+  std::optional<HttpOutcome> Outcome;
+  HttpCall Call;
+  auto Send = [&]() {
+    return Client.send(Call, [&](const HttpResponse &Value) {
+      Outcome = Value.Outcome;
+      Loop.stop();
+    });
+  };
+  (void)Send();
+  CHECK_FALSE(Outcome);
+  Loop.run();
+  CHECK(Outcome == HttpOutcome::NotConnected);
+  Outcome.reset();
+  Client.cancel(Send());
+  auto Timeout = Loop.after(Milliseconds(50), [&]() { Loop.stop(); });
+  Loop.run();
+  CHECK_FALSE(Outcome);
+}
