Refuse requests at a node that has handed over its keys

Found by looking for the cause of the late calls elsewhere: from the hand-over of its keys to the end of its process, half a second and more, limpetdrumd took requests of clients and of its target and passed them on; the end could cut them.

The entrance is closed with the hand-over and refuses everything as not run, so clients go to another node.

The sidecar does not use the entrance.

--- a/include/limpetdrum/daemon/Entrance.h
+++ b/include/limpetdrum/daemon/Entrance.h
@@ -24,6 +24,8 @@
   void onClientRequest(std::shared_ptr<HttpExchange> Exchange);
   /// \brief Handles a call from the local target.
   void onTargetCall(std::shared_ptr<HttpExchange> Exchange);
+  /// \brief Refuses all further requests: the process is about to end.
+  void close() noexcept { this->IsClosed = true; }
   /// \brief Returns the number of requests without a reply.
   [[nodiscard]] std::size_t openRequests() const noexcept {
     return this->OpenCount;
@@ -58,6 +60,7 @@
   std::mt19937_64 Random;
   RetryAfter RetryDelays;
   std::size_t OpenCount = 0;
+  bool IsClosed = false;
   std::uint64_t LastEntry = 0;
 };
 
--- a/lib/daemon/Entrance.cpp
+++ b/lib/daemon/Entrance.cpp
@@ -92,6 +92,10 @@
   ++this->OpenCount;
   E->Number = ++this->LastEntry;
   E->Start = this->Now();
+  if (this->IsClosed) {
+    this->finish(E, notRun(Reason::Draining, ShortRetryAfter));
+    return;
+  }
   E->Release = this->Releases.current();
   if (!E->Release) {
     this->finish(E, notRun(Reason::NoTarget, ShortRetryAfter));
--- a/lib/daemon/Node.cpp
+++ b/lib/daemon/Node.cpp
@@ -293,6 +293,7 @@
   if (!Idle && Elapsed < this->Config.DrainLimit)
     return;
   this->KeysHandedOver = true;
+  this->RequestEntrance.close();
   this->Keyed.handOver(
       std::nullopt,
       [this](const Member &Receiver, const auto &Records, auto OnDone) {
