Share the tests' node without I/O, and reject unknown faults in the soak

The soak ignored the name of a fault that does not exist, so a list with a typing error played less than it said; with one unknown name alone it drew from nothing. No product code changes.

--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -1,5 +1,7 @@
 #include "Soak.h"
 
+#include "limpetdrum/process/Error.h"
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -126,6 +128,8 @@
     : Loop(Loop), Config(std::move(Config)), Random(this->Config.Seed),
       Started(Loop.now()), LastLagCheck(this->Started),
       Observations(boundsOf(this->Config), servicesOf(this->Config.Nodes)) {
+  for (const auto &Name : this->Config.OnlyFaults)
+    Soak::checkFault(Name);
   this->ObjectStore =
       std::make_unique<Store>(Loop, Endpoint{Loopback, this->Config.FirstPort});
   for (const auto &Route : Routes)
@@ -141,6 +145,18 @@
 
 Soak::~Soak() = default;
 
+void Soak::checkFault(const std::string &Name) {
+  std::string Known;
+  for (const auto &Kind : FaultKinds) {
+    if (Kind.Name == Name)
+      return;
+    Known += Known.empty() ? "" : ", ";
+    Known += Kind.Name;
+  }
+  throw ValueError("fault '" + Name + "' does not exist",
+                   "choose from " + Known);
+}
+
 Endpoint Soak::address(const Node &N, std::uint16_t Offset) const {
   return {Loopback,
           static_cast<std::uint16_t>(this->Config.FirstPort +
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -29,6 +29,7 @@
     std::vector<std::string> OnlyFaults;
   };
 
+  /// \throws ValueError if a fault in \p Config does not exist.
   Soak(EventLoop &Loop, Options Config);
   ~Soak();
   Soak(const Soak &) = delete;
@@ -52,6 +53,8 @@
     unsigned Weight;
   };
   static const std::vector<FaultKind> FaultKinds;
+  /// \throws ValueError if there is no fault with this name.
+  static void checkFault(const std::string &Name);
 
   [[nodiscard]] Endpoint address(const Node &N, std::uint16_t Offset) const;
   [[nodiscard]] std::uint64_t randomBelow(std::uint64_t Bound);
--- a/unittests/CallerTest.cpp
+++ b/unittests/CallerTest.cpp
@@ -1,7 +1,5 @@
 #include "limpetdrum/daemon/Caller.h"
-#include "FakeClock.h"
-#include "MockPorts.h"
-#include "limpetdrum/daemon/Executor.h"
+#include "DaemonNode.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,46 +10,10 @@
 
 using trompeloeil::_;
 
-Member member(const std::string &Name) {
-  Member M;
-  M.Node = NodeId(Name);
-  // The incarnations are equal, as if all had started in the same microsecond.
-  M.Incarnation = Incarnation(1);
-  M.FailureDomain = FailureDomain("a");
-  M.Region = Region("home");
-  return M;
-}
-
 /// A node that calls the single node of a service, without I/O.
-struct CallingNode {
-  FakeClock Clock;
-  Metrics Counters;
-  InForce Releases;
-  LevelTable Levels;
-  Membership Members;
-  MockTarget Target;
-  MockPeers Peers;
-  limpetdrum::Clock Now = [this]() { return this->Clock.now(); };
-  Router Routes{FailureDomain("a"), Region("home"), 1};
-  Executor LocalExecutor{
-      {Incarnation(1), true, 1}, Target, Releases, Levels, Counters, Now};
-  ServiceDirectory Directory{Members};
-  Caller Calls{Members,
-               Directory,
-               Routes,
-               Levels,
-               LocalExecutor,
-               Peers,
-               Counters,
-               Now,
-               [](Microseconds, std::function<void()>) { return Timer(); }};
-
-  explicit CallingNode(const std::string &Name) : Members{member(Name), {}, 1} {
-    auto Callee = member("callee");
-    Callee.Service = ServiceName("ordering");
-    Callee.Target = TargetState::Ready;
-    static_cast<void>(this->Members.merge({Callee}, this->Clock.now()));
-  }
+struct CallingNode : DaemonNode {
+  explicit CallingNode(const std::string &Name)
+      : DaemonNode(makeMember(Name, "a"), makeOrderingMember("callee", "a")) {}
 
   AttemptId firstAttempt() {
     AttemptId Sent;
--- a/unittests/EntranceTest.cpp
+++ b/unittests/EntranceTest.cpp
@@ -1,6 +1,5 @@
 #include "limpetdrum/daemon/Entrance.h"
-#include "FakeClock.h"
-#include "MockPorts.h"
+#include "DaemonNode.h"
 
 #include <catch2/catch.hpp>
 
@@ -18,50 +17,16 @@
     routes: [{path: /ordering/check, class: check, method: GET}]
 )";
 
-Member member(const std::string &Name) {
-  Member M;
-  M.Node = NodeId(Name);
-  M.Incarnation = Incarnation(1);
-  M.FailureDomain = FailureDomain("a");
-  M.Region = Region("home");
-  return M;
-}
-
-/// A node without a target, and one other node, whose target serves a service.
-struct EntranceNode {
-  FakeClock Clock;
-  Metrics Counters;
-  InForce Releases;
-  LevelTable Levels;
-  Membership Members{member("here"), {}, 1};
-  MockTarget Target;
-  MockPeers Peers;
-  limpetdrum::Clock Now = [this]() { return this->Clock.now(); };
-  Router Routes{FailureDomain("a"), Region("home"), 1};
-  Executor LocalExecutor{
-      {Incarnation(1), true, 1}, Target, Releases, Levels, Counters, Now};
-  ServiceDirectory Directory{Members};
-  Caller Calls{Members,
-               Directory,
-               Routes,
-               Levels,
-               LocalExecutor,
-               Peers,
-               Counters,
-               Now,
-               [](Microseconds, std::function<void()>) { return Timer(); }};
+/// A node without a target, beside one whose target serves `ordering`.
+struct EntranceNode : DaemonNode {
   KeyedCalls Keyed{Members,  Directory, LocalExecutor, Calls, Releases,
                    Counters, Now};
   Entrance Requests{{},     LocalExecutor, Calls,    Keyed,
                     Levels, Releases,      Counters, Now};
 
-  EntranceNode() {
+  EntranceNode()
+      : DaemonNode(makeMember("here", "a"), makeOrderingMember("there", "a")) {
     this->Releases.offer(Release);
-    auto Other = member("there");
-    Other.Service = ServiceName("ordering");
-    Other.Target = TargetState::Ready;
-    Other.Slots = Slots(5);
-    static_cast<void>(this->Members.merge({Other}, this->Clock.now()));
   }
 
   /// \returns true if the request was answered at once.
--- a/unittests/KeyedCallsTest.cpp
+++ b/unittests/KeyedCallsTest.cpp
@@ -1,6 +1,5 @@
 #include "limpetdrum/daemon/KeyedCalls.h"
-#include "FakeClock.h"
-#include "MockPorts.h"
+#include "DaemonNode.h"
 
 #include <catch2/catch.hpp>
 #include <set>
@@ -19,53 +18,21 @@
     routes: [{path: /ordering/place, class: order, runs: once}]
 )";
 
-Member member(const std::string &Name, const std::string &Domain) {
-  Member M;
-  M.Node = NodeId(Name);
-  M.Incarnation = Incarnation(1);
-  M.FailureDomain = FailureDomain(Domain);
-  M.Region = Region("home");
-  M.Service = ServiceName("ordering");
-  M.Target = TargetState::Ready;
-  return M;
-}
-
 /// A node of a service with one other node, without I/O.
-struct KeyedNode {
-  FakeClock Clock;
-  Metrics Counters;
-  InForce Releases;
-  LevelTable Levels;
-  Membership Members{member("here", "a"), {}, 1};
-  MockTarget Target;
-  MockPeers Peers;
-  limpetdrum::Clock Now = [this]() { return this->Clock.now(); };
-  Router Routes{FailureDomain("a"), Region("home"), 1};
-  Executor LocalExecutor{
-      {Incarnation(1), true, 1}, Target, Releases, Levels, Counters, Now};
-  ServiceDirectory Directory{Members};
-  Caller Calls{Members,
-               Directory,
-               Routes,
-               Levels,
-               LocalExecutor,
-               Peers,
-               Counters,
-               Now,
-               [](Microseconds, std::function<void()>) { return Timer(); }};
+struct KeyedNode : DaemonNode {
   KeyedCalls Keyed{Members,  Directory, LocalExecutor, Calls, Releases,
                    Counters, Now};
   unsigned AnsweredCount = 0;
   std::vector<HttpClient::Callback> TargetCallbacks;
 
-  KeyedNode() {
+  KeyedNode()
+      : DaemonNode(makeOrderingMember("here", "a"),
+                   makeOrderingMember("there", "b")) {
     this->Releases.offer(Release);
     this->Members.announce(ServiceName("ordering"), Slots(5),
                            TargetState::Ready);
     this->LocalExecutor.onAnnounced(ServiceName("ordering"), Slots(5),
                                     Milliseconds(0));
-    static_cast<void>(
-        this->Members.merge({member("there", "b")}, this->Clock.now()));
   }
 
   /// Returns a client key whose home is this node and whose witness is the
@@ -195,7 +162,7 @@
     "[keys]") {
   KeyedNode Node;
   static_cast<void>(
-      Node.Members.merge({member("third", "c")}, Node.Clock.now()));
+      Node.Members.merge({makeOrderingMember("third", "c")}, Node.Clock.now()));
   std::vector<KeyCandidate> All = {{NodeId("here"), FailureDomain("a")},
                                    {NodeId("there"), FailureDomain("b")},
                                    {NodeId("third"), FailureDomain("c")}};
@@ -211,7 +178,7 @@
   }
   REQUIRE(!Shared.empty());
   REQUIRE(Shared.size() < 200);
-  auto Lost = member("there", "b");
+  auto Lost = makeOrderingMember("there", "b");
   Lost.Health = Health::Dead;
   static_cast<void>(Node.Members.merge({Lost}, Node.Clock.now()));
   std::set<std::string> Sent;
