Let targets end late work themselves before a leaving node gives up on it

Cause: the target was given the node's own deadline, less 5 ms, and the node beside the target stopped waiting at the very moment at which the target stops work. Both of our timers were earlier than the answer.

Change: work that a leaving node passes on ends at LeavePlan::workLimit(), 150 ms before it answers itself, and a target's node waits 100 ms longer than the time that it gives its target. The wire is unchanged.

Without the margins "LocalTarget awaits...", "LeavePlan has each request answered..." and "Sidecar answers each call..." fail.

--- a/include/limpetdrum/request/LeavePlan.h
+++ b/include/limpetdrum/request/LeavePlan.h
@@ -46,6 +46,10 @@
   ///   so that its answer is written before the process ends; nothing before
   ///   the leave.
   [[nodiscard]] std::optional<TimePoint> answerLimit() const;
+  /// \brief Returns the time by which the work on a request that is passed on
+  ///   has to end, so that the target's own answer returns in time; nothing
+  ///   before the leave.
+  [[nodiscard]] std::optional<TimePoint> workLimit() const;
   /// \brief Returns true if the local target is given no further runs.
   ///
   /// Before that, the other nodes have received the leave and send only
--- a/lib/daemon/calls/Forwarder.cpp
+++ b/lib/daemon/calls/Forwarder.cpp
@@ -326,9 +326,11 @@
   MeshAttempt Attempt;
   Attempt.RequestId = Request.Id;
   Attempt.Request = Request.Message;
-  auto TimeLeft = std::chrono::duration_cast<Milliseconds>(Request.Deadline -
-                                                           this->Loop.now());
-  Attempt.TimeLeft = std::max(Milliseconds(1), TimeLeft - ReturnMargin);
+  auto WorkEnd = Request.Deadline - ReturnMargin;
+  WorkEnd = std::min(WorkEnd, this->Leaving.workLimit().value_or(WorkEnd));
+  auto TimeLeft =
+      std::chrono::duration_cast<Milliseconds>(WorkEnd - this->Loop.now());
+  Attempt.TimeLeft = std::max(Milliseconds(1), TimeLeft);
   Attempt.WaitLimit = Request.Route->LatencyTarget / QueueWaitDivisor;
   Attempt.TargetId = Target.Id;
   Attempt.TargetStarted = Target.Started;
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -24,6 +24,9 @@
 /// A cancelled run that ends within this time leaves its connection usable. It
 /// is a fifth of the time within which work for a disconnected client must end.
 constexpr Milliseconds CancelGrace{100};
+/// Time for which the answer of a target is awaited after the time left that it
+/// was given: it stops then, and says so itself.
+constexpr Milliseconds FinalAnswerTime{100};
 /// Requests that are reported of one crash. A target with more slots than this
 /// may have to be crashed more often until the cause is known.
 constexpr std::size_t MaxReportsPerCrash = 1024;
@@ -276,7 +279,7 @@
   Call.Path = Request.Target;
   Call.Headers = Request.Headers;
   Call.Body = Request.Body;
-  Call.Timeout = TimeLeft;
+  Call.Timeout = TimeLeft + FinalAnswerTime;
   Call.ExpectedEcho = Run.Attempt.RequestId;
   Call.Headers.emplace_back(this->Names.TimeLeft,
                             std::to_string(TimeLeft.count()));
--- a/lib/request/LeavePlan.cpp
+++ b/lib/request/LeavePlan.cpp
@@ -26,6 +26,9 @@
 /// Time before the exit limit by which requests are answered: the shutdown of
 /// the process and one check of its leave before it.
 constexpr Milliseconds AnswerMargin{350};
+/// Time between the end of work and the answer limit, in which the target's
+/// answer returns.
+constexpr Milliseconds WorkMargin{150};
 /// Part of the exit limit that is reserved for the shutdown of the process
 /// itself.
 constexpr Milliseconds ExitMargin{300};
@@ -72,6 +75,11 @@
   return *this->BeganAt + this->ExitLimit - AnswerMargin;
 }
 
+std::optional<TimePoint> LeavePlan::workLimit() const {
+  auto Limit = this->answerLimit();
+  return Limit ? std::optional(*Limit - WorkMargin) : std::nullopt;
+}
+
 bool LeavePlan::refusesRuns(TimePoint Now) const {
   return this->ClosedAt ||
          (this->BeganAt && this->elapsed(Now) >= this->ExitLimit - RunMargin);
--- a/unittests/LeavePlanTest.cpp
+++ b/unittests/LeavePlanTest.cpp
@@ -169,6 +169,9 @@
   Plan.begin(Clock.now());
   auto Limit = Plan.answerLimit();
   REQUIRE(Limit);
+  // The answer of a target crosses two nodes.
+  REQUIRE(Plan.workLimit());
+  CHECK(*Limit - *Plan.workLimit() >= Milliseconds(100));
   Clock.advance(*Limit - Clock.now());
   Plan.close(Clock.now());
   CHECK_FALSE(Plan.mayExit(false, Clock.now()));
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -244,6 +244,20 @@
   CHECK(Fixture.Replies.back().Outcome == Outcome::NotRun);
 }
 
+// Guards against an answer of our own in place of that with which a target ends
+// work whose time has passed.
+TEST_CASE("LocalTarget awaits the answer of a target that stops in time") {
+  LocalTargetFixture Fixture;
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 100, 1)));
+  Fixture.execute(1, "t1", Milliseconds(300));
+  REQUIRE(Fixture.SentCalls.size() == 1);
+  const auto &Call = Fixture.SentCalls.front();
+  const auto *TimeLeft = findHeader(Call.Headers, HeaderNames().TimeLeft);
+  REQUIRE(TimeLeft != nullptr);
+  CHECK(*TimeLeft == "300");
+  CHECK(Call.Timeout > Milliseconds(300));
+}
+
 // Guards against calls that lose the route, rank and cohort of the request
 // whose run makes them, and so are shed apart from it.
 TEST_CASE("LocalTarget returns the call context of running attempts only") {
--- a/unittests/SidecarFixture.h
+++ b/unittests/SidecarFixture.h
@@ -271,6 +271,10 @@
         }));
   }
 
+  static constexpr const char *StoppedBody = "stopped";
+  /// Time in which an answer returns from the other node's target.
+  static constexpr Milliseconds AnswerDelay{50};
+
   /// Runs an attempt at the other node's target, which stops its work with a
   /// failure at the time left that it is given.
   void runAtPeer(Incarnation Caller, const MeshAttempt &Attempt) {
@@ -278,11 +282,12 @@
     Reply Value;
     Value.Outcome = Outcome::Answered;
     Value.Status = Attempt.TimeLeft < this->PeerRunTime ? 504 : 200;
-    this->Runs.push_back(
-        this->Loop.after(std::min(Attempt.TimeLeft, this->PeerRunTime),
-                         [this, Caller, Call = Attempt.Call, Value]() {
-                           (void)this->Peer->reply(Caller, Call, Value);
-                         }));
+    Value.Body = Value.Status == 504 ? StoppedBody : "done";
+    this->Runs.push_back(this->Loop.after(
+        std::min(Attempt.TimeLeft + AnswerDelay, this->PeerRunTime),
+        [this, Caller, Call = Attempt.Call, Value]() {
+          (void)this->Peer->reply(Caller, Call, Value);
+        }));
   }
 
   /// The process ends: all of its sockets are closed.
--- a/unittests/SidecarLeaveTest.cpp
+++ b/unittests/SidecarLeaveTest.cpp
@@ -171,6 +171,7 @@
   CHECK(Answers["r1"].Status == 200);
   CHECK(Answers["r1.1"].Outcome == HttpOutcome::Answered);
   CHECK(Answers["r1.1"].Status == 504);
+  CHECK(Answers["r1.1"].Body.text() == SidecarFixture::StoppedBody);
 }
 
 // Guards against requests that are open when the leave begins and are cut
