Build only the numbered cases in the review's second build script

Cause: the loop took every folder of review/ that holds a Case.cpp, so a folder of stand-ins with such a file would have been compared as a number.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,7 +17,7 @@
   Builds+=($!)
 done
 for Build in "${Builds[@]}"; do wait "$Build"; done
-for Case in review/*/Case.cpp; do
+for Case in review/[0-9]*/Case.cpp; do
   Number=$(basename "$(dirname "$Case")")
   [ "$Number" -ge 6 ] || continue
   g++ "${Flags[@]}" "$Case" "${Objects[@]}" target/liblimpetdrum.a \
