--- a/review/standins-2/Kit.cpp
+++ b/review/standins-2/Kit.cpp
@@ -252,7 +252,8 @@
 void Fleet::request(std::size_t Index, const std::string &Method,
                     const std::string &Path, Milliseconds TimeLeft,
                     const std::string &Body,
-                    const std::function<void(const Answer &)> &Done) {
+                    const std::function<void(const Answer &)> &Done,
+                    bool IsRetry) {
   std::ostringstream Id;
   Id << std::hex << std::setw(16) << std::setfill('0')
      << stableHash("request", ++this->LastRequest);
@@ -268,8 +269,14 @@
   const auto &Name = this->Machines.at(Index).Name;
   this->Log.add("client of " + Name + " sends " + Id.str() + " " + Method +
                 " " + Path);
-  (void)this->Clients[Index]->send(Call, [this, Name, Id = Id.str(),
-                                          Done](const HttpResponse &Response) {
+  auto *Client = this->Clients[Index].get();
+  if (IsRetry) {
+    this->RetryClients.push_back(std::make_unique<HttpClient>(
+        this->Loop, this->Machines.at(Index).at(OutboundPort)));
+    Client = this->RetryClients.back().get();
+  }
+  (void)Client->send(Call, [this, Name, Id = Id.str(),
+                            Done](const HttpResponse &Response) {
     Answer Seen{Id,
                 Response.Outcome == HttpOutcome::Answered ? Response.Status : 0,
                 this->Log.now()};
--- a/review/standins-2/Kit.h
+++ b/review/standins-2/Kit.h
@@ -119,6 +119,7 @@
   std::string RequestId;
   int Status = 0; ///< 0: none
   double At = 0;
+  double RetryAfter = 0; ///< seconds; 0: not stated
 };
 
 /// \brief Machines with their sidecars, the platform's store and clients.
@@ -139,10 +140,12 @@
   void signal(std::size_t Index, int Number);
   [[nodiscard]] std::optional<int> status(std::size_t Index);
   /// \brief Sends a client's request to a machine.
+  /// \param IsRetry true to send it on a new connection.
   void request(std::size_t Index, const std::string &Method,
                const std::string &Path, Milliseconds TimeLeft,
                const std::string &Body,
-               const std::function<void(const Answer &)> &Done);
+               const std::function<void(const Answer &)> &Done,
+               bool IsRetry = false);
   void after(Milliseconds Delay, std::function<void()> Action);
   void every(Milliseconds Period, std::function<void()> Action);
   std::vector<Run> Runs;
@@ -158,6 +161,7 @@
   std::vector<Machine> Machines;
   std::vector<std::unique_ptr<bench::Process>> Processes;
   std::vector<std::unique_ptr<HttpClient>> Clients;
+  std::vector<std::unique_ptr<HttpClient>> RetryClients;
   std::vector<Timer> Timers;
   std::uint64_t LastRequest = 0;
   std::uint64_t Version = 4;
