Count what targets and nodes answer before it is kept, and give up the longest

What callers saw: another operator's node kept bytes without end from a faulty target until its memory was used up, and all requests in flight there ended.

Cause: a trailer or the extension of a chunk was kept in front of the parser without a limit, since the limit on headers is checked only for whole ones. A body had a limit of 4 MiB, but nothing bounded the sum over the connections: answers counted beyond the limit of the budget, and requests of other clients were refused while they did.

Change: AnswerMemory has a limit, and an answer takes memory before its bytes are kept. If it is used up, the longest answer that is still being received is given up. Requests have a budget of their own, so that answers do not take it; they are refused only while complete answers wait for slow readers. What waits in front of a parser is limited by the limit on headers. The log says why an answer was broken off. Replies between nodes follow the same rule; nothing changes on the wire.

--- a/include/limpetdrum/connection/BodyParts.h
+++ b/include/limpetdrum/connection/BodyParts.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETDRUM_CONNECTION_BODYPARTS_H
 #define LIMPETDRUM_CONNECTION_BODYPARTS_H
 
+#include "limpetdrum/process/AnswerMemory.h"
 #include "limpetdrum/process/Body.h"
 #include "limpetdrum/process/Types.h"
 
@@ -8,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace limpetdrum {
@@ -54,11 +56,14 @@
     Microseconds Duration; ///< from the message to the last part
   };
 
+  /// \brief Memory for a body: of an attempt, or of a reply that may still be
+  ///   given up.
+  using Memory =
+      std::variant<MemoryBudget::Share, std::unique_ptr<AnswerMemory::Receipt>>;
+
   /// \brief Expects the body of a message.
-  /// \param Held memory for the body.
   void begin(std::uint64_t Call, std::size_t Bytes,
-             std::vector<unsigned char> Message, MemoryBudget::Share Held,
-             TimePoint Now);
+             std::vector<unsigned char> Message, Memory Held, TimePoint Now);
   /// \brief Adds a part. Parts of bodies that are not expected are ignored.
   /// \returns the message if its body is complete.
   /// \throws ValueError if the body becomes longer than announced.
@@ -66,13 +71,16 @@
   append(std::uint64_t Call, std::string_view Bytes, TimePoint Now);
   /// \brief Forgets a body that is no longer needed, if there is one.
   void drop(std::uint64_t Call) { this->Incoming.erase(Call); }
+  /// \brief Frees a body that was given up, and ignores its further parts.
+  /// \returns its message; empty if it is not expected.
+  [[nodiscard]] std::vector<unsigned char> giveUp(std::uint64_t Call);
   [[nodiscard]] bool empty() const noexcept { return this->Incoming.empty(); }
 
 private:
   struct Partial {
     std::size_t Bytes = 0;
     std::vector<unsigned char> Message;
-    MemoryBudget::Share Held;
+    Memory Held;
     TimePoint BeganAt;
     std::string Text;
   };
--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -3,6 +3,7 @@
 
 #include "limpetdrum/Config.h"
 #include "limpetdrum/connection/EventLoop.h"
+#include "limpetdrum/process/AnswerMemory.h"
 #include "limpetdrum/process/Body.h"
 
 #include <functional>
@@ -110,6 +111,8 @@
   std::size_t MaxUnreadBytes = 256U * 1024U;
   /// Memory for the bodies of requests, shared with others; null: no limit.
   MemoryBudget *Memory = nullptr;
+  /// Returns true while there is no memory for further answers; unset: never.
+  std::function<bool()> IsMemoryScarce;
 };
 
 /// \brief HTTP/1.1 server on one address.
@@ -153,8 +156,20 @@
   TimedOut,     ///< no complete response within HttpCall::Timeout
 };
 
+/// \brief Why a response is HttpOutcome::Broken.
+enum class HttpDefect : std::uint8_t {
+  None,
+  Ended,     ///< the connection ended before the end of the response
+  Malformed, ///< bytes that are no response
+  TooLong,   ///< a header or the body exceeds its limit
+  NoMemory,  ///< given up for want of memory
+  Unrelated, ///< too many interim responses, or responses to other requests
+};
+[[nodiscard]] const char *toString(HttpDefect Value) noexcept;
+
 struct HttpResponse {
   HttpOutcome Outcome = HttpOutcome::Broken;
+  HttpDefect Defect = HttpDefect::None;
   int Status = 0;
   HttpHeaders Headers;
   limpetdrum::Body Body;
@@ -183,8 +198,8 @@
   /// True if the end of the connection may end a body; a reset never does.
   bool AcceptCloseDelimited = false;
   std::size_t MaxBodyBytes = limpetdrum::MaxBodyBytes;
-  /// Memory in which the bodies of responses count; null: they count nowhere.
-  MemoryBudget *Memory = nullptr;
+  /// Memory in which responses count; null: they count nowhere.
+  AnswerMemory *Memory = nullptr;
   /// Idle connections are closed this long before the server's idle timeout.
   Milliseconds IdleMargin{500};
   /// True to detect a connection that has gone silent while a response is
--- a/include/limpetdrum/connection/PeerLink.h
+++ b/include/limpetdrum/connection/PeerLink.h
@@ -2,6 +2,7 @@
 #define LIMPETDRUM_CONNECTION_PEERLINK_H
 
 #include "limpetdrum/connection/EventLoop.h"
+#include "limpetdrum/connection/LinkMemory.h"
 #include "limpetdrum/process/Body.h"
 
 #include "Mesh.capnp.h"
@@ -47,11 +48,10 @@
 
   /// \brief Starts to connect to \p Peer.
   PeerLink(EventLoop &Loop, Endpoint Peer, Events Callbacks,
-           Format WireFormat = Format::Plain, MemoryBudget *Memory = nullptr);
+           Format WireFormat = Format::Plain, LinkMemory Memory = {});
   /// \brief Takes ownership of an accepted socket.
-  /// \param Memory for the bodies of attempts and replies; null: no limit.
   PeerLink(EventLoop &Loop, int Socket, Events Callbacks,
-           MemoryBudget *Memory = nullptr);
+           LinkMemory Memory = {});
   ~PeerLink();
   PeerLink(const PeerLink &) = delete;
   PeerLink &operator=(const PeerLink &) = delete;
--- a/include/limpetdrum/daemon/fleet/IncomingLinks.h
+++ b/include/limpetdrum/daemon/fleet/IncomingLinks.h
@@ -38,9 +38,8 @@
     std::function<std::string()> PolicyText;
   };
 
-  /// \param Memory for the bodies of attempts; null: no limit.
   IncomingLinks(EventLoop &Loop, EventLog &Log, Metrics &Counters,
-                MemoryBudget *Memory);
+                LinkMemory Memory);
   ~IncomingLinks();
   IncomingLinks(const IncomingLinks &) = delete;
   IncomingLinks &operator=(const IncomingLinks &) = delete;
@@ -79,7 +78,7 @@
   EventLoop &Loop;
   EventLog &Log;
   Metrics &Counters;
-  MemoryBudget *Memory;
+  LinkMemory Memory;
   Handlers Callbacks;
   std::unique_ptr<PeerListener> Listener;
   std::map<std::uint64_t, std::unique_ptr<IncomingLink>> Links;
--- a/include/limpetdrum/daemon/fleet/Mesh.h
+++ b/include/limpetdrum/daemon/fleet/Mesh.h
@@ -61,9 +61,8 @@
     std::function<std::string()> PolicyText;
   };
 
-  /// \param Memory for the bodies of attempts and replies; null: no limit.
   Mesh(EventLoop &Loop, Contact Self, Incarnation Current, EventLog &Log,
-       Metrics &Counters, MemoryBudget *Memory = nullptr);
+       Metrics &Counters, LinkMemory Memory = {});
   ~Mesh();
   Mesh(const Mesh &) = delete;
   Mesh &operator=(const Mesh &) = delete;
@@ -175,7 +174,7 @@
   Incarnation Current;
   EventLog &Log;
   Metrics &Counters;
-  MemoryBudget *Memory;
+  LinkMemory Memory;
   Handlers Callbacks;
   IncomingLinks Incoming;
   std::map<NodeId, Peer> Peers;
--- a/include/limpetdrum/daemon/fleet/MeshCodec.h
+++ b/include/limpetdrum/daemon/fleet/MeshCodec.h
@@ -113,9 +113,11 @@
 [[nodiscard]] MeshOrganisationUsage
 decode(mesh::OrganisationUsage::Reader Reader);
 [[nodiscard]] CrashNews decode(mesh::Crashes::Reader Reader);
-/// \param Memory in which its body counts; null: nowhere.
+/// \param Memory for its body; without the memory, the outcome of the attempt
+/// is
+///   unknown. Null: no limit.
 [[nodiscard]] Reply decode(mesh::Reply::Reader Reader,
-                           MemoryBudget *Memory = nullptr);
+                           AnswerMemory *Memory = nullptr);
 
 } // namespace codec
 
--- a/include/limpetdrum/process/MemoryBudget.h
+++ b/include/limpetdrum/process/MemoryBudget.h
@@ -7,10 +7,10 @@
 
 namespace limpetdrum {
 
-/// \brief Bytes that a process may hold in the bodies of requests and answers.
+/// \brief Bytes that a process may hold in messages.
 ///
-/// The lengths of bodies are chosen by clients and targets, so nothing else
-/// bounds their sum.
+/// Their lengths are chosen by clients, targets and other nodes, so nothing
+/// else bounds their sum.
 class MemoryBudget {
   struct Account {
     std::size_t Limit;
@@ -47,12 +47,8 @@
   [[nodiscard]] std::size_t limit() const noexcept {
     return this->State->Limit;
   }
-  /// \brief Takes \p Bytes for a request that can still be refused.
   /// \returns nothing if the budget is used up or does not have them.
   [[nodiscard]] std::optional<Share> take(std::size_t Bytes);
-  /// \brief Takes \p Bytes for an answer that has to be delivered, even beyond
-  ///   the limit; until they are given back, requests are refused.
-  [[nodiscard]] Share takeAlways(std::size_t Bytes);
 
 private:
   std::shared_ptr<Account> State;
--- a/lib/connection/BodyParts.cpp
+++ b/lib/connection/BodyParts.cpp
@@ -47,8 +47,8 @@
 }
 
 void BodyReceiver::begin(std::uint64_t Call, std::size_t Bytes,
-                         std::vector<unsigned char> Message,
-                         MemoryBudget::Share Held, TimePoint Now) {
+                         std::vector<unsigned char> Message, Memory Held,
+                         TimePoint Now) {
   auto &Started = this->Incoming[Call];
   Started = {Bytes, std::move(Message), std::move(Held), Now, {}};
   Started.Text.reserve(Bytes);
@@ -69,11 +69,25 @@
   Known.Text.append(Bytes);
   if (Known.Text.size() < Known.Bytes)
     return std::nullopt;
+  auto *Receipt =
+      std::get_if<std::unique_ptr<AnswerMemory::Receipt>>(&Known.Held);
+  auto Held = Receipt != nullptr
+                  ? (*Receipt)->complete()
+                  : std::get<MemoryBudget::Share>(std::move(Known.Held));
   Complete Result{std::move(Known.Message),
-                  {std::move(Known.Text), std::move(Known.Held)},
+                  {std::move(Known.Text), std::move(Held)},
                   Now - Known.BeganAt};
   this->Incoming.erase(Found);
   return Result;
 }
 
+std::vector<unsigned char> BodyReceiver::giveUp(std::uint64_t Call) {
+  auto Found = this->Incoming.find(Call);
+  if (Found == this->Incoming.end())
+    return {};
+  auto Message = std::move(Found->second.Message);
+  this->Incoming.erase(Found);
+  return Message;
+}
+
 } // namespace limpetdrum
--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "limpetdrum/connection/SocketAddress.h"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -61,6 +62,19 @@
       std::strtoul(Value->c_str() + Position + Key.size(), nullptr, 10));
 }
 
+/// Returns why a response that was read this way is unusable.
+HttpDefect defectOf(impl::ParseResult Result) {
+  switch (Result) {
+  case impl::ParseResult::HeaderTooLarge:
+  case impl::ParseResult::BodyTooLarge:
+    return HttpDefect::TooLong;
+  case impl::ParseResult::NoMemory:
+    return HttpDefect::NoMemory;
+  default:
+    return HttpDefect::Malformed;
+  }
+}
+
 /// Returns the request line and the headers of a request.
 std::string serializeHead(const HttpCall &Call, Endpoint Server) {
   std::string Text = Call.Method + " " + Call.Path + " HTTP/1.1\r\n";
@@ -83,6 +97,12 @@
   return Value == nullptr ? "" : *Value;
 }
 
+const char *toString(HttpDefect Value) noexcept {
+  static constexpr std::array<const char *, 6> Names = {
+      "none", "ended", "malformed", "too-long", "no-memory", "unrelated"};
+  return Names.at(static_cast<std::size_t>(Value));
+}
+
 /// Connection that carries one request at a time.
 struct ClientConnection : std::enable_shared_from_this<ClientConnection> {
   HttpClient::State &Owner;
@@ -118,9 +138,13 @@
       this->FailedRequests.pop_front();
   }
   void open();
+  /// Prepares to read a response.
+  void expectResponse(bool IsHead);
   void onConnected();
   void onReadable();
   void onEnd(bool Orderly);
+  /// Handles that the response was given up in favour of another.
+  void onGivenUp();
 };
 
 struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
@@ -196,6 +220,13 @@
     Call.Done(std::move(Response));
   }
 
+  /// Ends a call whose response is unusable.
+  void fail(std::uint64_t CallId, HttpDefect Defect) {
+    HttpResponse Response;
+    Response.Defect = Defect;
+    this->finish(CallId, std::move(Response), false);
+  }
+
   void removeIdle(ClientConnection *Connection) {
     auto Position =
         std::find_if(this->Idle.begin(), this->Idle.end(),
@@ -226,6 +257,8 @@
           Self->onEnd((Events & BEV_EVENT_EOF) != 0);
       },
       this);
+  // The parser takes headers only as a whole, so they have to fit.
+  bufferevent_setwatermark(this->Event, EV_READ, 0, 2 * MaxHeaderBytes);
   bufferevent_enable(this->Event, EV_READ | EV_WRITE);
   auto Address = toSocketAddress(this->Owner.Server);
   ++this->Owner.OpenedConnections;
@@ -254,6 +287,24 @@
   this->Owner.finish(this->CallId, std::move(Response), true);
 }
 
+void ClientConnection::expectResponse(bool IsHead) {
+  // Given up within the callback of another connection, or of this one.
+  auto OnGivenUp = [this]() {
+    this->Owner.Loop.post([Weak = this->weak_from_this()]() {
+      if (auto Self = Weak.lock())
+        Self->onGivenUp();
+    });
+  };
+  this->Parser.emplace(IsHead, this->Owner.Options.MaxBodyBytes,
+                       this->Owner.Options.Memory, OnGivenUp);
+}
+
+void ClientConnection::onGivenUp() {
+  auto Found = this->Owner.Calls.find(this->CallId);
+  if (Found != this->Owner.Calls.end())
+    this->Owner.fail(this->CallId, HttpDefect::NoMemory);
+}
+
 void ClientConnection::onReadable() {
   if (this->CallId == 0) {
     // Bytes without a request: later responses could be mismatched, so the
@@ -268,24 +319,26 @@
     if (Result == impl::ParseResult::NeedMore)
       return;
     if (Result != impl::ParseResult::Done) {
-      this->Owner.finish(this->CallId, {}, false);
+      this->Owner.fail(this->CallId, defectOf(Result));
       return;
     }
     auto &Call = Calls.at(this->CallId);
     HttpResponse Response;
     bool KeepAlive = this->Parser->keepAlive();
-    this->Parser->release(Response);
+    if (!this->Parser->release(Response)) {
+      this->Owner.fail(this->CallId, HttpDefect::NoMemory);
+      return;
+    }
     bool Ignored = Response.Status < 200;
     if (!Ignored && !this->Owner.Options.EchoHeader.empty() &&
         !Call.Echo.empty())
       Ignored = Response.header(this->Owner.Options.EchoHeader) != Call.Echo;
     if (Ignored) {
       if (++this->SkippedResponses > MaxSkippedResponses) {
-        this->Owner.finish(this->CallId, {}, false);
+        this->Owner.fail(this->CallId, HttpDefect::Unrelated);
         return;
       }
-      this->Parser.emplace(Call.IsHead, this->Owner.Options.MaxBodyBytes,
-                           this->Owner.Options.Memory);
+      this->expectResponse(Call.IsHead);
       if (Response.Status >= 200)
         this->ReceivedForeignResponse = true;
       continue;
@@ -312,13 +365,15 @@
   if (!this->Connected && (HasSocket || !IsConnectOnly))
     Response.Outcome = HttpOutcome::NotConnected;
   else if (Orderly && this->Owner.Options.AcceptCloseDelimited &&
-           this->Parser->isCloseDelimited() && this->Parser->finishAtClose()) {
-    this->Parser->release(Response);
+           this->Parser->isCloseDelimited() && this->Parser->finishAtClose() &&
+           this->Parser->release(Response)) {
     const auto &Call = this->Owner.Calls.at(this->CallId);
     const auto &Echo = this->Owner.Options.EchoHeader;
     if (Echo.empty() || Call.Echo.empty() || Response.header(Echo) == Call.Echo)
       Response.Outcome = HttpOutcome::Answered;
   }
+  if (Response.Outcome == HttpOutcome::Broken)
+    Response.Defect = HttpDefect::Ended;
   this->Owner.finish(this->CallId, std::move(Response), false);
 }
 
@@ -340,8 +395,7 @@
   auto CallId = ++Self.LastCallId;
   Connection->CallId = CallId;
   Connection->SkippedResponses = 0;
-  Connection->Parser.emplace(Call.Method == "HEAD", Self.Options.MaxBodyBytes,
-                             Self.Options.Memory);
+  Connection->expectResponse(Call.Method == "HEAD");
   auto &Pending = Self.Calls[CallId];
   Pending.Connection = Connection;
   Pending.Done = std::move(Done);
--- a/lib/connection/HttpParser.cpp
+++ b/lib/connection/HttpParser.cpp
@@ -54,38 +54,58 @@
 namespace {
 
 /// Body that is being received. One of unknown length is kept in blocks, so
-/// that it is not copied while it grows.
+/// that it is not copied while it grows. Memory is taken before it is used.
 class ReceivedBody {
 public:
-  /// \param Source budget of the body; null: none.
-  /// \param IsRequired true if the body counts beyond the limit, too.
-  void bind(MemoryBudget *Source, bool IsRequired) {
-    this->Source = Source;
-    this->IsRequired = IsRequired;
+  /// \param Source budget of a request's body; null: none.
+  void bind(MemoryBudget *Source) { this->Source = Source; }
+  /// \param Source memory of an answer's body.
+  /// \param OnGivenUp called if the answer is given up in favour of another;
+  ///   its bytes have been freed then.
+  void bind(AnswerMemory &Source, std::function<void()> OnGivenUp) {
+    this->Receipt = std::make_unique<AnswerMemory::Receipt>(
+        Source, [this, OnGivenUp = std::move(OnGivenUp)]() {
+          this->Blocks.clear();
+          OnGivenUp();
+        });
   }
 
-  /// Takes the memory for a body of a known length.
+  /// Takes the memory for a request's body of a known length.
   /// \returns false if the budget does not have it.
   [[nodiscard]] bool expect(std::size_t Length) {
     this->Expected = Length;
-    return this->reserve(Length);
+    // The length of an answer is a claim that its sender may not keep.
+    return this->Receipt != nullptr || this->take(Length);
   }
 
-  /// \returns false if the budget does not have the memory.
+  /// \returns false if there is no memory for the bytes.
   [[nodiscard]] bool append(const char *Bytes, std::size_t Added) {
-    if (this->Size + Added > this->Reserved &&
-        !this->reserve(std::max(Added, this->nextBlock())))
-      return false;
-    this->Size += Added;
     if (this->Blocks.empty() ||
         this->Blocks.back().size() + Added > this->Blocks.back().capacity()) {
-      auto Capacity = std::max({Added, this->Expected, this->nextBlock()});
+      auto Capacity = std::max(Added, this->nextBlock());
+      if (!this->isReserved(Capacity) && !this->take(Capacity))
+        return false;
       this->Blocks.emplace_back().reserve(Capacity);
     }
+    this->Size += Added;
     this->Blocks.back().append(Bytes, Added);
     return true;
   }
 
+  /// Takes memory for what is kept beside the body.
+  /// \returns false if there is none.
+  [[nodiscard]] bool take(std::size_t Bytes) {
+    if (this->Receipt != nullptr)
+      return this->Receipt->take(Bytes);
+    if (this->Source == nullptr)
+      return true;
+    auto Share = this->Source->take(Bytes);
+    if (!Share)
+      return false;
+    this->Held.grow(std::move(*Share));
+    return true;
+  }
+
   [[nodiscard]] Body release() {
     std::string Text;
     if (this->Blocks.size() == 1) {
@@ -96,6 +116,8 @@
       for (; !this->Blocks.empty(); this->Blocks.pop_front())
         Text.append(this->Blocks.front());
     }
+    if (this->Receipt != nullptr)
+      this->Held = this->Receipt->complete();
     return {std::move(Text), std::move(this->Held)};
   }
 
@@ -103,33 +125,24 @@
   static constexpr std::size_t MinBlockBytes = 4096;
   static constexpr std::size_t MaxBlockBytes = 256U * 1024U;
 
-  /// Returns the size of the next block of a body of unknown length.
-  [[nodiscard]] std::size_t nextBlock() const {
-    if (this->Expected > 0)
-      return 0;
-    return std::clamp(this->Size, MinBlockBytes, MaxBlockBytes);
+  /// Returns true if memory for a block was taken with the length.
+  [[nodiscard]] bool isReserved(std::size_t Capacity) const {
+    return this->Receipt == nullptr && this->Size + Capacity <= this->Expected;
   }
 
-  bool reserve(std::size_t Added) {
-    this->Reserved += Added;
-    if (this->Source == nullptr)
-      return true;
-    if (this->IsRequired) {
-      this->Held.grow(this->Source->takeAlways(Added));
-      return true;
-    }
-    auto Share = this->Source->take(Added);
-    if (!Share)
-      return false;
-    this->Held.grow(std::move(*Share));
-    return true;
+  [[nodiscard]] std::size_t nextBlock() const {
+    auto Grown = std::clamp(this->Size, MinBlockBytes, MaxBlockBytes);
+    if (this->Expected <= this->Size)
+      return Grown;
+    auto Missing = this->Expected - this->Size;
+    return this->Receipt == nullptr ? Missing
+                                    : std::min(Missing, MaxBlockBytes);
   }
 
   MemoryBudget *Source = nullptr;
-  bool IsRequired = false;
+  std::unique_ptr<AnswerMemory::Receipt> Receipt; ///< null for a request
   std::size_t Expected = 0; ///< 0 if the length is unknown
   std::size_t Size = 0;
-  std::size_t Reserved = 0;
   std::deque<std::string> Blocks;
   MemoryBudget::Share Held;
 };
@@ -171,8 +184,11 @@
   };
 };
 
+/// \param MaxUnreadBytes length of a header, trailer or chunk header above
+///   which it is malformed; the parser takes each only as a whole.
 template <typename Parser>
-ParseResult feed(Parser &Reader, evbuffer *Input, bool &Started) {
+ParseResult feed(Parser &Reader, evbuffer *Input, std::size_t MaxUnreadBytes,
+                 bool &Started) {
   while (evbuffer_get_length(Input) > 0) {
     auto Size = evbuffer_get_length(Input);
     const auto *Bytes = evbuffer_pullup(Input, -1);
@@ -181,9 +197,10 @@
     evbuffer_drain(Input, Consumed);
     Started = true;
     if (Error == http::error::need_more) {
-      if (Consumed == 0)
-        return ParseResult::NeedMore;
-      continue;
+      if (Consumed != 0)
+        continue;
+      return Size < MaxUnreadBytes ? ParseResult::NeedMore
+                                   : ParseResult::HeaderTooLarge;
     }
     if (Error == http::error::header_limit)
       return ParseResult::HeaderTooLarge;
@@ -213,6 +230,7 @@
 
 struct RequestParser::State {
   std::optional<http::request_parser<BlockBody>> Parser;
+  std::size_t MaxHeaderBytes = 0;
   bool ContinueSent = false;
 };
 
@@ -222,16 +240,18 @@
 void RequestParser::reset(std::size_t MaxHeaders, std::size_t MaxBody,
                           MemoryBudget *Memory) {
   this->Impl->Parser.emplace();
-  this->Impl->Parser->get().body().bind(Memory, false);
+  this->Impl->Parser->get().body().bind(Memory);
   this->Impl->Parser->eager(true);
   this->Impl->Parser->header_limit(static_cast<std::uint32_t>(MaxHeaders));
   this->Impl->Parser->body_limit(MaxBody);
+  this->Impl->MaxHeaderBytes = MaxHeaders;
   this->Impl->ContinueSent = false;
   this->Started = false;
 }
 
 ParseResult RequestParser::read(evbuffer *Input) {
-  return feed(*this->Impl->Parser, Input, this->Started);
+  return feed(*this->Impl->Parser, Input, this->Impl->MaxHeaderBytes,
+              this->Started);
 }
 
 bool RequestParser::takeExpectContinue() {
@@ -266,9 +286,11 @@
 };
 
 ResponseParser::ResponseParser(bool IsHead, std::size_t MaxBody,
-                               MemoryBudget *Memory)
+                               AnswerMemory *Memory,
+                               std::function<void()> OnGivenUp)
     : Impl(std::make_unique<State>()) {
-  this->Impl->Parser.get().body().bind(Memory, true);
+  if (Memory != nullptr)
+    this->Impl->Parser.get().body().bind(*Memory, std::move(OnGivenUp));
   this->Impl->Parser.eager(true);
   this->Impl->Parser.skip(IsHead);
   this->Impl->Parser.header_limit(MaxHeaderBytes);
@@ -278,7 +300,7 @@
 ResponseParser::~ResponseParser() = default;
 
 ParseResult ResponseParser::read(evbuffer *Input) {
-  return feed(this->Impl->Parser, Input, this->Impl->Started);
+  return feed(this->Impl->Parser, Input, MaxHeaderBytes, this->Impl->Started);
 }
 
 bool ResponseParser::finishAtClose() {
@@ -297,11 +319,18 @@
   return this->Impl->Parser.get().keep_alive();
 }
 
-void ResponseParser::release(HttpResponse &Response) {
+bool ResponseParser::release(HttpResponse &Response) {
+  const auto &Received = this->Impl->Parser.get();
+  std::size_t HeaderBytes = 0;
+  for (const auto &Field : Received)
+    HeaderBytes += Field.name_string().size() + Field.value().size();
+  if (!this->Impl->Parser.get().body().take(HeaderBytes))
+    return false;
   auto Message = this->Impl->Parser.release();
   Response.Status = static_cast<int>(Message.result_int());
   Response.Headers = headersOf(Message);
   Response.Body = Message.body().release();
+  return true;
 }
 
 void addBody(evbuffer *Output, const Body &Value) {
--- a/lib/connection/HttpParser.h
+++ b/lib/connection/HttpParser.h
@@ -13,7 +13,7 @@
   Done,
   HeaderTooLarge,
   BodyTooLarge,
-  NoMemory, ///< the budget does not have the memory for the body
+  NoMemory, ///< there is no memory for the body
   Malformed,
 };
 
@@ -50,8 +50,11 @@
 class ResponseParser {
 public:
   /// \param IsHead true for the response to a HEAD request, which has no body.
-  /// \param Memory in which the body counts; null: nowhere.
-  ResponseParser(bool IsHead, std::size_t MaxBodyBytes, MemoryBudget *Memory);
+  /// \param Memory in which the response counts; null: nowhere.
+  /// \param OnGivenUp called if the response is given up in favour of another,
+  ///   maybe while that one is read.
+  ResponseParser(bool IsHead, std::size_t MaxBodyBytes, AnswerMemory *Memory,
+                 std::function<void()> OnGivenUp = nullptr);
   ~ResponseParser();
   /// \brief Consumes bytes of \p Input up to the end of the response.
   [[nodiscard]] ParseResult read(evbuffer *Input);
@@ -62,7 +65,8 @@
   [[nodiscard]] bool isCloseDelimited() const;
   [[nodiscard]] bool keepAlive() const;
   /// \brief Moves the status, headers and body to \p Response.
-  void release(HttpResponse &Response);
+  /// \returns false if there is no memory for them.
+  [[nodiscard]] bool release(HttpResponse &Response);
 
 private:
   struct State;
--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -131,9 +131,8 @@
     Request.Started = *this->RequestStarted;
     if (IsUnread)
       Request.Body = {};
-    const auto *Memory = this->Server->Options.Memory;
-    Request.ExceedsMemory =
-        IsUnread || (Memory != nullptr && Memory->used() > Memory->limit());
+    const auto &IsScarce = this->Server->Options.IsMemoryScarce;
+    Request.ExceedsMemory = IsUnread || (IsScarce && IsScarce());
     this->beginRequest();
     // After a body that is not read no further request can be found.
     this->handle(std::move(Request), KeepAlive && !IsUnread);
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -52,6 +52,19 @@
   return encodeFrame(Message);
 }
 
+/// Runs an action that reads a message.
+/// \returns false if it found the message malformed.
+template <typename Action> bool isWellFormed(Action Read) {
+  try {
+    Read();
+    return true;
+  } catch (const kj::Exception &) {
+    return false;
+  } catch (const ValueError &) {
+    return false;
+  }
+}
+
 void setSocketOptions(evutil_socket_t Socket) {
   int Enable = 1;
   setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &Enable, sizeof(Enable));
@@ -80,7 +93,7 @@
   bufferevent *Event = nullptr;
   bool Connected = false;
   bool Stopped = false;
-  MemoryBudget *Memory;
+  LinkMemory Memory;
   bool TakesParts = false; ///< the peer
   TimePoint LastRead;
   BodySender Bodies;
@@ -93,7 +106,7 @@
   std::string Inflated;         ///< decompressed bytes
   std::size_t InflatedUsed = 0; ///< bytes of them already delivered
 
-  State(EventLoop &Loop, Events Callbacks, MemoryBudget *Memory)
+  State(EventLoop &Loop, Events Callbacks, LinkMemory Memory)
       : Loop(Loop), Callbacks(std::move(Callbacks)), Memory(Memory),
         LastRead(Loop.now()) {}
 
@@ -217,22 +230,20 @@
 
   /// \returns false if the message is malformed.
   bool deliver() {
-    try {
+    bool IsValid = true;
+    bool IsReadable = isWellFormed([&]() {
       kj::ArrayInputStream Input(
           kj::arrayPtr(this->Packed.data(), this->Packed.size()));
       capnp::PackedMessageReader Message(Input);
       auto Frame = Message.getRoot<mesh::Frame>();
       if (Frame.isPart())
-        return this->onPart(Frame.getPart());
-      if (Frame.getBodyCall() != 0)
-        return this->beginBody(Frame);
-      this->Callbacks.OnFrame(Frame, {});
-      return true;
-    } catch (const kj::Exception &) {
-      return false;
-    } catch (const ValueError &) {
-      return false;
-    }
+        this->onPart(Frame.getPart());
+      else if (Frame.getBodyCall() != 0)
+        IsValid = this->beginBody(Frame);
+      else
+        this->Callbacks.OnFrame(Frame, {});
+    });
+    return IsReadable && IsValid;
   }
 
   /// Handles a message whose body follows in parts.
@@ -246,40 +257,75 @@
       this->Callbacks.OnFrame(Frame, std::move(Missing));
       return true;
     }
-    MemoryBudget::Share Held;
-    if (this->Memory != nullptr && Frame.isReply()) {
-      Held = this->Memory->takeAlways(Bytes);
-    } else if (this->Memory != nullptr) {
-      auto Share = this->Memory->take(Bytes);
-      if (!Share) {
-        Missing.ExceedsMemory = true;
-        this->Callbacks.OnFrame(Frame, std::move(Missing));
-        return true;
-      }
-      Held = std::move(*Share);
+    auto Held = this->takeMemory(Frame);
+    if (!Held) {
+      Missing.ExceedsMemory = true;
+      this->Callbacks.OnFrame(Frame, std::move(Missing));
+      return true;
     }
     this->IncomingBodies.begin(Frame.getBodyCall(), Bytes, this->Packed,
-                               std::move(Held), this->Loop.now());
+                               std::move(*Held), this->Loop.now());
     return true;
   }
 
-  bool onPart(mesh::Part::Reader Part) {
+  /// Takes the memory for the body of a message.
+  /// \returns nothing if there is none.
+  std::optional<BodyReceiver::Memory> takeMemory(mesh::Frame::Reader Frame) {
+    auto Bytes = Frame.getBodyBytes();
+    if (!Frame.isReply()) {
+      if (this->Memory.Requests == nullptr)
+        return MemoryBudget::Share();
+      auto Share = this->Memory.Requests->take(Bytes);
+      return Share ? std::optional<BodyReceiver::Memory>(std::move(*Share))
+                   : std::nullopt;
+    }
+    if (this->Memory.Answers == nullptr)
+      return MemoryBudget::Share();
+    auto Receipt = std::make_unique<AnswerMemory::Receipt>(
+        *this->Memory.Answers,
+        [this, Call = Frame.getBodyCall()]() { this->onGivenUp(Call); });
+    if (!Receipt->take(Bytes))
+      return std::nullopt;
+    return Receipt;
+  }
+
+  /// Handles that a reply was given up in favour of another, maybe within the
+  /// callback of another link.
+  void onGivenUp(std::uint64_t Call) {
+    this->Loop.post([Weak = this->weak_from_this(),
+                     Message = this->IncomingBodies.giveUp(Call)]() {
+      auto Self = Weak.lock();
+      if (!Self || Self->Event == nullptr || Message.empty())
+        return;
+      FrameBody Missing;
+      Missing.IsMissing = true;
+      Missing.ExceedsMemory = true;
+      if (!isWellFormed(
+              [&]() { Self->deliverMessage(Message, std::move(Missing)); }))
+        Self->fail();
+    });
+  }
+
+  void deliverMessage(const std::vector<unsigned char> &Packed,
+                      FrameBody Received) {
+    kj::ArrayInputStream Input(kj::arrayPtr(Packed.data(), Packed.size()));
+    capnp::PackedMessageReader Message(Input);
+    this->Callbacks.OnFrame(Message.getRoot<mesh::Frame>(),
+                            std::move(Received));
+  }
+
+  void onPart(mesh::Part::Reader Part) {
     auto Data = Part.getData();
     auto Complete = this->IncomingBodies.append(
         Part.getCall(),
         {reinterpret_cast<const char *>(Data.begin()), Data.size()},
         this->Loop.now());
     if (!Complete)
-      return true;
-    kj::ArrayInputStream Input(
-        kj::arrayPtr(Complete->Message.data(), Complete->Message.size()));
-    capnp::PackedMessageReader Message(Input);
+      return;
     FrameBody Received;
     Received.Content = std::move(Complete->Content);
     Received.Duration = Complete->Duration;
-    this->Callbacks.OnFrame(Message.getRoot<mesh::Frame>(),
-                            std::move(Received));
-    return true;
+    this->deliverMessage(Complete->Message, std::move(Received));
   }
 
   void write(const std::string &Bytes) {
@@ -329,7 +375,7 @@
 };
 
 PeerLink::PeerLink(EventLoop &Loop, Endpoint Peer, Events Callbacks,
-                   Format WireFormat, MemoryBudget *Memory)
+                   Format WireFormat, LinkMemory Memory)
     : Impl(std::make_shared<State>(Loop, std::move(Callbacks), Memory)) {
   this->Impl->attach(-1);
   this->Impl->setFormat(WireFormat);
@@ -345,7 +391,7 @@
 }
 
 PeerLink::PeerLink(EventLoop &Loop, int Socket, Events Callbacks,
-                   MemoryBudget *Memory)
+                   LinkMemory Memory)
     : Impl(std::make_shared<State>(Loop, std::move(Callbacks), Memory)) {
   setSocketOptions(Socket);
   this->Impl->attach(Socket);
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -36,8 +36,11 @@
 /// Time after which a process does without the departures that it cannot read:
 /// a target has to serve although the store is down.
 constexpr Milliseconds DepartureTimeout{3000};
-/// The other half is for connections, the state of the fleet and the process.
-constexpr std::size_t BodyMemoryDivisor = 2;
+/// Parts of the memory for the bodies of requests, for answers of the target
+/// and for those of other nodes. The rest, a quarter, is for connections, the
+/// state of the fleet and the process.
+constexpr std::size_t RequestMemoryDivisor = 2;
+constexpr std::size_t AnswerMemoryDivisor = 8;
 
 std::int64_t unixMillis() {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -70,12 +73,12 @@
 };
 
 HttpClientOptions targetOptions(const HeaderNames &Names,
-                                MemoryBudget &BodyMemory) {
+                                AnswerMemory &Memory) {
   HttpClientOptions Options;
   Options.EchoHeader = Names.RequestId;
   Options.AcceptCloseDelimited = true;
   Options.MaxBodyBytes = MaxConnectionBacklogBytes / 2;
-  Options.Memory = &BodyMemory;
+  Options.Memory = &Memory;
   return Options;
 }
 
@@ -88,7 +91,9 @@
   EventLog &Log;
   Metrics &Counters;
   std::function<void()> OnLeft;
-  MemoryBudget BodyMemory;
+  MemoryBudget RequestMemory;
+  AnswerMemory TargetMemory; ///< for answers of the target
+  AnswerMemory PeerMemory;   ///< for answers of other nodes
   limpetdrum::Incarnation Incarnation = newIncarnation();
   std::uint64_t Seed;
   TimePoint Started;
@@ -127,11 +132,13 @@
         Metrics &Counters, std::function<void()> OnLeft)
       : Loop(Loop), Settings(Settings), Adapter(Adapter), Log(Log),
         Counters(Counters), OnLeft(std::move(OnLeft)),
-        BodyMemory(Settings.MemoryBytes / BodyMemoryDivisor),
+        RequestMemory(Settings.MemoryBytes / RequestMemoryDivisor),
+        TargetMemory(Settings.MemoryBytes / AnswerMemoryDivisor),
+        PeerMemory(Settings.MemoryBytes / AnswerMemoryDivisor),
         Seed(stableHash(Settings.Node.value(), this->Incarnation.value())),
         Started(Loop.now()),
         TargetClient(Loop, Settings.Target,
-                     targetOptions(Adapter.headers(), this->BodyMemory)),
+                     targetOptions(Adapter.headers(), this->TargetMemory)),
         ProvenCrashes(Loop, Store, Log, unixMillis),
         Departures(Loop, Store, Settings.Node, Log, Counters, unixMillis),
         LocalTarget({Settings.DrainTimeout / 2, this->Seed, unixMillis,
@@ -142,7 +149,7 @@
                       this->LocalTarget, Log, Counters),
         Fleet(Loop, Store, this->member(), Log, Counters, this->Seed + 2),
         Peers(Loop, this->contact(), this->Incarnation, Log, Counters,
-              &this->BodyMemory),
+              {&this->RequestMemory, &this->PeerMemory}),
         Links(this->Fleet.members(), this->Peers, Loop),
         CrashNewsExchange(Settings.FailureDomain, this->Crashes,
                           this->ProvenCrashes, this->Links, this->Peers, Log,
@@ -224,6 +231,9 @@
   void onTargetChange();
   void updateGate();
   void refreshGauges();
+  /// \param Source whose answers the memory holds.
+  void refreshAnswerGauges(const std::string &Source,
+                           const AnswerMemory &Memory);
   void logGate();
 };
 
@@ -242,7 +252,10 @@
 
 HttpServerOptions Sidecar::State::clientOptions() {
   HttpServerOptions Options;
-  Options.Memory = &this->BodyMemory;
+  Options.Memory = &this->RequestMemory;
+  Options.IsMemoryScarce = [this]() {
+    return this->TargetMemory.isScarce() || this->PeerMemory.isScarce();
+  };
   return Options;
 }
 
@@ -271,12 +284,17 @@
   Handlers.OnAttempt = [this](const NodeId & /*From*/,
                               limpetdrum::Incarnation Caller,
                               const MeshAttempt &Attempt) {
-    auto Call = Attempt.Call;
     this->Leaving.onAttempt(this->Loop.now());
-    this->LocalTarget.execute(Caller, Attempt,
-                              [this, Caller, Call](const Reply &R) {
-                                (void)this->Peers.reply(Caller, Call, R);
-                              });
+    auto OnReply = [this, Caller, Call = Attempt.Call](const Reply &R) {
+      (void)this->Peers.reply(Caller, Call, R);
+    };
+    if (!this->TargetMemory.isScarce()) {
+      this->LocalTarget.execute(Caller, Attempt, OnReply);
+      return;
+    }
+    auto Refused = Attempt;
+    Refused.Request.ExceedsMemory = true;
+    this->LocalTarget.execute(Caller, Refused, OnReply);
   };
   Handlers.IsKnown = [this](limpetdrum::Incarnation Caller,
                             std::uint64_t Call) {
@@ -412,6 +430,16 @@
   this->Fleet.announce(IsLeaving ? TargetState::Draining : TargetState::Ready);
 }
 
+void Sidecar::State::refreshAnswerGauges(const std::string &Source,
+                                         const AnswerMemory &Memory) {
+  this->Counters.gauge("answer_bytes_held_from_" + Source,
+                       static_cast<double>(Memory.used()));
+  this->Counters.gauge("answer_bytes_limit_from_" + Source,
+                       static_cast<double>(Memory.limit()));
+  this->Counters.gauge("answers_given_up_from_" + Source,
+                       static_cast<double>(Memory.givenUp()));
+}
+
 void Sidecar::State::refreshGauges() {
   const auto &Others = this->Fleet.members().others();
   auto Present = std::count_if(Others.begin(), Others.end(),
@@ -425,9 +453,11 @@
       "allowances_binding",
       static_cast<double>(this->AllowanceParts.bindingCount()));
   this->Counters.gauge("body_bytes_held",
-                       static_cast<double>(this->BodyMemory.used()));
+                       static_cast<double>(this->RequestMemory.used()));
   this->Counters.gauge("body_bytes_limit",
-                       static_cast<double>(this->BodyMemory.limit()));
+                       static_cast<double>(this->RequestMemory.limit()));
+  this->refreshAnswerGauges("target", this->TargetMemory);
+  this->refreshAnswerGauges("nodes", this->PeerMemory);
   this->Counters.gauge("holds_duties", this->Links.holdsDuties() ? 1 : 0);
 }
 
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -412,6 +412,14 @@
   if (Found == this->Active.end())
     return;
   bool IsCurrentTarget = Found->second.Attempt.TargetId == this->Record.Id;
+  if (Answer.Outcome == HttpOutcome::Broken) {
+    this->Counters.count("target_answers_broken", "defect",
+                         toString(Answer.Defect));
+    this->Log.request("target_answer_broken",
+                      {{"id", Found->second.Attempt.RequestId},
+                       {"target", Found->second.Attempt.TargetId},
+                       {"defect", toString(Answer.Defect)}});
+  }
   if (Answer.Outcome == HttpOutcome::Broken && IsCurrentTarget &&
       this->Record.State == TargetState::Ready) {
     this->BrokenRuns.push_back(Id);
--- a/lib/daemon/fleet/IncomingLinks.cpp
+++ b/lib/daemon/fleet/IncomingLinks.cpp
@@ -14,7 +14,7 @@
 };
 
 IncomingLinks::IncomingLinks(EventLoop &Loop, EventLog &Log, Metrics &Counters,
-                             MemoryBudget *Memory)
+                             LinkMemory Memory)
     : Loop(Loop), Log(Log), Counters(Counters), Memory(Memory) {}
 
 IncomingLinks::~IncomingLinks() = default;
@@ -130,7 +130,7 @@
                               FrameBody Received) {
   for (auto Call : Attempt.getAcknowledged())
     this->Callbacks.OnAcknowledged(*Source.Caller, Call);
-  auto Value = codec::decode(Attempt, this->Memory);
+  auto Value = codec::decode(Attempt, this->Memory.Requests);
   if (Received.ExceedsMemory || !Received.Content.empty()) {
     Value.Request.ExceedsMemory = Received.ExceedsMemory;
     Value.Request.Body = std::move(Received.Content);
--- a/lib/daemon/fleet/Mesh.cpp
+++ b/lib/daemon/fleet/Mesh.cpp
@@ -57,7 +57,7 @@
 };
 
 Mesh::Mesh(EventLoop &Loop, Contact Self, Incarnation Current, EventLog &Log,
-           Metrics &Counters, MemoryBudget *Memory)
+           Metrics &Counters, LinkMemory Memory)
     : Loop(Loop), Self(std::move(Self)), Current(Current), Log(Log),
       Counters(Counters), Memory(Memory),
       Incoming(Loop, Log, Counters, Memory) {}
@@ -257,7 +257,11 @@
     }
     case mesh::Frame::REPLY: {
       this->onLoad(Node, Frame.getReply());
-      auto Value = codec::decode(Frame.getReply(), this->Memory);
+      auto Value = codec::decode(Frame.getReply(), this->Memory.Answers);
+      if (Received.ExceedsMemory) {
+        this->Counters.count("replies_beyond_memory");
+        Value = unknownOutcome(Reason::Overload, Milliseconds(0));
+      }
       if (!Received.Content.empty())
         Value.Body = std::move(Received.Content);
       this->onReply(*this->OutgoingLinks.at(Node), Frame.getReply().getCall(),
--- a/lib/daemon/fleet/MeshCodec.cpp
+++ b/lib/daemon/fleet/MeshCodec.cpp
@@ -437,7 +437,7 @@
   return Value;
 }
 
-Reply decode(mesh::Reply::Reader Reader, MemoryBudget *Memory) {
+Reply decode(mesh::Reply::Reader Reader, AnswerMemory *Memory) {
   if (Reader.getOutcome() > static_cast<std::uint8_t>(Outcome::Unknown) ||
       Reader.getReason() >= ReasonCount)
     throw ValueError("unknown reply outcome " +
@@ -451,8 +451,13 @@
   Value.Reason = static_cast<Reason>(Reader.getReason());
   Value.Status = Reader.getStatus();
   Value.Headers = readHeaders(Reader);
-  auto Share = Memory == nullptr ? MemoryBudget::Share()
-                                 : Memory->takeAlways(Reader.getBody().size());
+  MemoryBudget::Share Share;
+  if (Memory != nullptr) {
+    AnswerMemory::Receipt Receipt(*Memory, nullptr);
+    if (!Receipt.take(Reader.getBody().size()))
+      return unknownOutcome(Reason::Overload, Milliseconds(0));
+    Share = Receipt.complete();
+  }
   Value.Body = {bytes(Reader.getBody()), std::move(Share)};
   Value.RetryAfter = Milliseconds(Reader.getRetryAfter());
   return Value;
--- a/lib/process/MemoryBudget.cpp
+++ b/lib/process/MemoryBudget.cpp
@@ -40,8 +40,4 @@
   return Share(this->State, Bytes);
 }
 
-MemoryBudget::Share MemoryBudget::takeAlways(std::size_t Bytes) {
-  return {this->State, Bytes};
-}
-
 } // namespace limpetdrum
--- a/lib/request/RetryPlan.cpp
+++ b/lib/request/RetryPlan.cpp
@@ -51,8 +51,10 @@
 
 RetryPlan::Step RetryPlan::onUnknown(Reason Cause, const Context &Ctx) {
   this->MayHaveRun = true;
-  bool MayRepeat = this->Idempotent && Cause != Reason::TimedOut &&
-                   this->hasAttemptLeft(Ctx) && this->mayTryOtherTarget(Ctx);
+  // There is no memory for the answer of another target either.
+  bool IsFinal = Cause == Reason::TimedOut || Cause == Reason::Overload;
+  bool MayRepeat = this->Idempotent && !IsFinal && this->hasAttemptLeft(Ctx) &&
+                   this->mayTryOtherTarget(Ctx);
   return MayRepeat ? Step::RepeatAtOtherTarget : Step::Fail;
 }
 
--- a/unittests/MeshBodyTest.cpp
+++ b/unittests/MeshBodyTest.cpp
@@ -97,7 +97,7 @@
   MeshNode B(Loop, "b", PortB, 2);
   A.Links.add(contact("b", PortB));
   waitUntil(Loop, [&]() { return reaches(A, "b"); });
-  auto Held = B.Memory.takeAlways(B.Memory.limit() - 1'000'000);
+  auto Held = B.Memory.take(B.Memory.limit() - 1'000'000);
   CallResults Results;
   A.Links.call(NodeId("b"), post(5'000'000), Results.recorder());
   waitUntil(Loop, [&]() { return !Results.All.empty(); });
--- a/unittests/MeshNode.h
+++ b/unittests/MeshNode.h
@@ -23,6 +23,7 @@
   Metrics Counters;
   EventLog Log{open("/dev/null", O_WRONLY)};
   MemoryBudget Memory{256U * 1024U * 1024U};
+  AnswerMemory Answers{256U * 1024U * 1024U};
   Mesh Links;
   std::vector<MeshAttempt> Attempts;
   std::vector<Incarnation> Callers;
@@ -43,7 +44,7 @@
            std::uint64_t IncarnationValue)
       : Loop(Loop), Name(Name), Current(IncarnationValue),
         Links(Loop, contact(Name, Port), Incarnation(IncarnationValue),
-              this->Log, this->Counters, &this->Memory) {
+              this->Log, this->Counters, {&this->Memory, &this->Answers}) {
     Mesh::Handlers Handlers;
     Handlers.OnAttempt = [this](const NodeId &, Incarnation Caller,
                                 const MeshAttempt &Attempt) {
