--- a/fuzz/Http.cpp
+++ b/fuzz/Http.cpp
@@ -19,10 +19,11 @@
 }
 
 void readResponse(evbuffer *Input, bool IsHeadResponse) {
-  impl::ResponseParser Parser(IsHeadResponse, MaxBodyBytes, nullptr);
+  AnswerMemory Memory(MaxBodyBytes / 2);
+  impl::ResponseParser Parser(IsHeadResponse, MaxBodyBytes, &Memory);
   HttpResponse Response;
   if (Parser.read(Input) == impl::ParseResult::Done || Parser.finishAtClose())
-    Parser.release(Response);
+    (void)Parser.release(Response);
   removeConnectionHeaders(Response.Headers);
 }
 
--- a/include/limpetdrum/process/AnswerMemory.h
+++ b/include/limpetdrum/process/AnswerMemory.h
@@ -13,9 +13,9 @@
 ///
 /// The others choose how much they send, and on how many connections, so an
 /// answer takes memory before its bytes are kept. When the memory is used up,
-/// the longest answer that is still being received is given up: one that does
-/// not end makes room for the short ones beside it. Complete answers are kept
-/// until they are delivered.
+/// the longest answer that is still being received is given up, first of those
+/// that have not announced their length: one that does not end makes room for
+/// the others beside it. Complete answers are kept until they are delivered.
 class AnswerMemory {
   struct State;
 
@@ -30,6 +30,8 @@
     Receipt(const Receipt &) = delete;
     Receipt &operator=(const Receipt &) = delete;
 
+    /// \brief States that the answer has announced its length.
+    void setAnnounced() noexcept { this->IsAnnounced = true; }
     /// \returns false if the answer has been given up.
     [[nodiscard]] bool take(std::size_t Bytes);
     /// \brief Ends the receipt of a complete answer.
@@ -46,6 +48,7 @@
     std::shared_ptr<State> Owner;
     std::function<void()> OnGivenUp;
     MemoryBudget::Share Held;
+    bool IsAnnounced = false;
     bool GivenUp = false;
   };
 
--- a/lib/connection/HttpParser.cpp
+++ b/lib/connection/HttpParser.cpp
@@ -70,12 +70,15 @@
         });
   }
 
-  /// Takes the memory for a request's body of a known length.
+  /// Handles that the length is known, and takes the memory for a request's
+  /// body. That of an answer is a claim that its sender may not keep.
   /// \returns false if the budget does not have it.
   [[nodiscard]] bool expect(std::size_t Length) {
     this->Expected = Length;
-    // The length of an answer is a claim that its sender may not keep.
-    return this->Receipt != nullptr || this->take(Length);
+    if (this->Receipt == nullptr)
+      return this->take(Length);
+    this->Receipt->setAnnounced();
+    return true;
   }
 
   /// \returns false if there is no memory for the bytes.
@@ -160,7 +163,7 @@
     void init(const boost::optional<std::uint64_t> &Length,
               boost::beast::error_code &Error) {
       Error = {};
-      if (!this->Value.expect(static_cast<std::size_t>(Length.value_or(0))))
+      if (Length && !this->Value.expect(static_cast<std::size_t>(*Length)))
         Error = http::error::buffer_overflow;
     }
     template <typename Buffers>
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -284,6 +284,7 @@
     auto Receipt = std::make_unique<AnswerMemory::Receipt>(
         *this->Memory.Answers,
         [this, Call = Frame.getBodyCall()]() { this->onGivenUp(Call); });
+    Receipt->setAnnounced();
     if (!Receipt->take(Bytes))
       return std::nullopt;
     return Receipt;
--- a/lib/daemon/fleet/MeshCodec.cpp
+++ b/lib/daemon/fleet/MeshCodec.cpp
@@ -454,6 +454,7 @@
   MemoryBudget::Share Share;
   if (Memory != nullptr) {
     AnswerMemory::Receipt Receipt(*Memory, nullptr);
+    Receipt.setAnnounced();
     if (!Receipt.take(Reader.getBody().size()))
       return unknownOutcome(Reason::Overload, Milliseconds(0));
     Share = Receipt.complete();
--- a/lib/process/AnswerMemory.cpp
+++ b/lib/process/AnswerMemory.cpp
@@ -31,6 +31,12 @@
     this->ReceivingBytes -= Receiver.bytes();
   }
 
+  /// Returns the order in which answers are given up: the greatest first.
+  [[nodiscard]] static std::pair<bool, std::size_t>
+  orderOf(const Receipt &Receiver, std::size_t Added) {
+    return {!Receiver.IsAnnounced, Receiver.bytes() + Added};
+  }
+
   [[nodiscard]] bool take(Receipt &Receiver, std::size_t Bytes) {
     while (true) {
       if (auto Share = this->Budget.take(Bytes)) {
@@ -38,11 +44,13 @@
         this->ReceivingBytes += Bytes;
         return true;
       }
-      auto Longest = std::max_element(
-          this->Receiving.begin(), this->Receiving.end(),
-          [](const auto *A, const auto *B) { return A->bytes() < B->bytes(); });
-      auto &GivenUp = **Longest; // Receiver is one of them
-      if (GivenUp.bytes() <= Receiver.bytes() + Bytes) {
+      // Receiver is one of them.
+      auto &GivenUp =
+          **std::max_element(this->Receiving.begin(), this->Receiving.end(),
+                             [](const auto *A, const auto *B) {
+                               return orderOf(*A, 0) < orderOf(*B, 0);
+                             });
+      if (orderOf(GivenUp, 0) <= orderOf(Receiver, Bytes)) {
         Receiver.giveUp();
         return false;
       }
--- a/unittests/AnswerMemoryTest.cpp
+++ b/unittests/AnswerMemoryTest.cpp
@@ -45,6 +45,20 @@
   CHECK(Memory.used() == 50);
 }
 
+TEST_CASE("AnswerMemory gives up answers of unknown length first") {
+  AnswerMemory Memory(100);
+  Answer Announced(Memory);
+  Answer Endless(Memory);
+  Announced.Receipt.setAnnounced();
+  CHECK(Announced.Receipt.take(70));
+  CHECK_FALSE(Endless.Receipt.take(40));
+  CHECK(Memory.used() == 70);
+  Answer Short(Memory);
+  CHECK(Short.Receipt.take(30));
+  CHECK(Announced.Receipt.take(30));
+  CHECK(Short.IsGivenUp);
+}
+
 TEST_CASE("AnswerMemory keeps complete answers until they are delivered") {
   AnswerMemory Memory(100);
   MemoryBudget::Share Complete;
