End waiting and queued attempts without a deeper stack for each

What callers saw: a process could end with a segmentation fault, and cut the requests that it had passed on, when many attempts waited for the trial of a suspected request, or when a long queue was left behind by an ended target.

Cause: the end of a trial gave the turn to the next attempt within the same call. If that one was refused at once, because the culprit was proven or its deadline had passed, its end gave the turn to the next one, and so on. A refused attempt at the head of the queue dispatched the one behind it in the same way.

Evidence: with 1,000 waiting attempts the stack was 1,771,536 bytes deeper at the last reply than at the start for a proven culprit, and 2,043,808 bytes for passed deadlines; with a queue of over 1,000 attempts for an ended target 1,136,944 bytes. The usual limit is 8 MB.

Change: LocalTarget keeps the attempts that ended meanwhile, and a loop in the outermost call gives out the turns. dispatch() returns the decisions that follow from a refusal, and applyDecisions() works them off in order.

Result: the three tests use less than 32 kB; they failed before the change.

--- a/include/limpetdrum/daemon/calls/LocalTarget.h
+++ b/include/limpetdrum/daemon/calls/LocalTarget.h
@@ -15,6 +15,7 @@
 #include "limpetdrum/request/TargetIdentity.h"
 #include "limpetdrum/request/TargetLoad.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -148,7 +149,10 @@
   void applyDecisions(const AdmissionDecisions &Decisions);
   /// Queues an attempt for the target.
   void submit(AttemptId Id);
-  void dispatch(AttemptId Id);
+  /// Sends an attempt to the target, or refuses it.
+  /// \returns the decisions that follow from a refusal, which the caller
+  ///   applies, so that the stack does not grow with the queue.
+  [[nodiscard]] AdmissionDecisions dispatch(AttemptId Id);
   [[nodiscard]] static RequestFingerprint fingerprintOf(Entry &Value);
   [[nodiscard]] CrashHistory::Verdict verdict(Entry &Value) const;
   /// Returns the number of targets that ended under a request, as far as this
@@ -187,6 +191,8 @@
   /// \param Source origin of the rate, for the log.
   void setRequestRate(std::optional<double> PerSecond, const char *Source);
   void finish(AttemptId Id, Reply Value);
+  /// Lets the attempts that waited for the end of this one take their turn.
+  void endTrial(AttemptId Id);
   void endCancelledRuns();
   /// Refuses all attempts that were not sent to the target.
   void refuseQueued();
@@ -215,6 +221,8 @@
   std::optional<TimePoint> LoadErrorLoggedAt;
   bool HasAnswered = false; ///< the target, since it was recorded here
   SuspectTrials Trials;
+  /// Attempts whose end Trials is being told.
+  std::deque<AttemptId> EndedAttempts;
   /// Runs whose connections broke, while it is found out whether the target's
   /// process has ended.
   std::vector<AttemptId> BrokenRuns;
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -266,10 +266,18 @@
 }
 
 void LocalTarget::applyDecisions(const AdmissionDecisions &Decisions) {
-  for (const auto &Refusal : Decisions.Refuse)
-    this->finish(Refusal.Id, notRun(Refusal.Reason, this->retryAfter()));
-  for (const auto &Id : Decisions.Dispatch)
-    this->dispatch(Id);
+  std::deque<AttemptId> Next;
+  auto Apply = [&](const AdmissionDecisions &Value) {
+    for (const auto &Refusal : Value.Refuse)
+      this->finish(Refusal.Id, notRun(Refusal.Reason, this->retryAfter()));
+    Next.insert(Next.begin(), Value.Dispatch.begin(), Value.Dispatch.end());
+  };
+  Apply(Decisions);
+  while (!Next.empty()) {
+    auto Id = Next.front();
+    Next.pop_front();
+    Apply(this->dispatch(Id));
+  }
 }
 
 HttpCall LocalTarget::makeCall(const Entry &Run, Milliseconds TimeLeft) const {
@@ -292,7 +300,7 @@
   return Call;
 }
 
-void LocalTarget::dispatch(AttemptId Id) {
+AdmissionDecisions LocalTarget::dispatch(AttemptId Id) {
   auto &Entry = this->Active.at(Id);
   auto Time = this->Now();
   auto TimeLeft =
@@ -305,14 +313,11 @@
       Cause = IsWrongTarget ? Reason::WrongTarget : Reason::Draining;
     auto Decisions = this->Queue.complete(Id, Completion::Abandoned, Time);
     this->finish(Id, notRun(Cause, MinRetryAfter));
-    this->applyDecisions(Decisions);
-    return;
+    return Decisions;
   }
   // The attempt may have become suspected while it was queued.
-  if (!this->mayRun(Id)) {
-    this->applyDecisions(this->Queue.complete(Id, Completion::Abandoned, Time));
-    return;
-  }
+  if (!this->mayRun(Id))
+    return this->Queue.complete(Id, Completion::Abandoned, Time);
   this->RunningByRequestId[Entry.Attempt.RequestId] = Id;
   this->Ledger.dispatch(Id);
   this->Counters.count("target_requests");
@@ -322,6 +327,7 @@
                                  [this, Id](HttpResponse Answer) {
                                    this->onAnswer(Id, std::move(Answer));
                                  });
+  return {};
 }
 
 std::optional<TargetLoad> LocalTarget::readNotices(const HttpResponse &Answer) {
@@ -569,9 +575,20 @@
   this->Ledger.finish(Id, SharedReply, Time);
   for (const auto &OnReply : Finished.ReplyCallbacks)
     OnReply(*SharedReply);
-  while (auto Next = this->Trials.end(Id))
-    if (this->mayRun(*Next))
-      this->submit(*Next);
+  this->endTrial(Id);
+}
+
+void LocalTarget::endTrial(AttemptId Id) {
+  this->EndedAttempts.push_back(Id);
+  // An attempt that ends within the loop below is left to the loop.
+  if (this->EndedAttempts.size() > 1)
+    return;
+  while (!this->EndedAttempts.empty()) {
+    while (auto Next = this->Trials.end(this->EndedAttempts.front()))
+      if (this->Active.count(*Next) != 0 && this->mayRun(*Next))
+        this->submit(*Next);
+    this->EndedAttempts.pop_front();
+  }
 }
 
 void LocalTarget::cancel(Incarnation Caller, std::uint64_t Call) {
--- a/unittests/CrashTrialsTest.cpp
+++ b/unittests/CrashTrialsTest.cpp
@@ -263,3 +263,86 @@
     CHECK(Fixture.Target.outstanding() == 1);
   }
 }
+
+namespace {
+
+/// Deepest use of the stack within the replies, below the frame given.
+struct StackDepth {
+  const char *Start;
+  std::ptrdiff_t Deepest = 0;
+  std::size_t Replies = 0;
+
+  void onReply() {
+    ++this->Replies;
+    const auto *Frame = static_cast<const char *>(__builtin_frame_address(0));
+    this->Deepest = std::max(this->Deepest, this->Start - Frame);
+  }
+};
+
+constexpr std::ptrdiff_t UsualDepth = 32 * 1024;
+
+void executeMany(CrashFixture &Fixture, const std::string &Path,
+                 std::uint64_t Count, StackDepth &Stack) {
+  MeshAttempt Attempt;
+  Attempt.TargetId = Fixture.id();
+  Attempt.TimeLeft = Milliseconds(10'000);
+  Attempt.Request.Method = "POST";
+  Attempt.Request.Target = Path;
+  for (std::uint64_t I = 0; I < Count; ++I) {
+    Attempt.Call = ++Fixture.LastCall;
+    Attempt.RequestId = "r" + std::to_string(Attempt.Call);
+    Fixture.Target.execute(Incarnation(7), Attempt,
+                           [&Stack](const Reply &) { Stack.onReply(); });
+  }
+}
+
+} // namespace
+
+TEST_CASE("LocalTarget does not overflow the stack when many attempts wait for "
+          "a trial that proves the culprit") {
+  CrashFixture Fixture;
+  for (int Crash = 0; Crash < 2; ++Crash)
+    Fixture.crash({"/crash", "/sound"});
+  auto Trial = Fixture.run("/crash", Milliseconds(10'000));
+  REQUIRE(Trial);
+  StackDepth Stack{static_cast<const char *>(__builtin_frame_address(0))};
+  executeMany(Fixture, "/crash", 1000, Stack);
+  CHECK(Stack.Replies == 0);
+  Fixture.breakConnections({*Trial}, true);
+  CHECK(Stack.Replies == 1000);
+  CHECK(Stack.Deepest < UsualDepth);
+}
+
+TEST_CASE("LocalTarget does not overflow the stack when many attempts that "
+          "waited for a trial are past their deadlines") {
+  CrashFixture Fixture;
+  for (int Crash = 0; Crash < 2; ++Crash)
+    Fixture.crash({"/crash", "/sound"});
+  auto Trial = Fixture.run("/crash", Milliseconds(10'000));
+  REQUIRE(Trial);
+  StackDepth Stack{static_cast<const char *>(__builtin_frame_address(0))};
+  executeMany(Fixture, "/sound", 1000, Stack);
+  Fixture.Clock.advance(Milliseconds(10'001)); // past all deadlines
+  Fixture.SentCallbacks[*Trial](LocalTargetFixture::answer(200));
+  CHECK(Stack.Replies == 1000);
+  CHECK(Stack.Deepest < UsualDepth);
+}
+
+TEST_CASE("LocalTarget does not overflow the stack when a new target starts "
+          "behind a long queue") {
+  CrashFixture Fixture;
+  constexpr unsigned SlotCount = 2000;
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report(
+      Fixture.id(), 100, 2, TargetState::Ready, SlotCount)));
+  StackDepth Stack{static_cast<const char *>(__builtin_frame_address(0))};
+  executeMany(Fixture, "/any", 3800, Stack);
+  NodeStatus Status;
+  Fixture.Target.fillStatus(Status);
+  REQUIRE(Status.Queued > 1000);
+  auto Refused = Stack.Replies;
+  REQUIRE(Fixture.Target.onReport(
+      LocalTargetFixture::report("t2", 200, 1, TargetState::Ready, SlotCount)));
+  Fixture.SentCallbacks[0](LocalTargetFixture::answer(200));
+  CHECK(Stack.Replies > Refused + 1000);
+  CHECK(Stack.Deepest < UsualDepth);
+}
