Let the last leave of an id count, and store each of them

Cause: TargetIdentity kept the time of the first leave of an id, so a report of the second process counted as news. Besides, a second leave of a target that had sent no report to this process was taken for a repetition, acknowledged, and not stored.

Change: the last leave of an id counts, in whatever order they are learned. A repeated notice about the process that is recorded as gone does not move the time, as a successor may have started by then ("LocalTarget counts a repeated leave from its first notice"; not seen failing, it guards the change itself). Without a start time, a leave after the stored one is stored with its own time.

--- a/include/limpetdrum/request/TargetIdentity.h
+++ b/include/limpetdrum/request/TargetIdentity.h
@@ -32,7 +32,8 @@
   /// \brief Records the acknowledged leave of a target.
   ///
   /// Unknown targets are recorded as well: nodes that have not been notified of
-  /// the leave may still send the target's record as ready.
+  /// the leave may still send the target's record as ready. An id may be used
+  /// again, so the latest leave counts, in whatever order they are recorded.
   /// \param At the time of day, in milliseconds since the Unix epoch.
   void onLeave(const std::string &Id, std::int64_t At);
   /// \brief Returns true if the leave of this target was acknowledged. A later
@@ -40,7 +41,8 @@
   [[nodiscard]] bool hasDeparted(const TargetRecord &Value) const;
 
 private:
-  /// Times of the leaves by target id, in milliseconds since the Unix epoch.
+  /// Times of the last leaves by target id, in milliseconds since the Unix
+  /// epoch.
   std::unordered_map<std::string, std::int64_t> Departed;
 };
 
--- a/lib/daemon/calls/LocalTarget.cpp
+++ b/lib/daemon/calls/LocalTarget.cpp
@@ -106,6 +106,9 @@
 }
 
 bool LocalTarget::onLeave(const std::string &Id) {
+  // A later process with the same id may have started since the first notice.
+  if (Id == this->Record.Id && this->Record.State == TargetState::Left)
+    return true;
   this->Identity.onLeave(Id, this->Config.UnixMillis());
   if (Id != this->Record.Id)
     return true;
--- a/lib/daemon/fleet/DepartureArchive.cpp
+++ b/lib/daemon/fleet/DepartureArchive.cpp
@@ -107,7 +107,12 @@
                               return Each.Target.Id == Target.Id &&
                                      Each.Target.Started == Target.Started;
                             });
-  bool IsNew = Found == this->Known.end() || Found->Target.State < Target.State;
+  // Without a start time, only the time tells two processes with one id apart:
+  // a leave after the one that was stored may be that of the next process.
+  bool IsAmbiguous = Target.Started == 0 && Target.State == TargetState::Left &&
+                     !this->IsStoring;
+  bool IsNew = Found == this->Known.end() ||
+               Found->Target.State < Target.State || IsAmbiguous;
   if (IsNew) {
     if (Found != this->Known.end())
       this->Known.erase(Found);
--- a/lib/request/TargetIdentity.cpp
+++ b/lib/request/TargetIdentity.cpp
@@ -1,5 +1,7 @@
 #include "limpetdrum/request/TargetIdentity.h"
 
+#include <algorithm>
+
 namespace limpetdrum {
 
 namespace {
@@ -16,7 +18,8 @@
 }
 
 void TargetIdentity::onLeave(const std::string &Id, std::int64_t At) {
-  this->Departed.try_emplace(Id, At);
+  auto &Last = this->Departed.try_emplace(Id, At).first->second;
+  Last = std::max(Last, At);
 }
 
 TargetIdentity::Verdict
--- a/unittests/DepartureArchiveTest.cpp
+++ b/unittests/DepartureArchiveTest.cpp
@@ -38,8 +38,11 @@
     return Record;
   }
 
+  void write(const TargetRecord &Target) {
+    this->Archive.write(Target, [this]() { ++this->Acknowledged; });
+  }
   void write(const std::string &Id, TargetState State) {
-    this->Archive.write(target(Id, State), [this]() { ++this->Acknowledged; });
+    this->write(target(Id, State));
   }
 
   void wait(Milliseconds Time) {
@@ -135,6 +138,26 @@
   CHECK(Stored.back().Target.Id == "t8");
 }
 
+// Guards against a second leave under one id that a later process never learns
+// of, because no report told the two processes of the target apart.
+TEST_CASE("DepartureArchive stores each leave of a target without a report") {
+  ArchiveFixture Fixture;
+  TargetRecord Unknown;
+  Unknown.Id = "t1";
+  Unknown.State = TargetState::Left;
+  Fixture.write(Unknown);
+  Fixture.Writes[0](StoreOutcome::Done);
+  Fixture.UnixTime += 9000;
+  Fixture.write(Unknown);
+  CHECK(Fixture.Acknowledged == 1);
+  REQUIRE(Fixture.Writes.size() == 2);
+  Fixture.Writes[1](StoreOutcome::Done);
+  CHECK(Fixture.Acknowledged == 2);
+  auto Stored = Fixture.read(Fixture.Written.back());
+  REQUIRE_FALSE(Stored.empty());
+  CHECK(Stored.back().At == 1'009'000);
+}
+
 TEST_CASE("DepartureArchive counts objects that it cannot read") {
   ArchiveFixture Fixture;
   for (const auto *Value :
--- a/unittests/LocalTargetTest.cpp
+++ b/unittests/LocalTargetTest.cpp
@@ -67,6 +67,39 @@
   CHECK(Fixture.SentCallbacks.size() == 1);
 }
 
+// Guards against a target that has left for the second time under its id, which
+// the first leave hides from a node that has restarted.
+TEST_CASE("LocalTarget takes no report of before the last leave of an id") {
+  LocalTargetFixture Fixture;
+  auto First = LocalTargetFixture::report("t1", 1000, 20, TargetState::Left);
+  auto Second = LocalTargetFixture::report("t1", 6000, 9, TargetState::Left);
+  bool InOrder = GENERATE(true, false);
+  Fixture.Target.onDeparture(InOrder ? First.Target : Second.Target,
+                             InOrder ? 5000 : 8000);
+  Fixture.Target.onDeparture(InOrder ? Second.Target : First.Target,
+                             InOrder ? 8000 : 5000);
+  CHECK_FALSE(
+      Fixture.Target.onReport(LocalTargetFixture::report("t1", 6000, 8)));
+  Fixture.execute(1);
+  CHECK(Fixture.SentCallbacks.empty());
+  // A third process is used.
+  CHECK(Fixture.Target.onReport(LocalTargetFixture::report("t1", 9000, 1)));
+}
+
+// Guards against a target that is refused for good, because its predecessor
+// under the same id repeated its leave.
+TEST_CASE("LocalTarget counts a repeated leave from its first notice") {
+  LocalTargetFixture Fixture;
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t1", 1000, 20)));
+  REQUIRE(Fixture.Target.onLeave("t1"));
+  Fixture.UnixTime = 7000;
+  REQUIRE(Fixture.Target.onLeave("t1"));
+  REQUIRE(Fixture.Target.onReport(LocalTargetFixture::report("t2", 5500, 1)));
+  CHECK_FALSE(
+      Fixture.Target.onReport(LocalTargetFixture::report("t1", 4000, 30)));
+  CHECK(Fixture.Target.onReport(LocalTargetFixture::report("t1", 6000, 1)));
+}
+
 // Guards against attempts for a target whose leave an earlier process of the
 // node acknowledged, at a time that this process does not have.
 TEST_CASE(
