Store departures again if the store may have lost them

Cause: a departure counted as stored for ever. Only the contact registry heard of a restoration.

Evidence: "Sidecar stores a leave again if the store is restored" failed before, with the restoration seen by a watch as well as without, and so did "... if a linked node loses the store" (3 of 6 assertions).

Change: what was stored in the last minute is written again when the store's era is raised, and when this node or a linked one loses the store, since the time until a lost store is read again may be longer than the time until all nodes end. Linked nodes say in their status whether they have lost it, so nothing changes on the wire. It costs one write for each loss, for a node with a departure in the last minute, and its repetitions until the store answers.

--- a/include/limpetdrum/daemon/fleet/DepartureArchive.h
+++ b/include/limpetdrum/daemon/fleet/DepartureArchive.h
@@ -7,6 +7,7 @@
 #include "limpetdrum/process/Metrics.h"
 #include "limpetdrum/process/NodeStatus.h"
 
+#include <optional>
 #include <vector>
 
 namespace limpetdrum {
@@ -48,6 +49,10 @@
   /// \param Done called when it is stored, or after 500 ms without: the target
   ///   waits no longer than a second for its acknowledgement.
   void write(const TargetRecord &Target, std::function<void()> Done);
+  /// \brief Writes again what was stored in the last minute, as the store may
+  ///   have lost it: it has been restored from a copy, or it cannot be reached,
+  ///   as before such a restoration.
+  void onStoreDoubtful();
   /// \brief Removes the departures of nodes that may be gone, once they are so
   ///   old that no report of before them can arrive.
   void removeOld();
@@ -70,6 +75,8 @@
   std::vector<Departure> Known; ///< the latest last
   std::uint64_t Version = 0;    ///< of Known
   std::uint64_t StoredVersion = 0;
+  /// Time at which it was last stored, or read by this process.
+  std::optional<TimePoint> StoredAt;
   bool IsStoring = false;
   std::vector<std::function<void()>> Waiting; ///< for the current version
   Timer ReadTimer;
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -126,6 +126,7 @@
   bool HasExited = false;
   bool WasReady = false;
   bool HasReport = false;
+  bool IsStoreLost = false; ///< to this node or to a linked one
 
   State(EventLoop &Loop, const SidecarSettings &Settings,
         const PlatformAdapter &Adapter, ObjectStore &Store, EventLog &Log,
@@ -228,6 +229,9 @@
   void updateSlack();
   /// Updates the links and the duties of this node.
   void updateRole();
+  /// Finds out whether this node or a linked one has lost the store: most nodes
+  /// do not watch it.
+  void updateStoreState();
   void onTargetChange();
   void updateGate();
   void refreshGauges();
@@ -361,6 +365,7 @@
   };
   PolicyHandlers.OnStoreRestored = [this]() {
     this->Fleet.registry().onStoreRestored();
+    this->Departures.onStoreDoubtful();
   };
   // The next in the failure domain takes over the watch as soon as it is told.
   PolicyHandlers.OnStoreReachable = [this]() { this->Peers.broadcastLoad(); };
@@ -409,6 +414,7 @@
 
 void Sidecar::State::updateRole() {
   this->Links.update();
+  this->updateStoreState();
   bool KnowsFleet = this->Fleet.isComplete() ||
                     this->Loop.now() - this->Started > ContactTimeout;
   this->Policies.setWatching(KnowsFleet && this->Links.holdsDuties() &&
@@ -421,6 +427,19 @@
   this->Policies.setFleetSize(this->Fleet.members().others().size() + 1);
 }
 
+void Sidecar::State::updateStoreState() {
+  const auto &Peers = this->Peers.peers();
+  bool IsLost =
+      this->Policies.isStoreLost() ||
+      std::any_of(Peers.begin(), Peers.end(), [](const auto &Entry) {
+        const auto &Peer = Entry.second;
+        return Peer.IsReachable && Peer.Status && Peer.Status->StoreLost;
+      });
+  if (IsLost && !this->IsStoreLost)
+    this->Departures.onStoreDoubtful();
+  this->IsStoreLost = IsLost;
+}
+
 void Sidecar::State::onTargetChange() {
   this->Peers.broadcast();
   if (this->Leaving.isLeaving())
--- a/lib/daemon/fleet/DepartureArchive.cpp
+++ b/lib/daemon/fleet/DepartureArchive.cpp
@@ -17,6 +17,8 @@
 /// One instance has one target at a time; reports of those before the last few
 /// are older than what any later target has reported.
 constexpr std::size_t MaxDepartures = 4;
+/// Age of the copies that the store may be restored from, at most.
+constexpr std::chrono::seconds MaxCopyAge{60};
 /// Reports arrive late by seconds, or by as long as a network partition lasts.
 constexpr std::chrono::hours Retention{1};
 
@@ -63,8 +65,10 @@
         }
         this->IsRead = true;
         std::vector<Departure> Stored;
-        if (!Listing.Objects.empty())
+        if (!Listing.Objects.empty()) {
           Stored = this->decode(Listing.Objects.front());
+          this->StoredAt = this->Loop.now();
+        }
         // Departures since the start of this process are later.
         this->Known.insert(this->Known.begin(), Stored.begin(), Stored.end());
         this->Log.state("departures_read", {{"departures", Stored.size()}});
@@ -137,6 +141,15 @@
     this->store();
 }
 
+void DepartureArchive::onStoreDoubtful() {
+  if (!this->StoredAt || this->Loop.now() - *this->StoredAt >= MaxCopyAge)
+    return;
+  this->Counters.count("departures_written_again");
+  ++this->Version;
+  if (!this->IsStoring)
+    this->store();
+}
+
 void DepartureArchive::store() {
   this->IsStoring = true;
   this->Store.put(DepartureKind, {this->Self.value(), 0, this->encode()},
@@ -155,6 +168,7 @@
     return;
   }
   this->StoredVersion = Current;
+  this->StoredAt = this->Loop.now();
   if (this->StoredVersion != this->Version) {
     this->store();
     return;
--- a/unittests/MemoryStore.h
+++ b/unittests/MemoryStore.h
@@ -18,6 +18,7 @@
     this->answer([this, Kind, OnDone](StoreOutcome Outcome) {
       StoreListing Listing;
       Listing.Outcome = Outcome;
+      Listing.Era = this->Era;
       for (const auto &[Name, Object] : this->Kinds[Kind])
         Listing.Objects.push_back(Object);
       OnDone(Listing);
@@ -28,6 +29,7 @@
     this->answer([this, Kind, Name, OnDone](StoreOutcome Outcome) {
       StoreListing Listing;
       Listing.Outcome = Outcome;
+      Listing.Era = this->Era;
       auto Found = this->Kinds[Kind].find(Name);
       if (Found != this->Kinds[Kind].end())
         Listing.Objects.push_back(Found->second);
@@ -36,7 +38,9 @@
   }
   void watch(const std::string & /*Kind*/, std::uint64_t /*After*/,
              StoreEra /*Era*/, Milliseconds /*Limit*/, const char * /*Purpose*/,
-             ListDone /*OnDone*/) override {}
+             ListDone OnDone) override {
+    this->Watches.push_back(std::move(OnDone));
+  }
   void put(const std::string &Kind, const StoredObject &Object,
            const char * /*Purpose*/, WriteDone OnDone) override {
     this->answer([this, Kind, Object, OnDone](StoreOutcome Outcome) {
@@ -56,12 +60,37 @@
   }
 
   /// Forgets the calls of a process that has ended.
-  void dropCalls() { this->Calls.clear(); }
+  void dropCalls() {
+    this->Calls.clear();
+    this->Watches.clear();
+  }
+
+  [[nodiscard]] bool isWatched() const { return !this->Watches.empty(); }
+  /// Loses all calls from now on; those that wait for a change break.
+  void stop() {
+    this->Answers = false;
+    this->endWatches(StoreOutcome::Lost);
+  }
+  /// Comes back from a copy.
+  void
+  restore(std::map<std::string, std::map<std::string, StoredObject>> Copy) {
+    this->Answers = true;
+    this->Kinds = std::move(Copy);
+    this->Era = StoreEra(this->Era.value() + 1);
+    this->endWatches(StoreOutcome::RevisionExpired);
+  }
 
   bool Answers = true; ///< false: all calls are lost, after a while
   std::map<std::string, std::map<std::string, StoredObject>> Kinds;
 
 private:
+  void endWatches(StoreOutcome Outcome) {
+    StoreListing Listing;
+    Listing.Outcome = Outcome;
+    Listing.Era = this->Era;
+    for (const auto &OnDone : std::exchange(this->Watches, {}))
+      OnDone(Listing);
+  }
   void answer(std::function<void(StoreOutcome)> Action) {
     constexpr Milliseconds LossTimeout{50};
     auto Outcome = this->Answers ? StoreOutcome::Done : StoreOutcome::Lost;
@@ -72,6 +101,8 @@
 
   EventLoop &Loop;
   std::vector<Timer> Calls;
+  std::vector<ListDone> Watches;
+  StoreEra Era{1};
 };
 
 } // namespace limpetdrum::test
--- a/unittests/SidecarDepartureTest.cpp
+++ b/unittests/SidecarDepartureTest.cpp
@@ -56,6 +56,40 @@
   CHECK_FALSE(isInUse(Fixture));
 }
 
+// Guards against a leave that the store has lost with its restoration from a
+// copy, although the node still knows it.
+TEST_CASE("Sidecar stores a leave again if the store is restored", "[rpc]") {
+  SidecarFixture Fixture;
+  Fixture.waitUntil([&]() { return Fixture.Store.isWatched(); });
+  auto Copy = Fixture.Store.Kinds;
+  REQUIRE(Fixture.report("/t1/left") == 200);
+  bool IsNoticed = GENERATE(true, false);
+  if (!IsNoticed)
+    Fixture.Store.stop();
+  Fixture.wait(Milliseconds(500));
+  Fixture.Store.restore(Copy);
+  // A lost store is read again after a longer pause than this.
+  Fixture.wait(Milliseconds(250));
+  Fixture.restartAll();
+  Fixture.wait(Milliseconds(300));
+  (void)Fixture.report("/t1/ready");
+  Fixture.wait(Milliseconds(300));
+  CHECK_FALSE(isInUse(Fixture));
+}
+
+// Guards against the same at a node that does not watch the store.
+TEST_CASE("Sidecar stores a leave again if a linked node loses the store",
+          "[rpc]") {
+  SidecarFixture Fixture;
+  Fixture.linkPeer();
+  REQUIRE(Fixture.report("/t1/left") == 200);
+  Fixture.Store.Kinds["limpetdrum-departures"].clear();
+  Fixture.PeerLostStore = true;
+  Fixture.Peer->broadcast();
+  Fixture.wait(Milliseconds(300));
+  CHECK(Fixture.Store.Kinds["limpetdrum-departures"].size() == 1);
+}
+
 TEST_CASE("Sidecar takes reports without the store a while after its start",
           "[rpc]") {
   SidecarFixture Fixture;
--- a/unittests/SidecarFixture.h
+++ b/unittests/SidecarFixture.h
@@ -139,6 +139,7 @@
                     targetOptions()};
   Milliseconds PeerRunTime{150};
   std::size_t StartedPeerRuns = 0;
+  bool PeerLostStore = false;
   std::uint64_t LastIncarnation = 8; ///< of the other node
   std::unique_ptr<Mesh> Peer = this->makePeer();
   bool HasLeft = false;
@@ -179,8 +180,10 @@
     Handlers.OnOrganisationUsage = [](const MeshOrganisationUsage &) {};
     Handlers.KnownCrashes = []() { return CrashNews(); };
     Handlers.OnRecordFromPeer = [](const TargetRecord &) {};
-    Handlers.LocalStatus = [Current = Incarnation(this->LastIncarnation)]() {
+    Handlers.LocalStatus = [this,
+                            Current = Incarnation(this->LastIncarnation)]() {
       NodeStatus Status;
+      Status.StoreLost = this->PeerLostStore;
       Status.Self = peerContact();
       Status.Incarnation = Current;
       Status.Policy = Revision(1);
