Pause accepting while no descriptor is free, and log it

What callers saw: while a node had no free descriptor, it used a whole core, and if nobody read its standard error, it stopped for good: no address answered, and SIGTERM did not end it.

Cause: the listeners had no handler for errors. libevent then writes a warning to standard error, where a full pipe blocks the process, and the socket stays readable, so the next turn of the loop fails again.

Evidence: a real node with 64 descriptors and 100 idle connections, on which the outbound and the link address were called, wrote 258,741,230 bytes in 5,014,411 lines to standard error within 5 s, with 4.98 s of CPU time. With standard error as a pipe that nobody reads, requests got no answer within 3 s after the connections were closed, and the process was still there 10 s after SIGTERM.

Change: a class Listener accepts connections for all addresses.

--- a/include/limpetdrum/connection/Http.h
+++ b/include/limpetdrum/connection/Http.h
@@ -113,6 +113,8 @@
   MemoryBudget *Memory = nullptr;
   /// Returns true while there is no memory for further answers; unset: never.
   std::function<bool()> IsMemoryScarce;
+  /// Called while connections cannot be accepted, see Listener.
+  std::function<void(const std::string &Problem)> OnAcceptError;
 };
 
 /// \brief HTTP/1.1 server on one address.
--- a/include/limpetdrum/connection/PeerLink.h
+++ b/include/limpetdrum/connection/PeerLink.h
@@ -3,6 +3,7 @@
 
 #include "limpetdrum/connection/EventLoop.h"
 #include "limpetdrum/connection/LinkMemory.h"
+#include "limpetdrum/connection/Listener.h"
 #include "limpetdrum/process/Body.h"
 
 #include "Mesh.capnp.h"
@@ -92,17 +93,15 @@
 /// \brief Accepts links from other nodes.
 class PeerListener {
 public:
-  using OnAccept = std::function<void(int Socket)>;
+  using OnAccept = Listener::AcceptHandler;
 
   /// \throws NetworkError if \p Local cannot be bound.
-  PeerListener(EventLoop &Loop, Endpoint Local, OnAccept Accept);
-  ~PeerListener();
-  PeerListener(const PeerListener &) = delete;
-  PeerListener &operator=(const PeerListener &) = delete;
+  PeerListener(EventLoop &Loop, Endpoint Local, OnAccept Accept,
+               Listener::ErrorHandler OnError = nullptr)
+      : Socket(Loop, Local, std::move(Accept), std::move(OnError)) {}
 
 private:
-  struct State;
-  std::unique_ptr<State> Impl;
+  Listener Socket;
 };
 
 } // namespace limpetdrum
--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -1,8 +1,5 @@
 #include "HttpServerConnection.h"
 
-#include "limpetdrum/connection/SocketAddress.h"
-#include "limpetdrum/process/Error.h"
-
 #include <algorithm>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -17,7 +14,6 @@
 /// Time for a client to close the connection after the last response before it
 /// is reset.
 constexpr Milliseconds LingerTimeout{1000};
-constexpr int ListenBacklog = 1024;
 /// Bytes received on a connection beyond the headers of its next request while
 /// no request is read.
 constexpr std::size_t ReadAheadBytes = 64U * 1024U;
@@ -349,21 +345,16 @@
 HttpServer::HttpServer(EventLoop &Loop, Endpoint Local, HttpHandler Handler,
                        const HttpServerOptions &Options)
     : Impl(std::make_shared<State>(Loop, std::move(Handler), Options)) {
-  auto Address = toSocketAddress(Local);
-  this->Impl->Listener = evconnlistener_new_bind(
-      Loop.base(),
-      [](evconnlistener * /*Listener*/, evutil_socket_t Socket,
-         sockaddr * /*Peer*/, int /*Size*/, void *Context) {
-        auto *Self = static_cast<State *>(Context);
-        Self->Connections.insert(
-            std::make_shared<HttpServerConnection>(*Self, Socket));
+  this->Impl->Listener = std::make_unique<Listener>(
+      Loop, Local,
+      [State = this->Impl.get()](int Socket) {
+        State->Connections.insert(
+            std::make_shared<HttpServerConnection>(*State, Socket));
       },
-      this->Impl.get(),
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-      ListenBacklog, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
-  if (this->Impl->Listener == nullptr)
-    throw NetworkError("cannot listen on " + toString(Local),
-                       "free the port or change 'listen' in the settings");
+      [State = this->Impl.get()](const std::string &Problem) {
+        if (State->Options.OnAcceptError)
+          State->Options.OnAcceptError(Problem);
+      });
   this->Impl->TimeoutCheck =
       Loop.every(TimeoutCheckPeriod, [State = this->Impl.get()]() {
         auto Now = State->Loop.now();
@@ -386,11 +377,7 @@
   this->Impl->Options = Options;
 }
 
-void HttpServer::stopListening() {
-  auto *Listener = std::exchange(this->Impl->Listener, nullptr);
-  if (Listener != nullptr)
-    evconnlistener_free(Listener);
-}
+void HttpServer::stopListening() { this->Impl->Listener.reset(); }
 
 void HttpServer::drain() {
   this->Impl->Draining = true;
--- a/lib/connection/HttpServerConnection.h
+++ b/lib/connection/HttpServerConnection.h
@@ -3,8 +3,9 @@
 
 #include "HttpParser.h"
 
+#include "limpetdrum/connection/Listener.h"
+
 #include <deque>
-#include <event2/listener.h>
 #include <set>
 #include <strings.h>
 
@@ -16,7 +17,7 @@
   EventLoop &Loop;
   HttpHandler Handler;
   HttpServerOptions Options;
-  evconnlistener *Listener = nullptr;
+  std::unique_ptr<limpetdrum::Listener> Listener;
   std::set<std::shared_ptr<HttpServerConnection>> Connections;
   std::size_t OpenRequests = 0;
   bool Draining = false;
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -10,7 +10,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <kj/exception.h>
 #include <kj/io.h>
 #include <netinet/tcp.h>
@@ -29,7 +28,6 @@
 /// Time that sent bytes may stay unacknowledged. After it the peer counts as
 /// unreachable and the kernel ends the connection.
 constexpr unsigned UserTimeoutMillis = 3000;
-constexpr int ListenBacklog = 1024;
 /// Longer bodies follow their message in parts.
 constexpr std::size_t MaxInlineBodyBytes = 64U * 1024U;
 /// While more than BusyBytes wait on a link, bodies longer than this follow in
@@ -460,31 +458,4 @@
   Loop.post([Shared]() {});
 }
 
-struct PeerListener::State {
-  evconnlistener *Listener = nullptr;
-  OnAccept Accept;
-};
-
-PeerListener::PeerListener(EventLoop &Loop, Endpoint Local, OnAccept Accept)
-    : Impl(std::make_unique<State>()) {
-  this->Impl->Accept = std::move(Accept);
-  auto Address = toSocketAddress(Local);
-  this->Impl->Listener = evconnlistener_new_bind(
-      Loop.base(),
-      [](evconnlistener * /*Listener*/, evutil_socket_t Socket,
-         sockaddr * /*Peer*/, int /*Size*/,
-         void *Context) { static_cast<State *>(Context)->Accept(Socket); },
-      this->Impl.get(),
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-      ListenBacklog, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
-  if (this->Impl->Listener == nullptr)
-    throw NetworkError("cannot listen on " + toString(Local),
-                       "free the port or change 'listen' in the settings");
-}
-
-PeerListener::~PeerListener() {
-  if (this->Impl->Listener != nullptr)
-    evconnlistener_free(this->Impl->Listener);
-}
-
 } // namespace limpetdrum
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -202,6 +202,8 @@
   [[nodiscard]] Mesh::Handlers meshHandlers();
   /// Returns the limits on clients that no policy sets.
   [[nodiscard]] HttpServerOptions clientOptions();
+  /// Returns the options that all servers have in common.
+  [[nodiscard]] HttpServerOptions serverOptions();
   void listen();
   using Exchange = std::shared_ptr<HttpExchange>;
   /// Starts to learn which targets left before this process started.
@@ -250,8 +252,16 @@
   return Status;
 }
 
-HttpServerOptions Sidecar::State::clientOptions() {
+HttpServerOptions Sidecar::State::serverOptions() {
   HttpServerOptions Options;
+  Options.OnAcceptError = [this](const std::string &Problem) {
+    this->Log.state("accept_failed", {{"error", Problem}});
+  };
+  return Options;
+}
+
+HttpServerOptions Sidecar::State::clientOptions() {
+  auto Options = this->serverOptions();
   Options.Memory = &this->RequestMemory;
   Options.IsMemoryScarce = [this]() {
     return this->TargetMemory.isScarce() || this->PeerMemory.isScarce();
@@ -265,18 +275,22 @@
       [this](Exchange E) { this->Forwarder.onRequest(std::move(E)); },
       this->clientOptions());
   this->Readiness = std::make_unique<HttpServer>(
-      this->Loop, this->Settings.Readiness, [this](const Exchange &E) {
+      this->Loop, this->Settings.Readiness,
+      [this](const Exchange &E) {
         E->reply(this->isReady() ? 200 : 503, {}, "");
-      });
+      },
+      this->serverOptions());
   this->Reports = std::make_unique<HttpServer>(
       this->Loop, this->Settings.Reports,
-      [this](const Exchange &E) { this->onReport(E); });
+      [this](const Exchange &E) { this->onReport(E); }, this->serverOptions());
   this->MetricsPage = std::make_unique<HttpServer>(
-      this->Loop, this->Settings.Metrics, [this](const Exchange &E) {
+      this->Loop, this->Settings.Metrics,
+      [this](const Exchange &E) {
         this->refreshGauges();
         E->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                  this->Counters.text());
-      });
+      },
+      this->serverOptions());
 }
 
 Mesh::Handlers Sidecar::State::meshHandlers() {
--- a/lib/daemon/fleet/IncomingLinks.cpp
+++ b/lib/daemon/fleet/IncomingLinks.cpp
@@ -22,7 +22,10 @@
 void IncomingLinks::start(Handlers Callbacks, Endpoint Listen) {
   this->Callbacks = std::move(Callbacks);
   this->Listener = std::make_unique<PeerListener>(
-      this->Loop, Listen, [this](int Socket) { this->accept(Socket); });
+      this->Loop, Listen, [this](int Socket) { this->accept(Socket); },
+      [this](const std::string &Problem) {
+        this->Log.state("accept_failed", {{"error", Problem}});
+      });
 }
 
 void IncomingLinks::accept(int Socket) {
