Read the departures of earlier processes before writing over them

A leave that an earlier process had stored could be lost after a restart.

Cause: a node keeps its departures in one object. If a target reported a leave before the object had been read, the first write replaced what it held.

Evidence: "DepartureArchive reads what was stored before it writes" failed before (written at once, with one departure of two).

Change: writes wait until the object has been read.

--- a/include/limpetdrum/daemon/fleet/DepartureArchive.h
+++ b/include/limpetdrum/daemon/fleet/DepartureArchive.h
@@ -46,7 +46,10 @@
   /// \brief States that no earlier process of this node has run.
   void skipReading() noexcept { this->IsRead = true; }
   /// \brief Stores a departure, and tries again until it is stored.
-  /// \param Done called when it is stored, or after 500 ms without: the target
+  ///
+  /// While the departures of earlier processes are being read, it waits: a
+  /// write replaces them. \param Done called when it is stored, or after 500 ms
+  /// without: the target
   ///   waits no longer than a second for its acknowledgement.
   void write(const TargetRecord &Target, std::function<void()> Done);
   /// \brief Writes again what was stored in the last minute, as the store may
@@ -61,6 +64,7 @@
   [[nodiscard]] std::vector<Departure> decode(const StoredObject &Object) const;
   [[nodiscard]] bool isOld(const Departure &Value) const;
   [[nodiscard]] std::string encode() const;
+  void storeIfNeeded();
   void store();
   void onStored(std::uint64_t Version, StoreOutcome Outcome);
   void callWaiting();
@@ -72,6 +76,7 @@
   Metrics &Counters;
   std::function<std::int64_t()> UnixMillis;
   bool IsRead = false;
+  bool IsReading = false;
   std::vector<Departure> Known; ///< the latest last
   std::uint64_t Version = 0;    ///< of Known
   std::uint64_t StoredVersion = 0;
--- a/lib/daemon/fleet/DepartureArchive.cpp
+++ b/lib/daemon/fleet/DepartureArchive.cpp
@@ -55,6 +55,7 @@
       Counters(Counters), UnixMillis(std::move(UnixMillis)) {}
 
 void DepartureArchive::read(OnRead Done) {
+  this->IsReading = true;
   this->Store.get(
       DepartureKind, this->Self.value(), "departures-read",
       [this, Done = std::move(Done)](const StoreListing &Listing) {
@@ -64,6 +65,7 @@
           return;
         }
         this->IsRead = true;
+        this->IsReading = false;
         std::vector<Departure> Stored;
         if (!Listing.Objects.empty()) {
           Stored = this->decode(Listing.Objects.front());
@@ -73,6 +75,7 @@
         this->Known.insert(this->Known.begin(), Stored.begin(), Stored.end());
         this->Log.state("departures_read", {{"departures", Stored.size()}});
         Done(Stored);
+        this->storeIfNeeded();
       });
 }
 
@@ -137,8 +140,7 @@
       this->callWaiting();
     });
   this->Waiting.push_back(std::move(Done));
-  if (!this->IsStoring)
-    this->store();
+  this->storeIfNeeded();
 }
 
 void DepartureArchive::onStoreDoubtful() {
@@ -146,7 +148,13 @@
     return;
   this->Counters.count("departures_written_again");
   ++this->Version;
-  if (!this->IsStoring)
+  this->storeIfNeeded();
+}
+
+void DepartureArchive::storeIfNeeded() {
+  // A write replaces what earlier processes of this node wrote.
+  if (!this->IsReading && !this->IsStoring &&
+      this->StoredVersion != this->Version)
     this->store();
 }
 
--- a/unittests/DepartureArchiveTest.cpp
+++ b/unittests/DepartureArchiveTest.cpp
@@ -109,6 +109,28 @@
   CHECK(Fixture.Writes.size() == 3);
 }
 
+// Guards against a departure that overwrites those of earlier processes.
+TEST_CASE("DepartureArchive reads what was stored before it writes") {
+  ArchiveFixture Fixture;
+  Fixture.write("t1", TargetState::Left);
+  StoreListing Listing;
+  Listing.Outcome = StoreOutcome::Done;
+  Listing.Objects.push_back({"n1", 1, Fixture.Written.back()});
+  DepartureArchive Later(Fixture.Loop, Fixture.Store, NodeId("n1"), Fixture.Log,
+                         Fixture.Counters, []() { return 1'000'000; });
+  ObjectStore::ListDone Answer;
+  REQUIRE_CALL(Fixture.Store, get("limpetdrum-departures", "n1", _, _))
+      .LR_SIDE_EFFECT(Answer = _4);
+  Later.read([](const std::vector<Departure> &) {});
+  Later.write(ArchiveFixture::target("t2", TargetState::Left), []() {});
+  CHECK(Fixture.Writes.size() == 1);
+  Answer(Listing);
+  REQUIRE(Fixture.Writes.size() == 2);
+  auto Stored = Fixture.read(Fixture.Written.back());
+  REQUIRE(Stored.size() == 2);
+  CHECK(Stored[0].Target.Id == "t1");
+}
+
 TEST_CASE("DepartureArchive gives a later process what it stored") {
   ArchiveFixture Fixture;
   Fixture.write("t1", TargetState::Draining);
