Acknowledge a leave only once it is stored

Cause: a departure was acknowledged after 500 ms whether it was stored or not.

Evidence: "Sidecar acknowledges no leave that it cannot store" (for both ways to leave) and "DepartureArchive repeats a write, and acknowledges none before" failed before: 200 in the place of 503.

Change: a report that cannot be stored within 500 ms gets 503. It is acted on at once all the same, written as soon as the store answers, and the next report after that is acknowledged at once. Each report has 500 ms of its own.

Cost: while the store cannot be written no leave is acknowledged, so a target that waits for the acknowledgement exits without, some seconds later.

Tests replaced, since they demanded the fault: "Sidecar stores a leave before it acknowledges it" wanted 200 after 400 to 900 ms without the store; its successor wants 503 in the same time, the target out of use as before, 200 within 200 ms once the store is back, and no use after a restart of all. "DepartureArchive repeats a write, and acknowledges in time" wanted an acknowledgement after 500 ms; its successor wants a refusal then, the same repetitions, and an acknowledgement after the write only.

--- a/include/limpetdrum/daemon/fleet/DepartureArchive.h
+++ b/include/limpetdrum/daemon/fleet/DepartureArchive.h
@@ -7,6 +7,7 @@
 #include "limpetdrum/process/Metrics.h"
 #include "limpetdrum/process/NodeStatus.h"
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -28,6 +29,7 @@
 class DepartureArchive {
 public:
   using OnRead = std::function<void(const std::vector<Departure> &)>;
+  using OnWritten = std::function<void(bool IsStored)>;
 
   /// \param Self name of the node whose targets it keeps.
   /// \param UnixMillis returns the time of day in milliseconds since the Unix
@@ -47,11 +49,12 @@
   void skipReading() noexcept { this->IsRead = true; }
   /// \brief Stores a departure, and tries again until it is stored.
   ///
-  /// While the departures of earlier processes are being read, it waits: a
-  /// write replaces them. \param Done called when it is stored, or after 500 ms
-  /// without: the target
-  ///   waits no longer than a second for its acknowledgement.
-  void write(const TargetRecord &Target, std::function<void()> Done);
+  /// It waits while the departures of earlier processes are being read, as a
+  /// write replaces them.
+  /// \param Done called when it is stored, or with false after 500 ms without:
+  ///   the target waits no longer than a second, and must not be told that its
+  ///   leave is known while it can be forgotten. The target reports it again.
+  void write(const TargetRecord &Target, OnWritten Done);
   /// \brief Writes again what was stored in the last minute, as the store may
   ///   have lost it: it has been restored from a copy, or it cannot be reached,
   ///   as before such a restoration.
@@ -61,12 +64,19 @@
   void removeOld();
 
 private:
+  struct Waiter {
+    OnWritten Done;
+    Timer Limit;
+  };
+
   [[nodiscard]] std::vector<Departure> decode(const StoredObject &Object) const;
   [[nodiscard]] bool isOld(const Departure &Value) const;
   [[nodiscard]] std::string encode() const;
   void storeIfNeeded();
   void store();
   void onStored(std::uint64_t Version, StoreOutcome Outcome);
+  /// Ends the wait of a report for which the store takes too long.
+  void onWaitedTooLong(std::uint64_t Number);
   void callWaiting();
 
   EventLoop &Loop;
@@ -83,10 +93,11 @@
   /// Time at which it was last stored, or read by this process.
   std::optional<TimePoint> StoredAt;
   bool IsStoring = false;
-  std::vector<std::function<void()>> Waiting; ///< for the current version
+  /// Those that wait until the current version is stored, in order.
+  std::map<std::uint64_t, Waiter> Waiting;
+  std::uint64_t LastWaiter = 0;
   Timer ReadTimer;
   Timer RetryTimer;
-  Timer WaitTimer;
 };
 
 } // namespace limpetdrum
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -214,6 +214,8 @@
   void onReport(const Exchange &Report);
   void onLeave(const Exchange &Report, const std::string &Id);
   void onTargetReport(const Exchange &Report, const LocalTarget::Report &Value);
+  /// Acknowledges a departure once it is stored.
+  void storeDeparture(const Exchange &Report, const TargetRecord &Target);
   void acknowledge(const Exchange &Report);
   void refuseReport(const Exchange &Report, const TargetRecord &Target);
   void onPolicy(const TrafficPolicy &NewPolicy);
@@ -581,7 +583,17 @@
     Left.Id = Id;
     Left.State = TargetState::Left;
   }
-  this->Departures.write(Left, [this, Report]() { this->acknowledge(Report); });
+  this->storeDeparture(Report, Left);
+}
+
+void Sidecar::State::storeDeparture(const Exchange &Report,
+                                    const TargetRecord &Target) {
+  this->Departures.write(Target, [this, Report](bool IsStored) {
+    if (IsStored)
+      this->acknowledge(Report);
+    else
+      Report->reply(503, {}, "the departure is not stored yet\n");
+  });
 }
 
 void Sidecar::State::onTargetReport(const Exchange &Report,
@@ -607,8 +619,7 @@
   }
   this->HasReport = true;
   if (IsLeaving)
-    this->Departures.write(this->LocalTarget.record(),
-                           [this, Report]() { this->acknowledge(Report); });
+    this->storeDeparture(Report, this->LocalTarget.record());
   else
     this->acknowledge(Report);
 }
--- a/lib/daemon/fleet/DepartureArchive.cpp
+++ b/lib/daemon/fleet/DepartureArchive.cpp
@@ -12,7 +12,7 @@
 const std::string DepartureKind = "limpetdrum-departures";
 constexpr Milliseconds ReadRetryPause{200};
 constexpr Milliseconds WriteRetryPause{100};
-/// A target takes an acknowledgement that arrives within a second.
+/// A target takes an answer that arrives within a second.
 constexpr Milliseconds MaxWriteWait{500};
 /// One instance has one target at a time; reports of those before the last few
 /// are older than what any later target has reported.
@@ -107,8 +107,7 @@
   return this->UnixMillis() - Value.At > Milliseconds(Retention).count();
 }
 
-void DepartureArchive::write(const TargetRecord &Target,
-                             std::function<void()> Done) {
+void DepartureArchive::write(const TargetRecord &Target, OnWritten Done) {
   auto Found = std::find_if(this->Known.begin(), this->Known.end(),
                             [&](const Departure &Each) {
                               return Each.Target.Id == Target.Id &&
@@ -129,17 +128,14 @@
     ++this->Version;
   }
   if (this->StoredVersion == this->Version) {
-    Done();
+    Done(true);
     return;
   }
-  if (this->Waiting.empty())
-    this->WaitTimer = this->Loop.after(MaxWriteWait, [this]() {
-      this->Counters.count("departures_acknowledged_unstored");
-      this->Log.state("departure_not_stored",
-                      {{"target", this->Known.back().Target.Id}});
-      this->callWaiting();
-    });
-  this->Waiting.push_back(std::move(Done));
+  auto Number = ++this->LastWaiter;
+  this->Waiting.emplace(
+      Number, Waiter{std::move(Done), this->Loop.after(MaxWriteWait, [=]() {
+                       this->onWaitedTooLong(Number);
+                     })});
   this->storeIfNeeded();
 }
 
@@ -184,10 +180,17 @@
   this->callWaiting();
 }
 
+void DepartureArchive::onWaitedTooLong(std::uint64_t Number) {
+  this->Counters.count("departures_not_acknowledged");
+  this->Log.state("departure_not_stored",
+                  {{"target", this->Known.back().Target.Id}});
+  auto Late = this->Waiting.extract(Number);
+  Late.mapped().Done(false);
+}
+
 void DepartureArchive::callWaiting() {
-  this->WaitTimer.cancel();
-  for (auto &Done : std::exchange(this->Waiting, {}))
-    Done();
+  for (auto &[Number, Each] : std::exchange(this->Waiting, {}))
+    Each.Done(true);
 }
 
 void DepartureArchive::removeOld() {
--- a/unittests/DepartureArchiveTest.cpp
+++ b/unittests/DepartureArchiveTest.cpp
@@ -26,6 +26,7 @@
           .LR_SIDE_EFFECT(this->Written.push_back(_2.Value))
           .LR_SIDE_EFFECT(this->Writes.push_back(_4));
   unsigned Acknowledged = 0;
+  unsigned Refused = 0;
 
   static TargetRecord target(const std::string &Id, TargetState State) {
     TargetRecord Record;
@@ -39,7 +40,9 @@
   }
 
   void write(const TargetRecord &Target) {
-    this->Archive.write(Target, [this]() { ++this->Acknowledged; });
+    this->Archive.write(Target, [this](bool IsStored) {
+      ++(IsStored ? this->Acknowledged : this->Refused);
+    });
   }
   void write(const std::string &Id, TargetState State) {
     this->write(target(Id, State));
@@ -95,17 +98,30 @@
   CHECK(Fixture.Acknowledged == 2);
 }
 
-TEST_CASE("DepartureArchive repeats a write, and acknowledges in time") {
+// Guards against an acknowledged leave that nothing knows of after a restart.
+TEST_CASE("DepartureArchive repeats a write, and acknowledges none before") {
   ArchiveFixture Fixture;
   Fixture.write("t1", TargetState::Left);
   Fixture.Writes[0](StoreOutcome::Refused);
   Fixture.wait(Milliseconds(150));
   REQUIRE(Fixture.Writes.size() == 2);
-  CHECK(Fixture.Acknowledged == 0);
+  CHECK(Fixture.Acknowledged + Fixture.Refused == 0);
   Fixture.wait(Milliseconds(450));
-  CHECK(Fixture.Acknowledged == 1);
+  CHECK(Fixture.Acknowledged == 0);
+  CHECK(Fixture.Refused == 1);
   Fixture.Writes[1](StoreOutcome::Lost);
   Fixture.wait(Milliseconds(150));
+  REQUIRE(Fixture.Writes.size() == 3);
+  // Each report has its own time.
+  Fixture.write("t1", TargetState::Left);
+  Fixture.wait(Milliseconds(300));
+  Fixture.write("t1", TargetState::Left);
+  Fixture.wait(Milliseconds(300));
+  CHECK(Fixture.Refused == 2);
+  Fixture.Writes[2](StoreOutcome::Done);
+  CHECK(Fixture.Acknowledged == 1);
+  Fixture.write("t1", TargetState::Left);
+  CHECK(Fixture.Acknowledged == 2);
   CHECK(Fixture.Writes.size() == 3);
 }
 
@@ -122,7 +138,7 @@
   REQUIRE_CALL(Fixture.Store, get("limpetdrum-departures", "n1", _, _))
       .LR_SIDE_EFFECT(Answer = _4);
   Later.read([](const std::vector<Departure> &) {});
-  Later.write(ArchiveFixture::target("t2", TargetState::Left), []() {});
+  Later.write(ArchiveFixture::target("t2", TargetState::Left), [](bool) {});
   CHECK(Fixture.Writes.size() == 1);
   Answer(Listing);
   REQUIRE(Fixture.Writes.size() == 2);
--- a/unittests/SidecarDepartureTest.cpp
+++ b/unittests/SidecarDepartureTest.cpp
@@ -43,16 +43,28 @@
   CHECK_FALSE(isInUse(Fixture));
 }
 
-TEST_CASE("Sidecar stores a leave before it acknowledges it", "[rpc]") {
+// Guards against an acknowledged leave that no process knows of after a restart
+// of all.
+TEST_CASE("Sidecar acknowledges no leave that it cannot store", "[rpc]") {
   SidecarFixture Fixture;
-  Fixture.Store.Answers = false;
+  auto Leave = GENERATE("/t1/left", "/t1/draining");
+  Fixture.Store.stop();
   auto Start = Fixture.Loop.now();
-  // The target takes an acknowledgement of up to a second, whatever the store
-  // does.
-  CHECK(Fixture.report("/t1/left") == 200);
+  CHECK(Fixture.report(Leave) == 503);
   auto Waited = Fixture.Loop.now() - Start;
   CHECK(Waited >= Milliseconds(400));
   CHECK(Waited < Milliseconds(900));
+  // The target is not used all the same.
+  CHECK_FALSE(isInUse(Fixture));
+  Fixture.Store.Answers = true;
+  Fixture.wait(Milliseconds(250));
+  Start = Fixture.Loop.now();
+  CHECK(Fixture.report(Leave) == 200);
+  CHECK(Fixture.Loop.now() - Start < Milliseconds(200));
+  Fixture.restartAll();
+  Fixture.wait(Milliseconds(300));
+  (void)Fixture.report("/t1/ready");
+  Fixture.wait(Milliseconds(300));
   CHECK_FALSE(isInUse(Fixture));
 }
 
