Announce the close with an answer that was ready before the drain

What callers saw: clients that pipeline safe requests got all answers, none of them with "Connection: close", sent their next requests on the same connection and saw it end without an answer, right after the node got SIGTERM.

Cause: the header was written when the last answer became ready. While it waited for the answers before it, the drain marked the connection as ending, so it closed after that answer without having said so.

Change: the connection writes this header when it writes the answer.

--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -173,14 +173,13 @@
     this->beginRequest(); // frees what was read of it
   this->Ending = true;
   this->Pipeline.push_back(
-      {nullptr, {}, false, head(Status, {}, 0, false, true), {}});
+      {nullptr, {}, false, head(Status, {}, 0, false), {}});
   ++this->Server->OpenRequests;
   this->flush();
 }
 
 std::string HttpServerConnection::head(int Status, const HttpHeaders &Headers,
-                                       std::size_t BodyBytes, bool IsHead,
-                                       bool Close) {
+                                       std::size_t BodyBytes, bool IsHead) {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " " +
                      impl::reasonPhrase(Status) + "\r\n";
   bool HasLength = false;
@@ -194,9 +193,7 @@
   }
   if (!HasLength && Status != 204 && Status != 304)
     Text.append("Content-Length: " + std::to_string(BodyBytes) + "\r\n");
-  if (Close)
-    Text.append("Connection: close\r\n");
-  return Text.append("\r\n");
+  return Text;
 }
 
 void HttpServerConnection::endAfterPipeline() {
@@ -215,8 +212,7 @@
     if (Entry.Identity != &Exchange)
       continue;
     bool IsHead = Exchange.method() == "HEAD";
-    Entry.Head =
-        head(Status, Headers, Content.size(), IsHead, !Entry.KeepAlive);
+    Entry.Head = head(Status, Headers, Content.size(), IsHead);
     if (!IsHead && Status != 204 && Status != 304)
       Entry.Body = Content;
     this->flush();
@@ -228,6 +224,9 @@
   auto Self = this->shared_from_this();
   while (!this->Pipeline.empty() && this->Pipeline.front().Head) {
     this->write(*this->Pipeline.front().Head);
+    // A drain may begin while an answer waits for those before it.
+    this->write(this->Pipeline.front().KeepAlive ? "\r\n"
+                                                 : "Connection: close\r\n\r\n");
     this->writeBody(this->Pipeline.front().Body);
     this->Pipeline.pop_front();
     --this->Server->OpenRequests;
--- a/lib/connection/HttpServerConnection.h
+++ b/lib/connection/HttpServerConnection.h
@@ -55,7 +55,7 @@
     const HttpExchange *Identity;
     std::weak_ptr<HttpExchange> Exchange;
     bool KeepAlive;
-    /// Status line and headers; set when the request is answered.
+    /// As of head(); set when the request is answered.
     std::optional<std::string> Head;
     limpetdrum::Body Body;
   };
@@ -69,10 +69,10 @@
   void rejectAndEnd(int Status);
   /// Hands a request that has been read to the handler.
   void handle(HttpRequest Request, bool KeepAlive);
-  /// Returns the status line and the headers of a response.
+  /// Returns the status line and the headers of a response, without
+  /// `Connection` and the empty line.
   [[nodiscard]] static std::string head(int Status, const HttpHeaders &Headers,
-                                        std::size_t BodyBytes, bool IsHead,
-                                        bool Close);
+                                        std::size_t BodyBytes, bool IsHead);
   void flush();
   void write(const std::string &Bytes);
   void writeBody(const Body &Value);
--- a/unittests/HttpPipelineTest.cpp
+++ b/unittests/HttpPipelineTest.cpp
@@ -275,6 +275,25 @@
   CHECK(count(LateClient.Received, "Connection: close") == 1);
 }
 
+TEST_CASE("HttpServer announces the close with an answer that was ready before "
+          "it drains",
+          "[http]") {
+  HoldingServer Fixture;
+  RawConnection Client(Fixture.Loop);
+  Client.send(get("/1") + get("/2"));
+  Client.wait(30);
+  REQUIRE(Fixture.Open.size() == 2);
+  Fixture.Open[1]->reply(200, {}, "two");
+  Fixture.Server.drain();
+  Fixture.Open[0]->reply(200, {}, "one");
+  Client.wait(30);
+  CHECK(count(Client.Received, "HTTP/1.1 200") == 2);
+  auto Last = Client.Received.rfind("HTTP/1.1 200");
+  CHECK(Client.Received.find("Connection: close", Last) != std::string::npos);
+  CHECK(count(Client.Received, "Connection: close") == 1);
+  CHECK(Client.Ended);
+}
+
 TEST_CASE("HttpClient drops a response to another request", "[http]") {
   EventLoop Loop;
   ScriptedServer Server(Loop,
