Ask for a body that is announced behind other requests

What callers saw: a client that sends "Expect: 100-continue" behind a request without an answer was never asked for the body. It waits until its own limit, or gets 408 after four times the header timeout.

Cause: while other requests were open, the interim response was left out, but noted as sent.

Evidence: the new test, in which no interim response came before. Not played with real processes.

Change: the interim response is sent as soon as the requests before it are answered.

--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -117,8 +117,7 @@
       this->RequestStarted = this->Server->Loop.now();
     auto Result = this->Parser.read(Input);
     if (Result == impl::ParseResult::NeedMore) {
-      if (this->Parser.takeExpectContinue() && this->Pipeline.empty())
-        this->write("HTTP/1.1 100 Continue\r\n\r\n");
+      this->askForBody();
       return;
     }
     bool IsUnread = Result == impl::ParseResult::NoMemory;
@@ -139,6 +138,12 @@
   }
 }
 
+void HttpServerConnection::askForBody() {
+  // An interim response belongs to the first request without an answer.
+  if (this->Pipeline.empty() && this->Parser.takeExpectContinue())
+    this->write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
 void HttpServerConnection::handle(HttpRequest Request, bool KeepAlive) {
   auto Exchange = std::make_shared<HttpExchange>(std::move(Request),
                                                  this->weak_from_this());
@@ -234,9 +239,12 @@
   }
   if (this->Event == nullptr)
     return;
-  if (this->Ending)
+  if (this->Ending) {
     this->finishWriting();
-  else if (evbuffer_get_length(bufferevent_get_input(this->Event)) > 0)
+    return;
+  }
+  this->askForBody();
+  if (evbuffer_get_length(bufferevent_get_input(this->Event)) > 0)
     this->postRead();
 }
 
--- a/lib/connection/HttpServerConnection.h
+++ b/lib/connection/HttpServerConnection.h
@@ -64,6 +64,8 @@
   [[nodiscard]] bool canReadRequest() const;
   void readRequests();
   void postRead();
+  /// Answers `Expect: 100-continue` of the request that is being read.
+  void askForBody();
   void rejectMalformed(impl::ParseResult Result);
   /// Responds to a request that could not be read and ends the connection.
   void rejectAndEnd(int Status);
--- a/unittests/HttpPipelineTest.cpp
+++ b/unittests/HttpPipelineTest.cpp
@@ -294,6 +294,23 @@
   CHECK(Client.Ended);
 }
 
+TEST_CASE("HttpServer asks for a body that is announced behind other requests",
+          "[http]") {
+  HoldingServer Fixture;
+  RawConnection Client(Fixture.Loop);
+  Client.send(get("/1") + "PUT /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                          "Expect: 100-continue\r\n\r\n");
+  Client.wait(30);
+  REQUIRE(Fixture.Open.size() == 1);
+  CHECK(Client.Received.empty());
+  Fixture.Open[0]->reply(200, {}, "one");
+  Client.wait(30);
+  CHECK(count(Client.Received, "HTTP/1.1 100") == 1);
+  Client.send("abc");
+  Client.wait(30);
+  CHECK(Fixture.Open.size() == 2);
+}
+
 TEST_CASE("HttpClient drops a response to another request", "[http]") {
   EventLoop Loop;
   ScriptedServer Server(Loop,
