Read the answer that arrived before a reset of its connection

What callers saw: a target that answers early, while a long body is still being sent, and resets the connection: an unsafe request was answered 502, though the target had said that it did not run it.

Cause: the event for a write that fails came before the one for the bytes that lay in the socket, and the connection was given up with them. That can happen whenever answer and reset arrive within one pass of the loop.

Evidence: the new test (answer 503, then a reset, behind a body of 16 MiB) saw a broken connection before.

Change: after a reset, what arrived before it is read first. The connection is not used again.

--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -109,6 +109,7 @@
   bufferevent *Event = nullptr;
   bool Opening = false; ///< within open()
   bool Connected = false;
+  bool HasEnded = false; ///< closed or reset by the server
   /// True once a response to another request was received on it.
   bool ReceivedForeignResponse = false;
   /// Latest requests that were refused or failed on it. A server may write such
@@ -142,6 +143,8 @@
   void expectResponse(bool IsHead);
   void onConnected();
   void onReadable();
+  /// Reads what arrived before a reset that a write has met.
+  void readBeforeReset();
   void onEnd(bool Orderly);
   /// Handles that the response was given up in favour of another.
   void onGivenUp();
@@ -345,19 +348,32 @@
     }
     Response.Outcome = HttpOutcome::Answered;
     auto *Output = bufferevent_get_output(this->Event);
-    bool Reusable = KeepAlive && !this->ReceivedForeignResponse &&
-                    evbuffer_get_length(Input) == 0 &&
-                    evbuffer_get_length(Output) == 0;
+    bool Reusable =
+        KeepAlive && !this->HasEnded && !this->ReceivedForeignResponse &&
+        evbuffer_get_length(Input) == 0 && evbuffer_get_length(Output) == 0;
     this->Owner.finish(this->CallId, std::move(Response), Reusable);
     return;
   }
 }
 
+void ClientConnection::readBeforeReset() {
+  auto *Input = bufferevent_get_input(this->Event);
+  evbuffer_unfreeze(Input, 0); // a bufferevent's input is frozen for others
+  while (this->CallId != 0 &&
+         evbuffer_read(Input, bufferevent_getfd(this->Event), -1) > 0)
+    this->onReadable();
+}
+
 void ClientConnection::onEnd(bool Orderly) {
   if (this->CallId == 0) {
     this->Owner.removeIdle(this);
     return;
   }
+  this->HasEnded = true;
+  if (!Orderly && this->Connected)
+    this->readBeforeReset();
+  if (this->CallId == 0)
+    return;
   HttpResponse Response;
   // Without a socket, nothing has been learned of the server.
   bool HasSocket = bufferevent_getfd(this->Event) >= 0;
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -74,6 +74,41 @@
   std::vector<bufferevent *> Open;
 };
 
+/// Server whose connections are accepted, written and closed by the test,
+/// without the loop.
+class RawListener {
+public:
+  RawListener() : Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    int Enable = 1;
+    ::setsockopt(this->Listener, SOL_SOCKET, SO_REUSEADDR, &Enable,
+                 sizeof(Enable));
+    auto Address = toSocketAddress(ServerAddress);
+    REQUIRE(::bind(this->Listener, reinterpret_cast<sockaddr *>(&Address),
+                   sizeof(Address)) == 0);
+    REQUIRE(::listen(this->Listener, 256) == 0);
+  }
+  ~RawListener() {
+    this->closeAll();
+    ::close(this->Listener);
+  }
+  RawListener(const RawListener &) = delete;
+  RawListener &operator=(const RawListener &) = delete;
+
+  void acceptAndSend(const std::string &Bytes) {
+    this->Open.push_back(::accept(this->Listener, nullptr, nullptr));
+    REQUIRE(::send(this->Open.back(), Bytes.data(), Bytes.size(), 0) ==
+            static_cast<ssize_t>(Bytes.size()));
+  }
+  void closeAll() {
+    for (int Socket : std::exchange(this->Open, {}))
+      ::close(Socket);
+  }
+
+private:
+  int Listener;
+  std::vector<int> Open;
+};
+
 HttpResponse sendRequest(EventLoop &Loop, const HttpCall &Call = {}) {
   HttpClient Client(Loop, ServerAddress);
   HttpResponse Result;
@@ -297,6 +332,30 @@
   CHECK(Stalled.Received < BodyBytes);
 }
 
+TEST_CASE("HttpClient reads an early answer that a reset follows", "[http]") {
+  EventLoop Loop;
+  RawListener Server;
+  HttpClient Client(Loop, ServerAddress);
+  std::optional<HttpResponse> Result;
+  HttpCall Call;
+  Call.Method = "PUT";
+  Call.Body = std::string(16U * 1024U * 1024U, '.');
+  Client.send(Call, [&](HttpResponse Response) {
+    Result = std::move(Response);
+    Loop.stop();
+  });
+  auto Sent = Loop.after(Milliseconds(100), [&]() { Loop.stop(); });
+  Loop.run();
+  Server.acceptAndSend("HTTP/1.1 503 Service Unavailable\r\n"
+                       "Content-Length: 0\r\nConnection: close\r\n\r\n");
+  Server.closeAll();
+  auto Limit = Loop.after(Milliseconds(2000), [&]() { Loop.stop(); });
+  Loop.run();
+  REQUIRE(Result);
+  CHECK(Result->Outcome == HttpOutcome::Answered);
+  CHECK(Result->Status == 503);
+}
+
 TEST_CASE("HttpClient finds out whether a server has ended", "[http]") {
   EventLoop Loop;
   HttpClient Client(Loop, ServerAddress);
