Read what arrived during a pause before a timer decides

What callers saw: after a pause of a node (0.5 to 5 s, SIGSTOP and SIGCONT), kept connections whose next request had arrived meanwhile were reset. Answers that had arrived in time for their request could be lost to its limit.

Cause: all timers that are due run in the first pass of the loop, and that pass reads 16 KB of at most 32 ready sockets. Requests and answers in the others, and the rest of longer answers, came too late for the timer of the idle connection or of the request.

Ruled out: a lower priority for timers, because those of a busy loop would starve.

Change: a timer that is late by 100 ms or more waits for up to 32 further passes, and no longer than 50 ms and the pass that is running then.

--- a/include/limpetdrum/connection/EventLoop.h
+++ b/include/limpetdrum/connection/EventLoop.h
@@ -34,8 +34,10 @@
 /// Proto's.
 ///
 /// When promises become ready, an event is activated whose callback runs them;
-/// nothing ever blocks on a promise. The constructor makes the process ignore
-/// SIGPIPE, because peers may close a connection at any time.
+/// nothing ever blocks on a promise. A timer that is late, because the process
+/// was paused, runs once the loop has read what arrived meanwhile. The
+/// constructor makes the process ignore SIGPIPE, because peers may close a
+/// connection at any time.
 class EventLoop {
 public:
   /// \throws NetworkError if libevent cannot create an event base.
--- a/lib/connection/EventLoop.cpp
+++ b/lib/connection/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "limpetdrum/process/Error.h"
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <deque>
@@ -13,6 +14,25 @@
 
 namespace {
 
+/// Lateness from which a timer shows that the process was paused: longer than
+/// a busy loop takes for one pass.
+constexpr Milliseconds MinPause{100};
+/// Bounds of the wait of a late timer for what arrived during the pause. One
+/// pass reads 16 KB of each ready socket, and twice as many sockets as the one
+/// before it; an overloaded loop, whose passes are long, makes few.
+constexpr unsigned MaxPasses = 32;
+constexpr Milliseconds MaxReadTime{50};
+
+TimePoint readClock() {
+  // Unlike the steady clock, CLOCK_BOOTTIME advances while the machine is
+  // suspended, so deadlines that passed meanwhile have expired on resume.
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return TimePoint(std::chrono::duration_cast<Microseconds>(
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec)));
+}
+
 timeval toTimeval(Microseconds Span) {
   constexpr std::int64_t PerSecond = 1'000'000;
   timeval Value{};
@@ -60,38 +80,84 @@
 } // namespace
 
 struct Timer::State {
-  event *Event = nullptr;
-  bool Repeat = false;
+  event_base *Base;
+  event *Event;
+  event *NextPass = nullptr; ///< of a late timer
+  Microseconds Delay;
+  bool Repeat;
   std::function<void()> Action;
-
-  State() = default;
+  TimePoint Due;
+  TimePoint LateSince{};
+  unsigned Passes = 0; ///< that the timer has waited
+
+  State(event_base *Base, Microseconds Delay, bool Repeat,
+        std::function<void()> Action)
+      : Base(Base), Event(event_new(Base, -1, Repeat ? EV_PERSIST : short(0),
+                                    &State::onExpiry, this)),
+        Delay(std::max(Delay, Microseconds(0))), Repeat(Repeat),
+        Action(std::move(Action)), Due(readClock() + this->Delay) {
+    auto Span = toTimeval(this->Delay);
+    event_add(this->Event, &Span);
+  }
   State(const State &) = delete;
   State &operator=(const State &) = delete;
-  ~State() { event_free(this->Event); }
+  ~State() {
+    event_free(this->Event);
+    if (this->NextPass != nullptr)
+      event_free(this->NextPass);
+  }
+
+  void waitForNextPass() {
+    if (this->NextPass == nullptr)
+      this->NextPass = event_new(this->Base, -1, 0, &State::onNextPass, this);
+    auto Span = toTimeval(Microseconds(0));
+    event_add(this->NextPass, &Span);
+  }
+
+  void run() {
+    this->Passes = 0;
+    if (this->Repeat) {
+      this->Action();
+      return;
+    }
+    // Moved out of the timer first, because the action may destroy the timer.
+    auto Action = std::move(this->Action);
+    Action();
+  }
 
   static void onExpiry(evutil_socket_t /*Socket*/, short /*Events*/,
                        void *Context) {
     auto *Self = static_cast<State *>(Context);
-    if (Self->Repeat) {
-      Self->Action();
+    if (Self->Passes > 0)
+      return; // expired again while it waits
+    auto Now = readClock();
+    bool IsLate = Now - Self->Due >= MinPause;
+    Self->Due = Now + Self->Delay;
+    if (!IsLate) {
+      Self->run();
       return;
     }
-    // Moved out of the timer first, because the action may destroy the timer.
-    auto Action = std::move(Self->Action);
-    Action();
+    Self->LateSince = Now;
+    Self->Passes = 1;
+    Self->waitForNextPass();
+  }
+
+  static void onNextPass(evutil_socket_t /*Socket*/, short /*Events*/,
+                         void *Context) {
+    auto *Self = static_cast<State *>(Context);
+    if (Self->Passes >= MaxPasses ||
+        readClock() - Self->LateSince >= MaxReadTime) {
+      Self->run();
+      return;
+    }
+    ++Self->Passes;
+    Self->waitForNextPass();
   }
 };
 
 Timer::Timer(event_base *Base, Microseconds Delay, bool Repeat,
              std::function<void()> Action)
-    : Pending(std::make_unique<State>()) {
-  this->Pending->Repeat = Repeat;
-  this->Pending->Action = std::move(Action);
-  short Flags = Repeat ? EV_PERSIST : 0;
-  this->Pending->Event =
-      event_new(Base, -1, Flags, &State::onExpiry, this->Pending.get());
-  auto Span = toTimeval(std::max(Delay, Microseconds(0)));
-  event_add(this->Pending->Event, &Span);
+    : Pending(std::make_unique<State>(Base, Delay, Repeat, std::move(Action))) {
 }
 
 Timer::Timer() = default;
@@ -159,15 +225,7 @@
 
 event_base *EventLoop::base() const noexcept { return this->Impl->Base; }
 
-TimePoint EventLoop::now() const {
-  // Unlike the steady clock, CLOCK_BOOTTIME advances while the machine is
-  // suspended, so deadlines that passed meanwhile have expired on resume.
-  timespec Time{};
-  clock_gettime(CLOCK_BOOTTIME, &Time);
-  return TimePoint(std::chrono::duration_cast<Microseconds>(
-      std::chrono::seconds(Time.tv_sec) +
-      std::chrono::nanoseconds(Time.tv_nsec)));
-}
+TimePoint EventLoop::now() const { return readClock(); }
 
 Timer EventLoop::after(Microseconds Delay, std::function<void()> Action) {
   return Timer(this->Impl->Base, Delay, false, std::move(Action));
--- a/unittests/HttpTest.cpp
+++ b/unittests/HttpTest.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace limpetdrum;
@@ -332,6 +333,37 @@
   CHECK(Stalled.Received < BodyBytes);
 }
 
+TEST_CASE("HttpClient reads answers that arrived during a pause before it "
+          "times out",
+          "[http]") {
+  constexpr std::size_t CallCount = 100;
+  constexpr std::size_t BodyBytes = 40'000;
+  EventLoop Loop;
+  RawListener Server;
+  HttpClient Client(Loop, ServerAddress);
+  std::size_t Ended = 0;
+  std::size_t Answered = 0;
+  HttpCall Call;
+  Call.Timeout = Milliseconds(1000);
+  for (std::size_t I = 0; I < CallCount; ++I)
+    Client.send(Call, [&](const HttpResponse &Response) {
+      Answered += Response.Outcome == HttpOutcome::Answered ? 1 : 0;
+      if (++Ended == CallCount)
+        Loop.stop();
+    });
+  auto Sent = Loop.after(Milliseconds(100), [&]() { Loop.stop(); });
+  Loop.run();
+  for (std::size_t I = 0; I < CallCount; ++I)
+    Server.acceptAndSend(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) +
+        "\r\n\r\n" + std::string(BodyBytes, '.'));
+  std::this_thread::sleep_for(Call.Timeout + Milliseconds(200));
+  auto Limit = Loop.after(Milliseconds(5000), [&]() { Loop.stop(); });
+  Loop.run();
+  CHECK(Ended == CallCount);
+  CHECK(Answered == CallCount);
+}
+
 TEST_CASE("HttpClient reads an early answer that a reset follows", "[http]") {
   EventLoop Loop;
   RawListener Server;
