--- a/lib/connection/HttpServer.cpp
+++ b/lib/connection/HttpServer.cpp
@@ -113,8 +113,7 @@
       this->RequestStarted = this->Server->Loop.now();
     auto Result = this->Parser.read(Input);
     if (Result == impl::ParseResult::NeedMore) {
-      if (this->Parser.takeExpectContinue() && this->Pipeline.empty())
-        this->write("HTTP/1.1 100 Continue\r\n\r\n");
+      this->askForBody();
       return;
     }
     bool IsUnread = Result == impl::ParseResult::NoMemory;
@@ -135,6 +134,12 @@
   }
 }
 
+void HttpServerConnection::askForBody() {
+  // An interim response belongs to the first request without an answer.
+  if (this->Pipeline.empty() && this->Parser.takeExpectContinue())
+    this->write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
 void HttpServerConnection::handle(HttpRequest Request, bool KeepAlive) {
   auto Exchange = std::make_shared<HttpExchange>(std::move(Request),
                                                  this->weak_from_this());
@@ -169,14 +174,13 @@
     this->beginRequest(); // frees what was read of it
   this->Ending = true;
   this->Pipeline.push_back(
-      {nullptr, {}, false, head(Status, {}, 0, false, true), {}});
+      {nullptr, {}, false, head(Status, {}, 0, false), {}});
   ++this->Server->OpenRequests;
   this->flush();
 }
 
 std::string HttpServerConnection::head(int Status, const HttpHeaders &Headers,
-                                       std::size_t BodyBytes, bool IsHead,
-                                       bool Close) {
+                                       std::size_t BodyBytes, bool IsHead) {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " " +
                      impl::reasonPhrase(Status) + "\r\n";
   bool HasLength = false;
@@ -190,9 +194,7 @@
   }
   if (!HasLength && Status != 204 && Status != 304)
     Text.append("Content-Length: " + std::to_string(BodyBytes) + "\r\n");
-  if (Close)
-    Text.append("Connection: close\r\n");
-  return Text.append("\r\n");
+  return Text;
 }
 
 void HttpServerConnection::endAfterPipeline() {
@@ -211,8 +213,7 @@
     if (Entry.Identity != &Exchange)
       continue;
     bool IsHead = Exchange.method() == "HEAD";
-    Entry.Head =
-        head(Status, Headers, Content.size(), IsHead, !Entry.KeepAlive);
+    Entry.Head = head(Status, Headers, Content.size(), IsHead);
     if (!IsHead && Status != 204 && Status != 304)
       Entry.Body = Content;
     this->flush();
@@ -224,6 +225,9 @@
   auto Self = this->shared_from_this();
   while (!this->Pipeline.empty() && this->Pipeline.front().Head) {
     this->write(*this->Pipeline.front().Head);
+    // A drain may begin while an answer waits for those before it.
+    this->write(this->Pipeline.front().KeepAlive ? "\r\n"
+                                                 : "Connection: close\r\n\r\n");
     this->writeBody(this->Pipeline.front().Body);
     this->Pipeline.pop_front();
     --this->Server->OpenRequests;
@@ -231,9 +235,12 @@
   }
   if (this->Event == nullptr)
     return;
-  if (this->Ending)
+  if (this->Ending) {
     this->finishWriting();
-  else if (evbuffer_get_length(bufferevent_get_input(this->Event)) > 0)
+    return;
+  }
+  this->askForBody();
+  if (evbuffer_get_length(bufferevent_get_input(this->Event)) > 0)
     this->postRead();
 }
 
