--- a/include/limpetdrum/daemon/fleet/FleetView.h
+++ b/include/limpetdrum/daemon/fleet/FleetView.h
@@ -17,8 +17,10 @@
   FleetView(EventLoop &Loop, ObjectStore &Store, Member Self, EventLog &Log,
             Metrics &Counters, std::uint64_t Seed);
 
-  /// \brief Starts to gossip and to read the contacts.
-  /// \throws NetworkError if the gossip address cannot be bound.
+  /// \brief Binds the gossip address.
+  /// \throws NetworkError if it cannot be bound.
+  void listen();
+  /// \brief Starts to gossip and to read the contacts, after listen().
   void start(ContactRegistry::Start Kind);
   /// \brief Spreads a change of this node: whether it takes requests.
   void announce(TargetState Target);
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -367,8 +367,11 @@
     else
       Learner.onRunEnd(Route, Event == RunEvent::Served, this->Loop.now());
   });
+  // All addresses are bound before the first call of the store, whose answer
+  // would find nobody if one of them is in use.
   this->Peers.start(this->meshHandlers(), this->Settings.Link);
   this->listen();
+  this->Fleet.listen();
   PolicyFeed::Handlers PolicyHandlers;
   PolicyHandlers.OnPolicyChange = [this](const TrafficPolicy &NewPolicy) {
     this->onPolicy(NewPolicy);
--- a/lib/daemon/fleet/FleetView.cpp
+++ b/lib/daemon/fleet/FleetView.cpp
@@ -23,10 +23,13 @@
       Members(Self, membershipOptions(), Seed),
       Registry(Loop, Store, std::move(Self), Log, Seed + 1) {}
 
-void FleetView::start(ContactRegistry::Start Kind) {
+void FleetView::listen() {
   this->Gossip = std::make_unique<DatagramSocket>(
       this->Loop, this->Members.self().Gossip,
       [this](const std::string &Bytes) { this->onDatagram(Bytes); });
+}
+
+void FleetView::start(ContactRegistry::Start Kind) {
   // The nodes that are running know an earlier incarnation of this one, or
   // none. In a fleet that starts, all read this one from the store.
   if (Kind == ContactRegistry::Start::Alone)
