Count what arrives on links between nodes before it is kept

A process over its memory ends, with all requests in flight there.

Cause: a link kept all that waited in its input until a message of up to 8 MiB was complete, and decompressed up to 16 MiB of it, both uncounted and on any number of connections, also on those of something that is no node. A connection without a hello was kept for ever, and a compressed one took 28 KB at once. The body of an attempt took its whole announced length from the budget for requests until the link ended, even if it never came.

Change: FrameReceiver takes memory before it keeps a part of a message, from FrameMemory; if it is used up, the longest incomplete message is given up and its link closed. Before the hello, a message has at most 64 KiB and a memory of its own, so that what is no node takes nothing from nodes; the first message has to be the hello, and come within 3 s; at most 1024 links wait for it. All input is read at once and in small pieces, so nothing waits uncounted, and a message is not unpacked to more than four times its limit. Bodies take memory as their parts arrive, and those of attempts are dropped at the deadline. Nothing changes on the wire; a message of 8 MiB still passes.

--- a/include/limpetdrum/connection/BodyParts.h
+++ b/include/limpetdrum/connection/BodyParts.h
@@ -54,23 +54,30 @@
     std::vector<unsigned char> Message; ///< that the body belongs to
     Body Content;
     Microseconds Duration; ///< from the message to the last part
+    /// There was no memory for a part; the body is empty.
+    bool ExceedsMemory = false;
   };
 
-  /// \brief Memory for a body: of an attempt, or of a reply that may still be
-  ///   given up.
-  using Memory =
-      std::variant<MemoryBudget::Share, std::unique_ptr<AnswerMemory::Receipt>>;
+  /// \brief Memory for a body: taken before, or taken as it arrives from the
+  ///   budget of attempts, or for a reply that may still be given up.
+  using Memory = std::variant<MemoryBudget::Share, MemoryBudget *,
+                              std::unique_ptr<AnswerMemory::Receipt>>;
 
   /// \brief Expects the body of a message.
-  void begin(std::uint64_t Call, std::size_t Bytes,
-             std::vector<unsigned char> Message, Memory Held, TimePoint Now);
+  /// \param Deadline after which the body is no longer needed.
+  /// \returns false if there is no memory for the message.
+  bool begin(std::uint64_t Call, std::size_t Bytes,
+             std::vector<unsigned char> Message, Memory Held, TimePoint Now,
+             TimePoint Deadline = TimePoint::max());
   /// \brief Adds a part. Parts of bodies that are not expected are ignored.
-  /// \returns the message if its body is complete.
+  /// \returns the message if its body is complete or exceeds the memory.
   /// \throws ValueError if the body becomes longer than announced.
   [[nodiscard]] std::optional<Complete>
   append(std::uint64_t Call, std::string_view Bytes, TimePoint Now);
   /// \brief Forgets a body that is no longer needed, if there is one.
   void drop(std::uint64_t Call) { this->Incoming.erase(Call); }
+  /// \brief Forgets the bodies whose deadline has passed.
+  void dropOverdue(TimePoint Now);
   /// \brief Frees a body that was given up, and ignores its further parts.
   /// \returns its message; empty if it is not expected.
   [[nodiscard]] std::vector<unsigned char> giveUp(std::uint64_t Call);
@@ -80,9 +87,18 @@
   struct Partial {
     std::size_t Bytes = 0;
     std::vector<unsigned char> Message;
-    Memory Held;
+    Memory Source;
+    MemoryBudget::Share Held; ///< taken from a budget
+    std::size_t Taken = 0;    ///< for the body
     TimePoint BeganAt;
+    TimePoint Deadline;
     std::string Text;
+
+    /// \returns false if there is no memory for the bytes.
+    [[nodiscard]] bool take(std::size_t Added);
+    /// Makes room for bytes of the body.
+    /// \returns false if there is no memory for them.
+    [[nodiscard]] bool grow(std::size_t Added);
   };
 
   std::map<std::uint64_t, Partial> Incoming; ///< by call
--- a/include/limpetdrum/connection/LinkMemory.h
+++ b/include/limpetdrum/connection/LinkMemory.h
@@ -10,6 +10,7 @@
 struct LinkMemory {
   MemoryBudget *Requests = nullptr; ///< bodies of attempts
   AnswerMemory *Answers = nullptr;  ///< bodies of replies
+  AnswerMemory *Frames = nullptr;   ///< messages that are not complete yet
 };
 
 } // namespace limpetdrum
--- a/include/limpetdrum/connection/PeerLink.h
+++ b/include/limpetdrum/connection/PeerLink.h
@@ -60,6 +60,12 @@
   ///
   /// Closes the link if more than MaxConnectionBacklogBytes are unsent.
   void send(const std::string &Bytes);
+  /// \brief Limits the messages of a peer that has not said who it is.
+  /// \param MaxBytes length of a message.
+  /// \param Memory for incomplete messages.
+  void limitFrames(std::size_t MaxBytes, AnswerMemory &Memory) noexcept;
+  /// \brief Lifts limitFrames().
+  void unlimitFrames() noexcept;
   /// \brief Sets whether the peer takes bodies in parts, as its hello says.
   void setTakesParts(bool Value) noexcept;
   /// \brief Returns true if a body is to be sent after its message, by
@@ -72,6 +78,8 @@
   void sendBody(std::uint64_t Call, Body Content);
   /// \brief Stops to send the body of a call and to receive one for it.
   void cancelBody(std::uint64_t Call);
+  /// \brief Frees bodies of attempts whose time is over.
+  void dropOverdueBodies();
   /// \brief Returns the number of bytes that wait to be written to the socket.
   [[nodiscard]] std::size_t unsentBytes() const noexcept;
   /// \brief Closes the link; no callback is called afterwards.
--- a/include/limpetdrum/daemon/fleet/IncomingLinks.h
+++ b/include/limpetdrum/daemon/fleet/IncomingLinks.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace limpetdrum {
@@ -53,6 +54,9 @@
   bool reply(Incarnation Caller, std::uint64_t Call, const Reply &Value,
              const NodeStatus &Load);
   void sendToAll(const std::string &Frame);
+  /// \brief Closes links whose caller does not say who it is, and frees bodies
+  ///   that come too late.
+  void tick();
   /// \brief Returns true if frames wait to be written on any link.
   [[nodiscard]] bool hasUnsent() const;
   /// \brief Sends a frame to the nodes of a failure domain that are linked to
@@ -64,6 +68,8 @@
 
   void accept(int Socket);
   void onClosed(std::uint64_t Key);
+  /// Closes a link without a caller.
+  void closeUnnamed(std::uint64_t Key);
   void onFrame(std::uint64_t Key, mesh::Frame::Reader Frame,
                FrameBody Received);
   void onAttempt(IncomingLink &Source, mesh::Attempt::Reader Attempt,
@@ -79,11 +85,15 @@
   EventLog &Log;
   Metrics &Counters;
   LinkMemory Memory;
+  /// For the first messages of links, so that what is no node takes nothing
+  /// from those that are.
+  AnswerMemory HelloMemory;
   Handlers Callbacks;
   std::unique_ptr<PeerListener> Listener;
   std::map<std::uint64_t, std::unique_ptr<IncomingLink>> Links;
   /// Keys of the links that carry the replies, by caller.
   std::unordered_map<Incarnation, std::uint64_t> ReplyLinks;
+  std::set<std::uint64_t> Unnamed; ///< keys of links without a caller
   std::uint64_t LastKey = 0;
 };
 
--- a/lib/connection/BodyParts.cpp
+++ b/lib/connection/BodyParts.cpp
@@ -10,6 +10,14 @@
 
 /// Short enough that a part delays other messages by few milliseconds.
 constexpr std::size_t PartBytes = 32U * 1024U;
+/// Memory that an expected body takes beside its bytes and its message.
+constexpr std::size_t EntryBytes = 512;
+/// Memory for a body is taken in steps of this size.
+constexpr std::size_t TakenBytes = 64U * 1024U;
+/// Room for a body is made for this many times the bytes that have arrived, as
+/// pages that are not written take no memory. So few bytes are copied, and a
+/// length that is announced costs nothing by itself.
+constexpr std::size_t RoomFactor = 16;
 
 } // namespace
 
@@ -46,12 +54,49 @@
   return {Call, Bytes};
 }
 
-void BodyReceiver::begin(std::uint64_t Call, std::size_t Bytes,
+bool BodyReceiver::Partial::take(std::size_t Added) {
+  if (auto *Receipt =
+          std::get_if<std::unique_ptr<AnswerMemory::Receipt>>(&this->Source))
+    return (*Receipt)->take(Added);
+  auto *Budget = std::get_if<MemoryBudget *>(&this->Source);
+  if (Budget == nullptr)
+    return true;
+  auto Share = (*Budget)->take(Added);
+  if (!Share)
+    return false;
+  this->Held.grow(std::move(*Share));
+  return true;
+}
+
+bool BodyReceiver::Partial::grow(std::size_t Added) {
+  auto Needed = this->Text.size() + Added;
+  if (Needed > this->Taken) {
+    auto Step = std::min(std::max(Needed - this->Taken, TakenBytes),
+                         this->Bytes - this->Taken);
+    if (!this->take(Step))
+      return false;
+    this->Taken += Step;
+  }
+  if (Needed > this->Text.capacity())
+    this->Text.reserve(std::min(this->Bytes, RoomFactor * Needed));
+  return true;
+}
+
+bool BodyReceiver::begin(std::uint64_t Call, std::size_t Bytes,
                          std::vector<unsigned char> Message, Memory Held,
-                         TimePoint Now) {
-  auto &Started = this->Incoming[Call];
-  Started = {Bytes, std::move(Message), std::move(Held), Now, {}};
-  Started.Text.reserve(Bytes);
+                         TimePoint Now, TimePoint Deadline) {
+  Partial Started;
+  Started.Bytes = Bytes;
+  Started.Source = std::move(Held);
+  if (auto *Taken = std::get_if<MemoryBudget::Share>(&Started.Source))
+    Started.Held = std::move(*Taken);
+  Started.BeganAt = Now;
+  Started.Deadline = Deadline;
+  if (!Started.take(Message.size() + EntryBytes))
+    return false;
+  Started.Message = std::move(Message);
+  this->Incoming[Call] = std::move(Started);
+  return true;
 }
 
 std::optional<BodyReceiver::Complete>
@@ -66,21 +111,32 @@
                          " is longer than the " + std::to_string(Known.Bytes) +
                          " bytes announced",
                      "run the same release on all nodes");
-  Known.Text.append(Bytes);
-  if (Known.Text.size() < Known.Bytes)
-    return std::nullopt;
+  bool HasMemory = Known.grow(Bytes.size());
+  if (HasMemory) {
+    Known.Text.append(Bytes);
+    if (Known.Text.size() < Known.Bytes)
+      return std::nullopt;
+  } else {
+    std::string().swap(Known.Text); // frees its bytes, unlike an assignment
+  }
   auto *Receipt =
-      std::get_if<std::unique_ptr<AnswerMemory::Receipt>>(&Known.Held);
-  auto Held = Receipt != nullptr
-                  ? (*Receipt)->complete()
-                  : std::get<MemoryBudget::Share>(std::move(Known.Held));
+      std::get_if<std::unique_ptr<AnswerMemory::Receipt>>(&Known.Source);
+  auto Held =
+      Receipt != nullptr ? (*Receipt)->complete() : std::move(Known.Held);
   Complete Result{std::move(Known.Message),
                   {std::move(Known.Text), std::move(Held)},
-                  Now - Known.BeganAt};
+                  Now - Known.BeganAt,
+                  !HasMemory};
   this->Incoming.erase(Found);
   return Result;
 }
 
+void BodyReceiver::dropOverdue(TimePoint Now) {
+  for (auto Entry = this->Incoming.begin(); Entry != this->Incoming.end();)
+    Entry = Now > Entry->second.Deadline ? this->Incoming.erase(Entry)
+                                         : std::next(Entry);
+}
+
 std::vector<unsigned char> BodyReceiver::giveUp(std::uint64_t Call) {
   auto Found = this->Incoming.find(Call);
   if (Found == this->Incoming.end())
--- a/lib/connection/PeerLink.cpp
+++ b/lib/connection/PeerLink.cpp
@@ -3,9 +3,12 @@
 #include "limpetdrum/Config.h"
 #include "limpetdrum/connection/BodyParts.h"
 #include "limpetdrum/connection/Deflate.h"
+#include "limpetdrum/connection/FrameReceiver.h"
 #include "limpetdrum/connection/SocketAddress.h"
 #include "limpetdrum/process/Error.h"
 
+#include <algorithm>
+#include <array>
 #include <capnp/serialize-packed.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -21,11 +24,16 @@
 
 namespace {
 
-constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t MaxFrameBytes = MaxConnectionBacklogBytes;
-/// Buffers are released if they grew beyond this size. Larger messages are
-/// rare, and a node has a link to every other node.
-constexpr std::size_t MaxRetainedBytes = 16U * 1024U;
+/// A message is read from a form that omits zeros, and its fields several
+/// times, each of which counts towards the limit.
+constexpr std::size_t MaxUnpackedFactor = 4;
+/// Bytes that are taken from the socket's buffer at once.
+constexpr std::size_t ReadBytes = 16U * 1024U;
+/// Compressed bytes that are read at once: they become at most 264 KB.
+constexpr std::size_t CompressedBytes = 256;
+/// More than any number of bytes becomes that are read at once.
+constexpr std::size_t MaxInflatedBytes = 1024U * 1024U;
 /// Time that sent bytes may stay unacknowledged. After it the peer counts as
 /// unreachable and the kernel ends the connection.
 constexpr unsigned UserTimeoutMillis = 3000;
@@ -52,6 +60,10 @@
   return encodeFrame(Message);
 }
 
+kj::ArrayPtr<const kj::byte> asBytes(std::string_view Text) {
+  return {reinterpret_cast<const kj::byte *>(Text.data()), Text.size()};
+}
+
 /// Runs an action that reads a message.
 /// \returns false if it found the message malformed.
 template <typename Action> bool isWellFormed(Action Read) {
@@ -80,8 +92,8 @@
   auto Bytes = Packed.getArray();
   auto Size = static_cast<std::uint32_t>(Bytes.size());
   std::string Text;
-  Text.reserve(LengthBytes + Size);
-  for (unsigned I = 0; I < LengthBytes; ++I)
+  Text.reserve(FrameReceiver::LengthBytes + Size);
+  for (unsigned I = 0; I < FrameReceiver::LengthBytes; ++I)
     Text += static_cast<char>(Size >> (8 * I) & 0xff);
   Text.append(reinterpret_cast<const char *>(Bytes.begin()), Size);
   return Text;
@@ -98,17 +110,18 @@
   TimePoint LastRead;
   BodySender Bodies;
   BodyReceiver IncomingBodies;
-  std::vector<kj::byte> Packed; ///< the message being read
+  FrameReceiver Frames;
   /// Not set on the accepting side until the peer's first byte is read.
   std::optional<Format> WireFormat;
+  // Made with the first bytes, as a link may never carry any.
   std::unique_ptr<Deflater> Outgoing;
   std::unique_ptr<Inflater> Incoming;
-  std::string Inflated;         ///< decompressed bytes
-  std::size_t InflatedUsed = 0; ///< bytes of them already delivered
 
   State(EventLoop &Loop, Events Callbacks, LinkMemory Memory)
       : Loop(Loop), Callbacks(std::move(Callbacks)), Memory(Memory),
-        LastRead(Loop.now()) {}
+        LastRead(Loop.now()), Frames([this]() { this->failLater(); }) {
+    this->Frames.setLimits(MaxFrameBytes, Memory.Frames);
+  }
 
   void attach(evutil_socket_t Socket) {
     this->Event = bufferevent_socket_new(this->Loop.base(), Socket,
@@ -132,109 +145,78 @@
       this->Callbacks.OnClosed(WasConnected);
   }
 
-  void setFormat(Format Value) {
-    this->WireFormat = Value;
-    if (Value != Format::Compressed)
-      return;
-    this->Outgoing = std::make_unique<Deflater>();
-    this->Incoming = std::make_unique<Inflater>();
+  /// Fails from the loop, because a callback of another link may be running.
+  void failLater() {
+    this->Loop.post([Weak = this->weak_from_this()]() {
+      if (auto Self = Weak.lock(); Self && Self->Event != nullptr)
+        Self->fail();
+    });
+  }
+
+  [[nodiscard]] bool isCompressed() const {
+    return this->WireFormat == Format::Compressed;
   }
 
   /// Reads the format from the first byte sent by the connecting side.
-  /// \returns false if it has not been received or the link has failed.
-  bool readFormat() {
-    unsigned char First = 0;
-    if (evbuffer_remove(bufferevent_get_input(this->Event), &First, 1) != 1)
-      return false;
-    if (First > static_cast<unsigned char>(Format::Compressed)) {
-      this->fail();
+  /// \returns false if it is unknown.
+  bool readFormat(std::string_view &Input) {
+    auto First = static_cast<unsigned char>(Input.front());
+    if (First > static_cast<unsigned char>(Format::Compressed))
       return false;
-    }
-    this->setFormat(static_cast<Format>(First));
+    Input.remove_prefix(1);
+    this->WireFormat = static_cast<Format>(First);
     return true;
   }
 
-  /// Decompresses all input received so far.
-  /// \returns false if the link has failed.
-  bool inflateInput() {
-    if (this->InflatedUsed > MaxRetainedBytes) {
-      this->Inflated.erase(0, this->InflatedUsed);
-      this->InflatedUsed = 0;
+  /// Reads what has been received and delivers the messages in it.
+  /// \returns false if the link has to fail.
+  bool receive(std::string_view Input) {
+    if (!this->WireFormat && !this->readFormat(Input))
+      return false;
+    if (!this->isCompressed())
+      return this->readFrames(Input);
+    if (!this->Incoming && !Input.empty())
+      this->Incoming = std::make_unique<Inflater>();
+    std::string Inflated;
+    for (; !Input.empty() && this->Event != nullptr;
+         Input.remove_prefix(std::min(CompressedBytes, Input.size()))) {
+      Inflated.clear();
+      if (!this->Incoming->decompress(Input.data(),
+                                      std::min(CompressedBytes, Input.size()),
+                                      MaxInflatedBytes, Inflated) ||
+          !this->readFrames(Inflated))
+        return false;
     }
-    auto *Input = bufferevent_get_input(this->Event);
-    std::vector<char> Bytes(evbuffer_get_length(Input));
-    evbuffer_remove(Input, Bytes.data(), Bytes.size());
-    if (this->Incoming->decompress(Bytes.data(), Bytes.size(),
-                                   2 * MaxFrameBytes, this->Inflated))
-      return true;
-    this->fail();
-    return false;
-  }
-
-  [[nodiscard]] std::size_t available() const {
-    return this->Incoming
-               ? this->Inflated.size() - this->InflatedUsed
-               : evbuffer_get_length(bufferevent_get_input(this->Event));
-  }
-
-  void peek(void *Output, std::size_t Size) const {
-    if (this->Incoming)
-      this->Inflated.copy(static_cast<char *>(Output), Size,
-                          this->InflatedUsed);
-    else
-      evbuffer_copyout(bufferevent_get_input(this->Event), Output, Size);
+    return true;
   }
 
-  void skip(std::size_t Size) {
-    if (!this->Incoming) {
-      evbuffer_drain(bufferevent_get_input(this->Event), Size);
-      return;
-    }
-    this->InflatedUsed += Size;
-    if (this->InflatedUsed == this->Inflated.size()) {
-      this->Inflated.clear();
-      if (this->Inflated.capacity() > MaxRetainedBytes)
-        this->Inflated.shrink_to_fit();
-      this->InflatedUsed = 0;
+  /// Delivers the messages that are complete.
+  /// \returns false if the link has to fail.
+  bool readFrames(std::string_view Input) {
+    while (!Input.empty() && this->Event != nullptr) {
+      auto Result = this->Frames.read(Input);
+      if (Result == FrameReceiver::Result::NeedMore)
+        return true;
+      if (Result != FrameReceiver::Result::Complete || !this->deliver())
+        return false;
+      this->Frames.drop();
     }
+    return true;
   }
 
-  /// Reads and delivers one message.
-  /// \returns false if no complete message is available or the link has failed.
-  bool readFrame() {
-    unsigned char Length[LengthBytes];
-    if (this->available() < LengthBytes)
-      return false;
-    this->peek(Length, LengthBytes);
-    std::size_t Size = 0;
-    for (unsigned I = 0; I < LengthBytes; ++I)
-      Size |= std::size_t{Length[I]} << (8 * I);
-    if (Size > MaxFrameBytes) {
-      this->fail();
-      return false;
-    }
-    if (this->available() < LengthBytes + Size)
-      return false;
-    this->skip(LengthBytes);
-    this->Packed.resize(Size);
-    this->peek(this->Packed.data(), Size);
-    this->skip(Size);
-    if (!this->deliver()) {
-      this->fail();
-      return false;
-    }
-    if (this->Packed.capacity() > MaxRetainedBytes)
-      this->Packed = {};
-    return this->Event != nullptr;
+  [[nodiscard]] capnp::ReaderOptions readerOptions() const {
+    capnp::ReaderOptions Options;
+    Options.traversalLimitInWords =
+        MaxUnpackedFactor * this->Frames.maxBytes() / sizeof(capnp::word);
+    return Options;
   }
 
   /// \returns false if the message is malformed.
   bool deliver() {
     bool IsValid = true;
     bool IsReadable = isWellFormed([&]() {
-      kj::ArrayInputStream Input(
-          kj::arrayPtr(this->Packed.data(), this->Packed.size()));
-      capnp::PackedMessageReader Message(Input);
+      kj::ArrayInputStream Input(asBytes(this->Frames.message()));
+      capnp::PackedMessageReader Message(Input, this->readerOptions());
       auto Frame = Message.getRoot<mesh::Frame>();
       if (Frame.isPart())
         this->onPart(Frame.getPart());
@@ -257,36 +239,32 @@
       this->Callbacks.OnFrame(Frame, std::move(Missing));
       return true;
     }
-    auto Held = this->takeMemory(Frame);
-    if (!Held) {
-      Missing.ExceedsMemory = true;
-      this->Callbacks.OnFrame(Frame, std::move(Missing));
+    auto Message = this->Frames.message();
+    auto Now = this->Loop.now();
+    auto Deadline = Frame.isAttempt()
+                        ? Now + Milliseconds(Frame.getAttempt().getTimeLeft())
+                        : TimePoint::max();
+    if (this->IncomingBodies.begin(Frame.getBodyCall(), Bytes,
+                                   {Message.begin(), Message.end()},
+                                   this->memoryFor(Frame), Now, Deadline))
       return true;
-    }
-    this->IncomingBodies.begin(Frame.getBodyCall(), Bytes, this->Packed,
-                               std::move(*Held), this->Loop.now());
+    Missing.ExceedsMemory = true;
+    this->Callbacks.OnFrame(Frame, std::move(Missing));
     return true;
   }
 
-  /// Takes the memory for the body of a message.
-  /// \returns nothing if there is none.
-  std::optional<BodyReceiver::Memory> takeMemory(mesh::Frame::Reader Frame) {
-    auto Bytes = Frame.getBodyBytes();
+  /// Returns the memory for the body of a message.
+  BodyReceiver::Memory memoryFor(mesh::Frame::Reader Frame) {
     if (!Frame.isReply()) {
       if (this->Memory.Requests == nullptr)
         return MemoryBudget::Share();
-      auto Share = this->Memory.Requests->take(Bytes);
-      return Share ? std::optional<BodyReceiver::Memory>(std::move(*Share))
-                   : std::nullopt;
+      return this->Memory.Requests;
     }
     if (this->Memory.Answers == nullptr)
       return MemoryBudget::Share();
-    auto Receipt = std::make_unique<AnswerMemory::Receipt>(
+    return std::make_unique<AnswerMemory::Receipt>(
         *this->Memory.Answers,
         [this, Call = Frame.getBodyCall()]() { this->onGivenUp(Call); });
-    if (!Receipt->take(Bytes))
-      return std::nullopt;
-    return Receipt;
   }
 
   /// Handles that a reply was given up in favour of another, maybe within the
@@ -309,7 +287,7 @@
   void deliverMessage(const std::vector<unsigned char> &Packed,
                       FrameBody Received) {
     kj::ArrayInputStream Input(kj::arrayPtr(Packed.data(), Packed.size()));
-    capnp::PackedMessageReader Message(Input);
+    capnp::PackedMessageReader Message(Input, this->readerOptions());
     this->Callbacks.OnFrame(Message.getRoot<mesh::Frame>(),
                             std::move(Received));
   }
@@ -323,16 +301,21 @@
     if (!Complete)
       return;
     FrameBody Received;
-    Received.Content = std::move(Complete->Content);
+    Received.IsMissing = Complete->ExceedsMemory;
+    Received.ExceedsMemory = Complete->ExceedsMemory;
+    if (!Complete->ExceedsMemory)
+      Received.Content = std::move(Complete->Content);
     Received.Duration = Complete->Duration;
     this->deliverMessage(Complete->Message, std::move(Received));
   }
 
   void write(const std::string &Bytes) {
-    if (!this->Outgoing) {
+    if (!this->isCompressed()) {
       bufferevent_write(this->Event, Bytes.data(), Bytes.size());
       return;
     }
+    if (!this->Outgoing)
+      this->Outgoing = std::make_unique<Deflater>();
     auto Compressed = this->Outgoing->compress(Bytes);
     bufferevent_write(this->Event, Compressed.data(), Compressed.size());
   }
@@ -352,11 +335,14 @@
   static void onReadable(bufferevent * /*Event*/, void *Context) {
     auto Self = static_cast<State *>(Context)->shared_from_this();
     Self->LastRead = Self->Loop.now();
-    if (!Self->WireFormat && !Self->readFormat())
-      return;
-    if (Self->Incoming && !Self->inflateInput())
-      return;
-    while (Self->Event != nullptr && Self->readFrame()) {
+    // All that was received is read, so nothing waits in the buffer.
+    std::array<char, ReadBytes> Bytes;
+    while (Self->Event != nullptr) {
+      auto Size = bufferevent_read(Self->Event, Bytes.data(), Bytes.size());
+      if (Size == 0)
+        return;
+      if (!Self->receive({Bytes.data(), Size}) && Self->Event != nullptr)
+        Self->fail();
     }
   }
 
@@ -378,7 +364,7 @@
                    Format WireFormat, LinkMemory Memory)
     : Impl(std::make_shared<State>(Loop, std::move(Callbacks), Memory)) {
   this->Impl->attach(-1);
-  this->Impl->setFormat(WireFormat);
+  this->Impl->WireFormat = WireFormat;
   auto First = static_cast<unsigned char>(WireFormat);
   bufferevent_write(this->Impl->Event, &First, 1);
   auto Address = toSocketAddress(Peer);
@@ -405,15 +391,21 @@
     return;
   auto *Output = bufferevent_get_output(this->Impl->Event);
   if (evbuffer_get_length(Output) > MaxConnectionBacklogBytes) {
-    this->Impl->Loop.post([Weak = this->Impl->weak_from_this()]() {
-      if (auto State = Weak.lock())
-        State->fail();
-    });
+    this->Impl->failLater();
     return;
   }
   this->Impl->write(Bytes);
 }
 
+void PeerLink::limitFrames(std::size_t MaxBytes,
+                           AnswerMemory &Memory) noexcept {
+  this->Impl->Frames.setLimits(MaxBytes, &Memory);
+}
+
+void PeerLink::unlimitFrames() noexcept {
+  this->Impl->Frames.setLimits(MaxFrameBytes, this->Impl->Memory.Frames);
+}
+
 void PeerLink::setTakesParts(bool Value) noexcept {
   this->Impl->TakesParts = Value;
 }
@@ -427,7 +419,7 @@
 }
 
 bool PeerLink::canSend(const std::string &Bytes) noexcept {
-  return Bytes.size() <= LengthBytes + MaxFrameBytes;
+  return Bytes.size() <= FrameReceiver::LengthBytes + MaxFrameBytes;
 }
 
 void PeerLink::sendBody(std::uint64_t Call, Body Content) {
@@ -440,6 +432,10 @@
   this->Impl->IncomingBodies.drop(Call);
 }
 
+void PeerLink::dropOverdueBodies() {
+  this->Impl->IncomingBodies.dropOverdue(this->Impl->Loop.now());
+}
+
 std::size_t PeerLink::unsentBytes() const noexcept {
   if (this->Impl->Event == nullptr)
     return 0;
--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -41,6 +41,10 @@
 /// state of the fleet and the process.
 constexpr std::size_t RequestMemoryDivisor = 2;
 constexpr std::size_t AnswerMemoryDivisor = 8;
+/// Part of the rest for messages of nodes that are not complete, but enough for
+/// two of the longest.
+constexpr std::size_t FrameMemoryDivisor = 16;
+constexpr std::size_t MinFrameMemoryBytes = 2 * MaxConnectionBacklogBytes;
 
 std::int64_t unixMillis() {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -94,6 +98,7 @@
   MemoryBudget RequestMemory;
   AnswerMemory TargetMemory; ///< for answers of the target
   AnswerMemory PeerMemory;   ///< for answers of other nodes
+  AnswerMemory FrameMemory;  ///< for incomplete messages of other nodes
   limpetdrum::Incarnation Incarnation = newIncarnation();
   std::uint64_t Seed;
   TimePoint Started;
@@ -135,6 +140,8 @@
         RequestMemory(Settings.MemoryBytes / RequestMemoryDivisor),
         TargetMemory(Settings.MemoryBytes / AnswerMemoryDivisor),
         PeerMemory(Settings.MemoryBytes / AnswerMemoryDivisor),
+        FrameMemory(std::max(Settings.MemoryBytes / FrameMemoryDivisor,
+                             MinFrameMemoryBytes)),
         Seed(stableHash(Settings.Node.value(), this->Incarnation.value())),
         Started(Loop.now()),
         TargetClient(Loop, Settings.Target,
@@ -149,7 +156,7 @@
                       this->LocalTarget, Log, Counters),
         Fleet(Loop, Store, this->member(), Log, Counters, this->Seed + 2),
         Peers(Loop, this->contact(), this->Incarnation, Log, Counters,
-              {&this->RequestMemory, &this->PeerMemory}),
+              {&this->RequestMemory, &this->PeerMemory, &this->FrameMemory}),
         Links(this->Fleet.members(), this->Peers, Loop),
         CrashNewsExchange(Settings.FailureDomain, this->Crashes,
                           this->ProvenCrashes, this->Links, this->Peers, Log,
--- a/lib/daemon/fleet/IncomingLinks.cpp
+++ b/lib/daemon/fleet/IncomingLinks.cpp
@@ -6,16 +6,32 @@
 
 namespace limpetdrum {
 
+namespace {
+
+/// A hello and what it names are a few hundred bytes.
+constexpr std::size_t MaxHelloBytes = 64U * 1024U;
+/// Memory for hellos that are not complete.
+constexpr std::size_t HelloMemoryBytes = 4U * 1024U * 1024U;
+/// Nodes send their hello at once, and give up a link without one in return
+/// after a second.
+constexpr Milliseconds HelloTimeout{3000};
+/// Links that may wait for their hello: as many as connect at once.
+constexpr std::size_t MaxUnnamedLinks = 1024;
+
+} // namespace
+
 struct IncomingLinks::IncomingLink {
   std::unique_ptr<PeerLink> Link;
   NodeId Node;
   FailureDomain Domain;
   std::optional<Incarnation> Caller; ///< unset before the hello
+  TimePoint AcceptedAt;
 };
 
 IncomingLinks::IncomingLinks(EventLoop &Loop, EventLog &Log, Metrics &Counters,
                              LinkMemory Memory)
-    : Loop(Loop), Log(Log), Counters(Counters), Memory(Memory) {}
+    : Loop(Loop), Log(Log), Counters(Counters), Memory(Memory),
+      HelloMemory(HelloMemoryBytes) {}
 
 IncomingLinks::~IncomingLinks() = default;
 
@@ -40,7 +56,28 @@
   auto Accepted = std::make_unique<IncomingLink>();
   Accepted->Link =
       std::make_unique<PeerLink>(this->Loop, Socket, Events, this->Memory);
+  Accepted->Link->limitFrames(MaxHelloBytes, this->HelloMemory);
+  Accepted->AcceptedAt = this->Loop.now();
   this->Links.emplace(Key, std::move(Accepted));
+  this->Unnamed.insert(Key);
+  if (this->Unnamed.size() > MaxUnnamedLinks)
+    this->closeUnnamed(*this->Unnamed.begin());
+}
+
+void IncomingLinks::closeUnnamed(std::uint64_t Key) {
+  this->Counters.count("links_without_hello");
+  this->onClosed(Key);
+}
+
+void IncomingLinks::tick() {
+  auto Now = this->Loop.now();
+  // Keys rise with the time.
+  while (!this->Unnamed.empty() &&
+         Now - this->Links.at(*this->Unnamed.begin())->AcceptedAt >
+             HelloTimeout)
+    this->closeUnnamed(*this->Unnamed.begin());
+  for (auto &[Key, Source] : this->Links)
+    Source->Link->dropOverdueBodies();
 }
 
 void IncomingLinks::onClosed(std::uint64_t Key) {
@@ -50,6 +87,7 @@
   auto Caller = Found->second->Caller;
   destroyLater(this->Loop, std::move(Found->second->Link));
   this->Links.erase(Found);
+  this->Unnamed.erase(Key);
   if (Caller)
     this->chooseReplyLink(*Caller);
 }
@@ -66,6 +104,7 @@
   auto &Source = *this->Links.at(Key);
   if (!Source.Caller && Frame.which() != mesh::Frame::HELLO) {
     this->Counters.count("mesh_frames_unexpected");
+    this->closeUnnamed(Key);
     return;
   }
   try {
@@ -85,6 +124,8 @@
     Source.Node = Hello.Status.Self.Node;
     Source.Domain = Hello.Status.Self.FailureDomain;
     Source.Caller = callerKey(Source.Node, Hello.Status.Incarnation);
+    this->Unnamed.erase(Key);
+    Source.Link->unlimitFrames();
     this->ReplyLinks[*Source.Caller] = Key;
     Source.Link->setTakesParts(Hello.Status.TakesBodyParts);
     this->Callbacks.OnHello(*Source.Link, Hello);
--- a/lib/daemon/fleet/Mesh.cpp
+++ b/lib/daemon/fleet/Mesh.cpp
@@ -525,6 +525,7 @@
 
 void Mesh::tick() {
   auto Now = this->Loop.now();
+  this->Incoming.tick();
   // Loads may be sent more often than this, but do not postpone the status.
   if (Now - this->LastStatusSentAt >= StatusPeriod)
     this->broadcast();
--- a/unittests/BodyPartsTest.cpp
+++ b/unittests/BodyPartsTest.cpp
@@ -81,3 +81,32 @@
   CHECK(Budget.used() == 0);
   CHECK_FALSE(Receiver.append(5, "45", TimePoint()));
 }
+
+TEST_CASE("BodyReceiver takes memory as a body arrives") {
+  constexpr std::size_t Length = 1'000'000;
+  MemoryBudget Budget(500'000);
+  BodyReceiver Receiver;
+  REQUIRE(Receiver.begin(5, Length, {1, 2}, &Budget, TimePoint()));
+  CHECK(Budget.used() < 1000);
+  CHECK_FALSE(Receiver.append(5, text(300'000, 1), TimePoint()));
+  CHECK(Budget.used() > 300'000);
+  auto Refused = Receiver.append(5, text(300'000, 1), TimePoint());
+  REQUIRE(Refused);
+  CHECK(Refused->ExceedsMemory);
+  CHECK(Refused->Content.empty());
+  CHECK(Refused->Message == std::vector<unsigned char>{1, 2});
+  Refused.reset();
+  CHECK(Budget.used() == 0);
+}
+
+TEST_CASE("BodyReceiver frees a body at its deadline") {
+  MemoryBudget Budget(500'000);
+  BodyReceiver Receiver;
+  TimePoint Start{Microseconds(1000)};
+  REQUIRE(Receiver.begin(5, 10, {}, &Budget, Start, Start + Milliseconds(9)));
+  Receiver.dropOverdue(Start + Milliseconds(9));
+  CHECK_FALSE(Receiver.empty());
+  Receiver.dropOverdue(Start + Milliseconds(10));
+  CHECK(Receiver.empty());
+  CHECK(Budget.used() == 0);
+}
--- a/unittests/MeshNode.h
+++ b/unittests/MeshNode.h
@@ -24,6 +24,7 @@
   EventLog Log{open("/dev/null", O_WRONLY)};
   MemoryBudget Memory{256U * 1024U * 1024U};
   AnswerMemory Answers{256U * 1024U * 1024U};
+  AnswerMemory Frames{16U * 1024U * 1024U};
   Mesh Links;
   std::vector<MeshAttempt> Attempts;
   std::vector<Incarnation> Callers;
@@ -44,7 +45,8 @@
            std::uint64_t IncarnationValue)
       : Loop(Loop), Name(Name), Current(IncarnationValue),
         Links(Loop, contact(Name, Port), Incarnation(IncarnationValue),
-              this->Log, this->Counters, {&this->Memory, &this->Answers}) {
+              this->Log, this->Counters,
+              {&this->Memory, &this->Answers, &this->Frames}) {
     Mesh::Handlers Handlers;
     Handlers.OnAttempt = [this](const NodeId &, Incarnation Caller,
                                 const MeshAttempt &Attempt) {
