Let the soak's targets send answers without end, and judge what that costs

Callers: none yet. Operators of a similar system met a target that sent without end, whose node kept the bytes until its memory was used up. The soak had no such target and measured no memory, so it could not notice it.

The harness bounds what it holds: targets wait for unread bytes, and a relay no longer reads from one side what the other has not taken. The witness judges the resident memory of each process against its machine, and requests to undisturbed services that are sent meanwhile.

Beside other faults few requests can be judged.

--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -37,6 +37,9 @@
 constexpr Milliseconds SettlingPeriod{2000};
 constexpr Milliseconds LagLimit{150}; ///< of the harness's event loop
 constexpr Milliseconds LagCheckPeriod{20};
+constexpr Milliseconds MemoryCheckPeriod{50};
+/// Memory of the machine of each node, in megabytes.
+constexpr std::size_t MachineMegabytes = 260;
 constexpr Milliseconds AddressReuseDelay{2000};
 /// One client in this many disconnects early.
 constexpr std::uint64_t AbandonOneIn = 12;
@@ -64,6 +67,7 @@
 Bounds boundsOf(const Soak::Options &Config) {
   Bounds Value;
   Value.RepeatSlack = Config.RepeatSlack;
+  Value.MemoryBytes = MachineMegabytes * 1'000'000;
   return Value;
 }
 
@@ -109,6 +113,7 @@
     {"copy answers", &Soak::copyAnswers, 3},
     {"delay answers", &Soak::delayAnswers, 2},
     {"break answers", &Soak::breakAnswers, 3},
+    {"endless answers", &Soak::sendEndlessly, 3},
     {"shed requests", &Soak::shedRequests, 3},
     {"fail unmarked", &Soak::failUnmarked, 2},
     {"burst", &Soak::burst, 2},
@@ -137,6 +142,7 @@
         Route.Service != nullptr
             ? std::set<std::string>{Route.Service}
             : std::set<std::string>(Services.begin(), Services.end());
+  this->Observations.ServicesOfCalls = {{"/order/", {"c"}}};
   this->Observations.ReassignedRoute = "/move/";
   for (const auto &Name : Organisations)
     for (unsigned I = 0; I < KeysPerOrganisation; ++I)
@@ -248,6 +254,7 @@
 }
 
 void Soak::start() {
+  setenv("LIMPETDRUM_MEMORY_MB", std::to_string(MachineMegabytes).c_str(), 1);
   this->publishPolicy(false);
   for (std::size_t I = 0; I < this->Config.Nodes; ++I) {
     auto N = std::make_unique<Node>();
@@ -275,6 +282,8 @@
       Milliseconds(10), [this]() { this->restartEndedProcesses(); }));
   this->PeriodicTimers.push_back(
       this->Loop.every(LagCheckPeriod, [this]() { this->checkLag(); }));
+  this->PeriodicTimers.push_back(
+      this->Loop.every(MemoryCheckPeriod, [this]() { this->measureMemory(); }));
   this->runAfter(StartUpPeriod / 2, [this]() {
     auto Interval = Microseconds(static_cast<std::int64_t>(
         1e6 / (this->Config.RequestsPerNode *
@@ -290,6 +299,14 @@
          this->Loop.now() > *this->FaultsEnded + RecoveryPeriod;
 }
 
+void Soak::measureMemory() {
+  for (const auto &Each : this->Nodes)
+    if (Each->Process) {
+      auto &Peak = this->Observations.PeakMemory[Each->Index];
+      Peak = std::max(Peak, Each->Process->residentBytes());
+    }
+}
+
 void Soak::checkLag() {
   auto Now = this->Loop.now();
   // The harness records events late if its event loop stalls.
@@ -525,6 +542,8 @@
     auto &N = *this->Nodes[this->randomBelow(this->Nodes.size())];
     this->logEvent(std::string(Kind.Name) + " " + N.Name);
     ++this->FaultCounts[Kind.Name];
+    if (Kind.Inject != &Soak::sendEndlessly)
+      this->Observations.OtherFaults.push_back(this->Loop.now());
     (this->*Kind.Inject)(N);
     break;
   }
@@ -650,12 +669,34 @@
 void Soak::spoilAnswers(Node &N, AnswerStyle Style) {
   auto Share = this->randomShare();
   auto Span = this->randomSpan(1000, 5000);
-  // All targets of a service, in every other case.
+  for (auto *Each : this->selectNodes(N))
+    Each->Target->spoilAnswers(Style, Share, Span);
+}
+
+std::vector<Soak::Node *> Soak::selectNodes(Node &N) {
   bool IsOfService = this->randomBelow(2) == 0;
+  std::vector<Node *> Selected;
   for (auto &Each : this->Nodes)
     if (Each->Target &&
         (Each.get() == &N || (IsOfService && Each->Service == N.Service)))
-      Each->Target->spoilAnswers(Style, Share, Span);
+      Selected.push_back(Each.get());
+  return Selected;
+}
+
+void Soak::sendEndlessly(Node &N) {
+  // Always of the same service, so that there are sound ones to judge.
+  const auto &Service = Services[this->Config.Seed % Services.size()];
+  auto *Chosen = &N;
+  while (Chosen->Service != Service)
+    Chosen = this->Nodes[(Chosen->Index + 1) % this->Nodes.size()].get();
+  bool IsSlow = this->randomBelow(4) == 0;
+  auto Share = (1 + this->randomShare()) / 2;
+  auto Span = this->randomSpan(1000, 5000);
+  for (auto *Each : this->selectNodes(*Chosen))
+    Each->Target->spoilEndlessly(IsSlow, Share, Span);
+  this->logEvent("of service " + Service + (IsSlow ? ", slow" : ""));
+  auto Now = this->Loop.now();
+  this->Observations.EndlessAnswers.push_back({Service, Now, Now + Span});
 }
 
 double Soak::randomShare() {
@@ -814,7 +855,12 @@
   Text << " runs " << this->Observations.Runs.size() << "; versions "
        << this->Observations.PolicyVersions.size() << "; acknowledged leaves "
        << this->Observations.LeaveAcks.size() << "; store calls "
-       << this->ObjectStore->calls() << "\n";
+       << this->ObjectStore->calls() << "; judged beside endless answers "
+       << this->Observations.soundBesideEndless(this->Loop.now()).size()
+       << "; peak memory in MB:";
+  for (const auto &[Node, Bytes] : this->Observations.PeakMemory)
+    Text << " " << Bytes / 1'000'000;
+  Text << "\n";
   return Text.str();
 }
 
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -69,6 +69,8 @@
   void endTarget(Node &N);
   /// \brief Restarts ended processes and replaces targets that have exited.
   void restartEndedProcesses();
+  /// \brief Records the memory of all processes.
+  void measureMemory();
   /// \brief Records stalls of the harness, and stops the loop at the end.
   void checkLag();
   /// \brief Publishes a new policy version; if \p Reassigns is set, it moves
@@ -103,6 +105,8 @@
   bench::Relay &selectRelay(Node &N, Milliseconds Span);
 
   void spoilAnswers(Node &N, AnswerStyle Style);
+  /// \brief Returns \p N or, in every other case, all nodes of its service.
+  [[nodiscard]] std::vector<Node *> selectNodes(Node &N);
   /// \brief Returns a random share from a tenth to all.
   [[nodiscard]] double randomShare();
 
@@ -122,6 +126,7 @@
   void copyAnswers(Node &N);
   void delayAnswers(Node &N);
   void breakAnswers(Node &N);
+  void sendEndlessly(Node &N);
   void shedRequests(Node &N);
   void failUnmarked(Node &N);
   void burst(Node &N);
--- a/soak/Target.cpp
+++ b/soak/Target.cpp
@@ -60,6 +60,10 @@
   this->Server->spoil(Style, Share, Span);
 }
 
+void Target::spoilEndlessly(bool IsSlow, double Share, Milliseconds Span) {
+  this->Server->spoilEndlessly(IsSlow, Share, Span);
+}
+
 void Target::shed(double Share, Milliseconds Span) {
   this->Shed = {Share, this->Loop.now() + Span};
 }
--- a/soak/Target.h
+++ b/soak/Target.h
@@ -71,6 +71,8 @@
   /// \brief Writes answers in a style for \p Span.
   /// \param Share of the answers, from 0 to 1.
   void spoilAnswers(AnswerStyle Style, double Share, Milliseconds Span);
+  /// \brief Writes a share of the answers without end for \p Span.
+  void spoilEndlessly(bool IsSlow, double Share, Milliseconds Span);
   /// \brief Refuses a share of the requests for \p Span although it has room.
   void shed(double Share, Milliseconds Span);
   /// \brief Runs a share of the requests for \p Span, and answers with the
--- a/soak/TargetServer.cpp
+++ b/soak/TargetServer.cpp
@@ -5,6 +5,7 @@
 #include "limpetdrum/connection/SocketAddress.h"
 #include "limpetdrum/process/Error.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -18,14 +19,25 @@
 constexpr unsigned MaxCopyDelayMillis = 100;
 constexpr unsigned MaxAnswerDelayMillis = 1500;
 constexpr unsigned MaxPauseMillis = 300;
+/// Period and bytes of the writes of an answer that does not end, and the
+/// bytes above which it waits for the reader.
+constexpr Milliseconds EndlessPeriod{2};
+constexpr std::size_t EndlessBytes = 64 * 1024;
+constexpr std::size_t SlowEndlessBytes = 8;
+constexpr std::size_t MaxUnreadBytes = 128 * 1024;
 const std::string Noise = "no answer\r\n\r\n";
 
-std::string serialize(int Status, const HttpHeaders &Headers,
-                      const std::string &Body, bool HasLength) {
+std::string serializeHead(int Status, const HttpHeaders &Headers) {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " " +
                      impl::reasonPhrase(Status) + "\r\n";
   for (const auto &[Name, Value] : Headers)
     Text.append(Name).append(": ").append(Value).append("\r\n");
+  return Text;
+}
+
+std::string serialize(int Status, const HttpHeaders &Headers,
+                      const std::string &Body, bool HasLength) {
+  auto Text = serializeHead(Status, Headers);
   if (HasLength)
     Text.append("Content-Length: " + std::to_string(Body.size()) + "\r\n");
   else
@@ -109,6 +121,9 @@
     case AnswerStyle::BeforeNoise:
       this->write(Bytes + Noise);
       break;
+    case AnswerStyle::Endless:
+      this->answerEndlessly(serializeHead(Status, Headers), Bytes);
+      return;
     }
     this->read();
   }
@@ -157,8 +172,36 @@
     this->after(MaxMillis, [this, Bytes]() { this->write(Bytes); });
   }
 
+  /// \param Whole the answer as it would be if it ended.
+  void answerEndlessly(const std::string &Head, const std::string &Whole) {
+    // What the node has not read is lost with the connection, and no end of it
+    // is the end of the answer.
+    linger Immediate{1, 0};
+    setsockopt(bufferevent_getfd(this->Event), SOL_SOCKET, SO_LINGER,
+               &Immediate, sizeof(Immediate));
+    auto Part = EndlessParts[this->Server.Random() % EndlessParts.size()];
+    auto Size = this->Server.IsSlow ? SlowEndlessBytes : EndlessBytes;
+    this->Endless.emplace(Part, Head);
+    if (Part == EndlessPart::AfterAnswer || Part == EndlessPart::OnIdle)
+      this->write(Whole);
+    auto Start = [this, Size]() {
+      this->Timers.push_back(this->Server.Loop.every(
+          EndlessPeriod, [this, Size]() { this->writeMore(Size); }));
+    };
+    if (Part == EndlessPart::OnIdle)
+      this->after(MaxCopyDelayMillis, Start);
+    else
+      Start();
+  }
+
+  void writeMore(std::size_t Size) {
+    if (this->Event != nullptr && evbuffer_get_length(bufferevent_get_output(
+                                      this->Event)) < MaxUnreadBytes)
+      this->write(this->Endless->next(Size));
+  }
+
   void read() {
-    if (this->Event == nullptr || this->Current)
+    if (this->Event == nullptr || this->Current || this->Endless)
       return;
     auto Result = this->Parser.read(bufferevent_get_input(this->Event));
     if (Result == impl::ParseResult::NeedMore)
@@ -179,6 +222,7 @@
   bufferevent *Event = nullptr;
   impl::RequestParser Parser;
   std::shared_ptr<TargetExchange> Current;
+  std::optional<EndlessAnswer> Endless; ///< no more requests are read then
   std::string Copy; ///< of the last answer, to be written before the next
   std::vector<Timer> Timers;
 };
@@ -237,6 +281,12 @@
   this->SpoiledUntil = this->Loop.now() + Span;
 }
 
+void TargetServer::spoilEndlessly(bool NewIsSlow, double NewShare,
+                                  Milliseconds Span) {
+  this->IsSlow = NewIsSlow;
+  this->spoil(AnswerStyle::Endless, NewShare, Span);
+}
+
 AnswerStyle TargetServer::nextStyle() {
   std::uniform_real_distribution<double> Draw(0, 1);
   bool IsSpoiled =
--- a/soak/TargetServer.h
+++ b/soak/TargetServer.h
@@ -1,6 +1,8 @@
 #ifndef LIMPETDRUM_SOAK_TARGETSERVER_H
 #define LIMPETDRUM_SOAK_TARGETSERVER_H
 
+#include "EndlessAnswer.h"
+
 #include "limpetdrum/connection/Http.h"
 
 #include <random>
@@ -23,6 +25,7 @@
   Closed,           ///< the connection is closed in place of the answer
   WithoutLength,    ///< ends with the connection
   BeforeNoise,      ///< followed by bytes that are no answer
+  Endless,          ///< does not end until the connection does
 };
 
 class TargetConnection;
@@ -68,6 +71,10 @@
   /// \brief Writes answers in a style for a while.
   /// \param Share of the answers, from 0 to 1.
   void spoil(AnswerStyle Style, double Share, Milliseconds Span);
+  /// \brief Writes a share of the answers without end for a while, each in a
+  ///   random part.
+  /// \param IsSlow a few bytes at a time, else as fast as they are read.
+  void spoilEndlessly(bool IsSlow, double Share, Milliseconds Span);
 
 private:
   friend class TargetConnection;
@@ -80,6 +87,7 @@
   AnswerStyle Style = AnswerStyle::Whole;
   double Share = 0;
   TimePoint SpoiledUntil{};
+  bool IsSlow = false;
   using ConnectionSet = std::set<std::shared_ptr<TargetConnection>>;
   std::shared_ptr<ConnectionSet> Connections =
       std::make_shared<ConnectionSet>();
--- a/soak/Witness.cpp
+++ b/soak/Witness.cpp
@@ -19,6 +19,12 @@
 /// disturbance, such as a store that fails.
 constexpr Milliseconds StoreRecovery{5000};
 
+/// Time after a span of endless answers in which its service may still be
+/// disturbed.
+constexpr Milliseconds EndlessAftermath{3000};
+/// Time in which any other fault may still have an effect.
+constexpr Milliseconds FaultAftermath{20'000};
+
 bool meansNotRun(int Status) {
   return Status == 429 || Status == 503 || Status == 408 || Status == 421;
 }
@@ -71,9 +77,65 @@
   this->checkCrashes(Broken);
   this->checkOrganisations(Broken);
   this->checkKeys(Broken);
+  this->checkMemory(Broken);
+  this->checkBesideEndless(Broken, Now);
   return Broken;
 }
 
+void Witness::checkMemory(Findings &Broken) const {
+  for (const auto &[Node, Bytes] : this->PeakMemory)
+    if (Bytes > this->Bounds.MemoryBytes)
+      Broken.push_back({"a node stays within its memory",
+                        "node " + std::to_string(Node) + " used " +
+                            std::to_string(Bytes / 1'000'000) + " MB"});
+}
+
+std::vector<const RequestRecord *>
+Witness::soundBesideEndless(TimePoint Now) const {
+  std::vector<const RequestRecord *> Sound;
+  for (const auto &[Id, Request] : this->Requests) {
+    if (Request.IsCall || Request.Abandoned || Request.CrashesTargets ||
+        Request.Status == 401 || Request.Deadline + AnswerSlack > Now)
+      continue;
+    auto Services = this->AllowedServices.at(Request.Route);
+    auto Calls = this->ServicesOfCalls.find(Request.Route);
+    if (Calls != this->ServicesOfCalls.end())
+      Services.insert(Calls->second.begin(), Calls->second.end());
+    bool IsBeside = false;
+    bool IsDisturbed = !this->isUndisturbed(Request.Entry, Request.Sent,
+                                            Request.Deadline + AnswerSlack);
+    for (const auto &Span : this->EndlessAnswers) {
+      IsBeside |= Span.Start <= Request.Sent && Request.Sent <= Span.End;
+      IsDisturbed |= Services.count(Span.Service) != 0 &&
+                     Span.Start <= Request.Deadline &&
+                     Request.Sent <= Span.End + EndlessAftermath;
+    }
+    for (const auto &Start : this->OtherFaults)
+      IsDisturbed |= Start <= Request.Deadline + AnswerSlack &&
+                     Request.Sent <= Start + FaultAftermath;
+    if (IsBeside && !IsDisturbed)
+      Sound.push_back(&Request);
+  }
+  return Sound;
+}
+
+void Witness::checkBesideEndless(Findings &Broken, TimePoint Now) const {
+  unsigned Unserved = 0;
+  std::string Example;
+  auto Sound = this->soundBesideEndless(Now);
+  for (const auto *Request : Sound) {
+    if (Request->Status == 200)
+      continue;
+    ++Unserved;
+    Example = Request->Id + ", answered " + std::to_string(Request->Status);
+  }
+  if (Unserved > ToleratedCount)
+    Broken.push_back({"answers without end cost no requests to others",
+                      std::to_string(Unserved) + " of " +
+                          std::to_string(Sound.size()) +
+                          " were not served, one is " + Example});
+}
+
 void Witness::checkRuns(Findings &Broken) const {
   std::map<std::string, unsigned> RunCounts;
   for (const auto &Run : this->Runs) {
--- a/soak/Witness.h
+++ b/soak/Witness.h
@@ -82,6 +82,14 @@
   TimePoint End{};
 };
 
+/// \brief A span of time in which targets of a service sent answers without
+///   end.
+struct EndlessSpan {
+  std::string Service;
+  TimePoint Start{};
+  TimePoint End{};
+};
+
 /// \brief The bounds that the promises are checked against.
 struct Bounds {
   Milliseconds ContactWindow{3000};
@@ -92,6 +100,7 @@
   double RepeatRatio = 0.2;
   unsigned RepeatSlack = 20;
   Milliseconds RepeatWindow{10'000};
+  std::size_t MemoryBytes = SIZE_MAX; ///< of each node's machine
 };
 
 /// \brief Records the observations of clients and targets, and checks them
@@ -115,6 +124,12 @@
   /// Start times of each node's processes.
   std::map<std::size_t, std::vector<TimePoint>> Starts;
   std::map<std::string, std::set<std::string>> AllowedServices; ///< by route
+  /// Services that the runs of a route call, by route.
+  std::map<std::string, std::set<std::string>> ServicesOfCalls;
+  std::vector<EndlessSpan> EndlessAnswers;
+  std::vector<TimePoint> OtherFaults; ///< when each other fault began
+  /// Highest resident memory of each node's processes, in bytes.
+  std::map<std::size_t, std::size_t> PeakMemory;
   std::map<std::string, KeyRecord> Keys; ///< all that there have been
   std::string ReassignedRoute; ///< its service changes with the policy
 
@@ -125,6 +140,11 @@
   /// \brief Returns all broken promises.
   /// \param Now the end of the run.
   [[nodiscard]] std::vector<Finding> check(TimePoint Now) const;
+  /// \brief Returns the requests of clients that were sent while targets of
+  ///   other services answered without end, and while nothing else disturbed
+  ///   them.
+  [[nodiscard]] std::vector<const RequestRecord *>
+  soundBesideEndless(TimePoint Now) const;
 
 private:
   using Findings = std::vector<Finding>;
@@ -142,6 +162,9 @@
   ///   connections, falls into a span.
   [[nodiscard]] bool wasInterrupted(std::size_t Node, TimePoint Start,
                                     TimePoint End) const;
+  void checkMemory(Findings &Broken) const;
+  /// Checks that targets which answer without end cost no requests to others.
+  void checkBesideEndless(Findings &Broken, TimePoint Now) const;
   void checkRuns(Findings &Broken) const;
   void checkAnswers(Findings &Broken, TimePoint Now) const;
   void checkDrains(Findings &Broken) const;
--- a/standins/bench/Process.cpp
+++ b/standins/bench/Process.cpp
@@ -67,4 +67,12 @@
   return Nanoseconds / 1e9;
 }
 
+std::size_t Process::residentBytes() const {
+  std::ifstream Stat("/proc/" + std::to_string(this->Id) + "/statm");
+  std::size_t Total = 0;
+  std::size_t Resident = 0;
+  Stat >> Total >> Resident;
+  return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 } // namespace limpetdrum::bench
--- a/standins/bench/Process.h
+++ b/standins/bench/Process.h
@@ -29,6 +29,9 @@
   /// \brief Returns the processor time used, in seconds; 0 after the process
   ///   has been reaped.
   [[nodiscard]] double processorSeconds() const;
+  /// \brief Returns the resident memory, in bytes; 0 after the process has
+  ///   ended.
+  [[nodiscard]] std::size_t residentBytes() const;
 
 private:
   pid_t Id = -1;
--- a/standins/bench/Relay.cpp
+++ b/standins/bench/Relay.cpp
@@ -13,6 +13,13 @@
 
 namespace limpetdrum::bench {
 
+namespace {
+
+/// Bytes for a side that does not read, above which the other side waits.
+constexpr std::size_t MaxUnreadBytes = 512 * 1024;
+
+} // namespace
+
 /// Two sockets; the bytes read from each are written to the other one.
 struct Relay::Pair {
   Relay::State &Owner;
@@ -37,20 +44,8 @@
     bufferevent_free(this->Back);
   }
 
-  void block(Direction Blocked) {
-    if (this->Cut || this->Ended)
-      return;
-    auto SetReading = [](bufferevent *Side, bool Enabled) {
-      if (Enabled)
-        bufferevent_enable(Side, EV_READ);
-      else
-        bufferevent_disable(Side, EV_READ);
-    };
-    SetReading(this->Front,
-               Blocked == Direction::None || Blocked == Direction::ToClient);
-    SetReading(this->Back,
-               Blocked == Direction::None || Blocked == Direction::ToServer);
-  }
+  /// Reads from each side unless that is blocked or the other side is behind.
+  void updateReading();
 
   void reset() {
     for (auto *Side : {this->Front, this->Back}) {
@@ -63,6 +58,7 @@
   /// Writes \p Last, and all earlier chunks to the same destination.
   void send(const evbuffer *Last);
   static void onRead(bufferevent *From, void *Context);
+  static void onWritten(bufferevent *To, void *Context);
   static void onEvent(bufferevent *From, short Events, void *Context);
 };
 
@@ -83,12 +79,13 @@
     P.Back = bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
     auto Address = toSocketAddress(this->Server);
     for (auto *Side : {P.Front, P.Back}) {
-      bufferevent_setcb(Side, &Pair::onRead, nullptr, &Pair::onEvent, &P);
+      bufferevent_setcb(Side, &Pair::onRead, &Pair::onWritten, &Pair::onEvent,
+                        &P);
       bufferevent_enable(Side, EV_READ | EV_WRITE);
     }
     bufferevent_socket_connect(P.Back, reinterpret_cast<sockaddr *>(&Address),
                                sizeof(Address));
-    P.block(this->Blocked);
+    P.updateReading();
   }
 
   void removeEnded() {
@@ -96,11 +93,33 @@
   }
 };
 
+void Relay::Pair::updateReading() {
+  if (this->Cut || this->Ended)
+    return;
+  auto Update = [](bufferevent *From, bufferevent *To, bool IsBlocked) {
+    if (!IsBlocked &&
+        evbuffer_get_length(bufferevent_get_output(To)) < MaxUnreadBytes)
+      bufferevent_enable(From, EV_READ);
+    else
+      bufferevent_disable(From, EV_READ);
+  };
+  auto Blocked = this->Owner.Blocked;
+  Update(this->Front, this->Back,
+         Blocked == Direction::Both || Blocked == Direction::ToServer);
+  Update(this->Back, this->Front,
+         Blocked == Direction::Both || Blocked == Direction::ToClient);
+}
+
+void Relay::Pair::onWritten(bufferevent * /*To*/, void *Context) {
+  static_cast<Pair *>(Context)->updateReading();
+}
+
 void Relay::Pair::onRead(bufferevent *From, void *Context) {
   auto *Self = static_cast<Pair *>(Context);
   auto *Destination = From == Self->Front ? Self->Back : Self->Front;
   if (Self->Owner.Delay == Milliseconds(0) && Self->Delayed.empty()) {
     bufferevent_write_buffer(Destination, bufferevent_get_input(From));
+    Self->updateReading();
     return;
   }
   auto *Bytes = evbuffer_new();
@@ -125,6 +144,7 @@
     evbuffer_free(Entry->Bytes);
     Entry = this->Delayed.erase(Entry);
   }
+  this->updateReading();
 }
 
 void Relay::Pair::onEvent(bufferevent *From, short Events, void *Context) {
@@ -198,7 +218,7 @@
 void Relay::block(Direction Blocked) {
   this->Impl->Blocked = Blocked;
   for (auto &P : this->Impl->Pairs)
-    P.block(Blocked);
+    P.updateReading();
 }
 
 void Relay::reset() {
--- a/unittests/SoakWitnessTest.cpp
+++ b/unittests/SoakWitnessTest.cpp
@@ -12,9 +12,10 @@
 /// \brief A history of two nodes: clients send requests to the first, and the
 ///   target of the second runs them.
 struct History {
-  Witness Observations{{}, {"a", "b"}};
+  Witness Observations;
 
-  History() {
+  explicit History(Witness Empty = Witness({}, {"a", "b"}))
+      : Observations(std::move(Empty)) {
     this->Observations.AllowedServices = {{"/order/", {"b"}},
                                           {"/move/", {"a", "b"}}};
     this->Observations.ReassignedRoute = "/move/";
@@ -427,3 +428,71 @@
     CHECK(Scenario.brokenPromises() == Refused);
   }
 }
+
+TEST_CASE("Witness reports a node that is over its memory") {
+  soak::Bounds Bounds;
+  Bounds.MemoryBytes = 1000;
+  History Scenario{Witness(Bounds, {"a", "b"})};
+  Scenario.Observations.PeakMemory = {{0, 1000}, {1, 1000}};
+  CHECK(Scenario.brokenPromises().empty());
+  Scenario.Observations.PeakMemory[1] = 1001;
+  CHECK(Scenario.brokenPromises() == Names{"a node stays within its memory"});
+}
+
+TEST_CASE("Witness reports requests that endless answers of others cost") {
+  History Scenario;
+  auto &Observations = Scenario.Observations;
+  Observations.EndlessAnswers = {{"c", at(10'000), at(12'000)}};
+  constexpr std::size_t Tolerated = 3;
+  auto Send = [&](int Sent, std::size_t Count, const char *Route = "/order/") {
+    for (std::size_t I = 0; I < Count; ++I)
+      Scenario.addRequest("q" + std::to_string(I), Route, Sent).Status = 503;
+    return Scenario.brokenPromises();
+  };
+  const Names Cost{"answers without end cost no requests to others"};
+  SECTION("as many as are tolerated") {
+    CHECK(Send(10'000, Tolerated).empty());
+    CHECK(Observations.soundBesideEndless(at(100'000)).size() == Tolerated);
+  }
+  SECTION("one more, at both ends of the span") {
+    CHECK(Send(10'000, Tolerated + 1) == Cost);
+    CHECK(Send(12'000, Tolerated + 1) == Cost);
+  }
+  SECTION("before and after the span") {
+    CHECK(Send(9'999, Tolerated + 1).empty());
+    CHECK(Send(12'001, Tolerated + 1).empty());
+  }
+  SECTION("a service that is called answers without end") {
+    Observations.ServicesOfCalls = {{"/order/", {"c"}}};
+    CHECK(Send(10'000, Tolerated + 1).empty());
+  }
+  SECTION("the service itself did, a while before") {
+    Observations.EndlessAnswers.push_back({"b", at(2'000), at(7'000)});
+    CHECK(Send(10'000, Tolerated + 1).empty());
+    CHECK(Send(10'001, Tolerated + 1) == Cost);
+  }
+  SECTION("another fault, before or within the timeout") {
+    Observations.OtherFaults = {at(12'500)};
+    CHECK(Send(10'000, Tolerated + 1).empty());
+    Observations.OtherFaults = {at(12'501)};
+    CHECK(Send(10'000, Tolerated + 1) == Cost);
+  }
+  SECTION("a disturbance of the entry, or of another node") {
+    Scenario.addDisturbance(0, Disturbance::Kind::Unplanned, 8'000, 8'001);
+    CHECK(Send(10'000, Tolerated + 1).empty());
+    Observations.Disturbances[0].Node = 1;
+    CHECK(Send(10'000, Tolerated + 1) == Cost);
+  }
+  SECTION("requests that were answered, refused for their key or abandoned") {
+    Send(10'000, Tolerated + 1);
+    Observations.Requests["q0"].Status = 401;
+    Observations.Requests["q0"].IsOpen = true;
+    CHECK(Scenario.brokenPromises().empty());
+    Observations.Requests["q0"].Status = 503;
+    Observations.Requests["q0"].Abandoned = at(10'100);
+    CHECK(Scenario.brokenPromises().empty());
+    Observations.Requests["q0"].Abandoned.reset();
+    Observations.Requests["q0"].Status = 200;
+    CHECK(Scenario.brokenPromises().empty());
+  }
+}
