Refuse long bodies where readiness and metrics are asked for

Cause: the servers for readiness and metrics kept bodies of up to 1 MiB, on any number of connections, though no request there needs one.

Change: a body there has at most 4 KiB; a longer one is answered 413.

Test: "Sidecar refuses long bodies where none is needed" failed with the limit of before (503 and 200 instead of 413).

--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -45,6 +45,8 @@
 /// two of the longest.
 constexpr std::size_t FrameMemoryDivisor = 16;
 constexpr std::size_t MinFrameMemoryBytes = 2 * MaxConnectionBacklogBytes;
+/// Longest body of a request for readiness or metrics, which need none.
+constexpr std::size_t MaxQueryBodyBytes = 4096;
 
 std::int64_t unixMillis() {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -271,19 +273,25 @@
       this->Loop, this->Settings.Outbound,
       [this](Exchange E) { this->Forwarder.onRequest(std::move(E)); },
       this->clientOptions());
+  HttpServerOptions QueryOptions;
+  QueryOptions.MaxBodyBytes = MaxQueryBodyBytes;
   this->Readiness = std::make_unique<HttpServer>(
-      this->Loop, this->Settings.Readiness, [this](const Exchange &E) {
+      this->Loop, this->Settings.Readiness,
+      [this](const Exchange &E) {
         E->reply(this->isReady() ? 200 : 503, {}, "");
-      });
+      },
+      QueryOptions);
   this->Reports = std::make_unique<HttpServer>(
       this->Loop, this->Settings.Reports,
       [this](const Exchange &E) { this->onReport(E); });
   this->MetricsPage = std::make_unique<HttpServer>(
-      this->Loop, this->Settings.Metrics, [this](const Exchange &E) {
+      this->Loop, this->Settings.Metrics,
+      [this](const Exchange &E) {
         this->refreshGauges();
         E->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                  this->Counters.text());
-      });
+      },
+      QueryOptions);
 }
 
 Mesh::Handlers Sidecar::State::meshHandlers() {
--- a/unittests/SidecarMemoryTest.cpp
+++ b/unittests/SidecarMemoryTest.cpp
@@ -67,3 +67,21 @@
   // One copy each at the other node, the sidecar and the target.
   CHECK(Meter.peak() < 3 * BodyBytes + OtherBytes);
 }
+
+// Guards against bodies that many connections leave unfinished where nobody
+// needs them.
+TEST_CASE("Sidecar refuses long bodies where none is needed", "[rpc]") {
+  SidecarFixture Fixture;
+  auto Port =
+      GENERATE(SidecarFixture::ReadinessPort, SidecarFixture::MetricsPort);
+  HttpClient Client(Fixture.Loop, SidecarFixture::local(Port));
+  HttpResponse Answer;
+  HttpCall Call;
+  Call.Method = "POST";
+  Call.Path = "/";
+  Call.Body = std::string(100'000, 'b');
+  (void)Client.send(Call,
+                    [&](HttpResponse Value) { Answer = std::move(Value); });
+  Fixture.waitUntil([&]() { return Answer.Status != 0; });
+  CHECK(Answer.Status == 413);
+}
