--- a/lib/daemon/Sidecar.cpp
+++ b/lib/daemon/Sidecar.cpp
@@ -47,6 +47,8 @@
 constexpr std::size_t MinFrameMemoryBytes = 2 * MaxConnectionBacklogBytes;
 /// Longest body of a request for readiness or metrics, which need none.
 constexpr std::size_t MaxQueryBodyBytes = 4096;
+/// Longest status report of a target; usual ones have some hundred bytes.
+constexpr std::size_t MaxReportBodyBytes = 16U * 1024U;
 
 std::int64_t unixMillis() {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -297,9 +299,11 @@
         E->reply(this->isReady() ? 200 : 503, {}, "");
       },
       QueryOptions);
+  auto ReportOptions = this->serverOptions();
+  ReportOptions.MaxBodyBytes = MaxReportBodyBytes;
   this->Reports = std::make_unique<HttpServer>(
       this->Loop, this->Settings.Reports,
-      [this](const Exchange &E) { this->onReport(E); }, this->serverOptions());
+      [this](const Exchange &E) { this->onReport(E); }, ReportOptions);
   this->MetricsPage = std::make_unique<HttpServer>(
       this->Loop, this->Settings.Metrics,
       [this](const Exchange &E) {
--- a/unittests/SidecarMemoryTest.cpp
+++ b/unittests/SidecarMemoryTest.cpp
@@ -73,7 +73,8 @@
 TEST_CASE("Sidecar refuses long bodies where none is needed", "[rpc]") {
   SidecarFixture Fixture;
   auto Port =
-      GENERATE(SidecarFixture::ReadinessPort, SidecarFixture::MetricsPort);
+      GENERATE(SidecarFixture::ReadinessPort, SidecarFixture::ReportsPort,
+               SidecarFixture::MetricsPort);
   HttpClient Client(Fixture.Loop, SidecarFixture::local(Port));
   HttpResponse Answer;
   HttpCall Call;
