Give up no short answers, and none that has not begun, for long ones

What callers saw: nothing yet; found by the review of this change. Where long answers that had announced their length used up the memory, all requests whose answers had not begun yet would have failed, one by one, for nothing.

Cause: an answer counted as one of unknown length from the moment its request was sent, and those were given up first, whatever they held.

Change: only answers of unknown length above 64 KiB go before the announced ones. A client that is destroyed in the same pass ignores that an answer was given up.

--- a/lib/connection/HttpClient.cpp
+++ b/lib/connection/HttpClient.cpp
@@ -294,7 +294,7 @@
   // Given up within the callback of another connection, or of this one.
   auto OnGivenUp = [this]() {
     this->Owner.Loop.post([Weak = this->weak_from_this()]() {
-      if (auto Self = Weak.lock())
+      if (auto Self = Weak.lock(); Self && Self->Event != nullptr)
         Self->onGivenUp();
     });
   };
--- a/lib/process/AnswerMemory.cpp
+++ b/lib/process/AnswerMemory.cpp
@@ -10,6 +10,9 @@
 
 /// Part of the memory that is kept for answers to requests that already run.
 constexpr std::size_t ReserveDivisor = 4;
+/// Answers up to this length are given up last, whether they have announced it
+/// or not.
+constexpr std::size_t ShortAnswerBytes = 64U * 1024U;
 
 } // namespace
 
@@ -34,7 +37,8 @@
   /// Returns the order in which answers are given up: the greatest first.
   [[nodiscard]] static std::pair<bool, std::size_t>
   orderOf(const Receipt &Receiver, std::size_t Added) {
-    return {!Receiver.IsAnnounced, Receiver.bytes() + Added};
+    auto Bytes = Receiver.bytes() + Added;
+    return {!Receiver.IsAnnounced && Bytes > ShortAnswerBytes, Bytes};
   }
 
   [[nodiscard]] bool take(Receipt &Receiver, std::size_t Bytes) {
