Ignore a second hello that names another node or incarnation

What callers saw: nothing yet; found by the review. A process would end with an exception, and cut its requests, when it replied to an attempt over a link that had been renamed by a second hello and was closed.

Cause: the entry by which replies find the link of the first name stayed for ever, and pointed to a link that was gone.

Evidence: "Mesh ignores a second hello of another incarnation" failed before with an unexpected exception, map::at.

Change: such a hello is malformed and changes nothing. No node sends one.

--- a/lib/daemon/fleet/IncomingLinks.cpp
+++ b/lib/daemon/fleet/IncomingLinks.cpp
@@ -124,9 +124,13 @@
   switch (Frame.which()) {
   case mesh::Frame::HELLO: {
     auto Hello = codec::decode(Frame.getHello());
+    auto Caller = callerKey(Hello.Status.Self.Node, Hello.Status.Incarnation);
+    if (Source.Caller && !(*Source.Caller == Caller))
+      throw ValueError("a second hello names another node or incarnation",
+                       "run the same release on all nodes");
     Source.Node = Hello.Status.Self.Node;
     Source.Domain = Hello.Status.Self.FailureDomain;
-    Source.Caller = callerKey(Source.Node, Hello.Status.Incarnation);
+    Source.Caller = Caller;
     this->Unnamed.erase(Key);
     Source.Link->unlimitFrames();
     this->ReplyLinks[*Source.Caller] = Key;
--- a/unittests/LinkMemoryTest.cpp
+++ b/unittests/LinkMemoryTest.cpp
@@ -64,12 +64,16 @@
   return Text.append(Sent, 'a');
 }
 
-/// Returns the format of plain messages and a hello.
-std::string plainHello() {
+std::string hello(Incarnation Current) {
   MeshHello Hello;
   Hello.Status.Self = contact("c", PortC);
-  Hello.Status.Incarnation = Incarnation(3);
-  return std::string(1, '\0') + codec::encodeHello(Hello);
+  Hello.Status.Incarnation = Current;
+  return codec::encodeHello(Hello);
+}
+
+/// Returns the format of plain messages and a hello.
+std::string plainHello() {
+  return std::string(1, '\0') + hello(Incarnation(3));
 }
 
 } // namespace
@@ -192,3 +196,19 @@
   CHECK(Short.read(Input) == FrameReceiver::Result::Complete);
   CHECK(Short.message().size() == 50'000);
 }
+
+// Guards against a process that ends when it replies to a caller whose link
+// took another name before it closed.
+TEST_CASE("Mesh ignores a second hello of another incarnation", "[rpc]") {
+  EventLoop Loop;
+  MeshNode B(Loop, "b", PortB, 2);
+  auto Bytes = plainHello() + hello(Incarnation(4));
+  auto Renamed = std::make_unique<RawLinks>(Loop, 1, Bytes);
+  waitUntil(Loop,
+            [&]() { return B.Counters.counter("mesh_frames_malformed") == 1; });
+  CHECK(B.Counters.counter("mesh_frames_malformed") == 1);
+  Renamed.reset();
+  wait(Loop, 100);
+  CHECK_FALSE(B.Links.reply(callerKey(NodeId("c"), Incarnation(3)), 1, {}));
+  CHECK_FALSE(B.Links.reply(callerKey(NodeId("c"), Incarnation(4)), 1, {}));
+}
