Wrap a comment as the formatter does

What callers saw: nothing. Cause: a comment was edited without the formatter, so the script of all checks ended at its first step. Change: its line break. Result: the formatter finds nothing.

--- a/include/limpetdrum/process/AnswerMemory.h
+++ b/include/limpetdrum/process/AnswerMemory.h
@@ -15,7 +15,8 @@
 /// answer takes memory before its bytes are kept. When the memory is used up,
 /// the longest answer that is still being received is given up, first of the
 /// long ones that have not announced their length: one that does not end makes
-/// room for the others beside it. Complete answers are kept until they are delivered.
+/// room for the others beside it. Complete answers are kept until they are
+/// delivered.
 class AnswerMemory {
   struct State;
 
