--- a/review/standins-3/Deployment.cpp
+++ b/review/standins-3/Deployment.cpp
@@ -108,6 +108,11 @@
   ::shutdown(this->Socket, SHUT_RDWR);
 }
 
+bool Connection::isReadable() const noexcept {
+  pollfd Entry{this->Socket, POLLIN, 0};
+  return !this->Buffer.empty() || poll(&Entry, 1, 0) > 0;
+}
+
 bool Connection::fill(Clock::time_point End) {
   auto Left = std::chrono::ceil<milliseconds>(End - Clock::now());
   pollfd Entry{this->Socket, POLLIN, 0};
@@ -222,9 +227,17 @@
   }
 }
 
-Store::Store(std::uint16_t Port)
-    : Listening(std::make_unique<Server>(
-          Port, [this](Connection &Client) { this->serve(Client); })) {}
+Store::Store(std::uint16_t Port) {
+  this->addEntrance(Port, []() { return false; });
+}
+
+void Store::addEntrance(std::uint16_t Port,
+                        std::function<bool()> IsTurnedAway) {
+  this->Listening.push_back(std::make_unique<Server>(
+      Port, [this, IsTurnedAway = std::move(IsTurnedAway)](Connection &Client) {
+        this->serve(Client, IsTurnedAway);
+      }));
+}
 
 Store::~Store() {
   {
@@ -232,7 +245,7 @@
     this->Stopped = true;
   }
   this->Changed.notify_all();
-  this->Listening.reset();
+  this->Listening.clear();
 }
 
 void Store::write(const std::string &Kind, const std::string &Name,
@@ -257,13 +270,15 @@
   return Object;
 }
 
-void Store::serve(Connection &Client) {
+void Store::serve(Connection &Client,
+                  const std::function<bool()> &IsTurnedAway) {
   while (auto Call = Client.read(100s)) {
     std::istringstream Start(Call->Start);
     std::string Method;
     std::string Target;
     Start >> Method >> Target;
-    auto Reply = this->handle(Method, Target, Call->Body);
+    auto Reply = IsTurnedAway() ? Answer{503, ""}
+                                : this->handle(Method, Target, Call->Body);
     if (!Client.write(answerText(
             Reply.Status, "Content-Type: application/json\r\n", Reply.Body)))
       return;
@@ -521,6 +536,15 @@
   return Answer && Answer->Start.find(" 200") != std::string::npos;
 }
 
+std::size_t Sidecar::residentBytes() const {
+  std::ifstream File("/proc/" + std::to_string(this->Id) + "/statm");
+  std::size_t Total = 0;
+  std::size_t Resident = 0;
+  if (!(File >> Total >> Resident))
+    return 0;
+  return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 json makeRoute(const std::string &Service, const std::string &Kind,
                const std::string &Prefix, const std::string &Timeout) {
   return {{"host", "orders.example"}, {"path-prefix", Prefix},
--- a/review/standins-3/Deployment.h
+++ b/review/standins-3/Deployment.h
@@ -45,6 +45,8 @@
   /// \brief Reads a message with a length, in chunks or without a body.
   /// \returns nothing if the connection ends before it, or after the time.
   [[nodiscard]] std::optional<Message> read(std::chrono::milliseconds Limit);
+  /// \brief Returns true if bytes of an answer wait to be read.
+  [[nodiscard]] bool isReadable() const noexcept;
   /// \brief Ends reads and writes, also those of other threads.
   void shutdown() const noexcept;
 
@@ -90,6 +92,9 @@
   Store(const Store &) = delete;
   Store &operator=(const Store &) = delete;
 
+  /// \brief Serves the store at one more port.
+  /// \param IsTurnedAway returns true while calls there are answered 503.
+  void addEntrance(std::uint16_t Port, std::function<bool()> IsTurnedAway);
   /// \brief Writes an object as the operator does.
   void write(const std::string &Kind, const std::string &Name,
              const nlohmann::json &Specification);
@@ -99,7 +104,7 @@
     int Status;
     std::string Body;
   };
-  void serve(Connection &Client);
+  void serve(Connection &Client, const std::function<bool()> &IsTurnedAway);
   Answer handle(const std::string &Method, const std::string &Target,
                 const std::string &Body);
   Answer list(const std::string &Kind);
@@ -113,7 +118,7 @@
   bool Stopped = false; ///< watches end at once
   std::uint64_t Revision = 1;
   std::map<std::string, std::map<std::string, nlohmann::json>> Kinds;
-  std::unique_ptr<Server> Listening;
+  std::vector<std::unique_ptr<Server>> Listening;
 };
 
 /// \brief Lines of record.txt, with the time since the start.
@@ -192,6 +197,8 @@
   void kill();
   [[nodiscard]] bool isRunning();
   [[nodiscard]] bool isReady() const;
+  /// \brief Returns the resident memory of the process; 0 if it has ended.
+  [[nodiscard]] std::size_t residentBytes() const;
   [[nodiscard]] const Place &place() const noexcept { return this->Where; }
 
 private:
