--- a/review/13/Trial.cpp
+++ b/review/13/Trial.cpp
@@ -1,10 +1,11 @@
 #include "TargetProcess.h"
 
+#include <csignal>
 #include <cstdio>
 #include <iostream>
 
-/// A target leaves, starts again under its id, and leaves once more before its
-/// first report, which is late, has arrived.
+/// All processes are killed after a target has left. The store turns one
+/// machine away, and a report of before the leave arrives there late.
 
 namespace {
 
@@ -12,16 +13,20 @@
 using namespace std::chrono_literals;
 
 constexpr auto DrainTimeout = 2000ms;
-/// Time for which a target serves after the ack of its leave.
-constexpr auto ServesAfterLeave = 8000ms;
-constexpr auto ReportDelay = 3000ms;
+constexpr auto ContactWindow = 3000ms;
+/// Time for which the target serves after the ack of its leave.
+constexpr auto ServesAfterLeave = 12000ms;
+/// Time after the ack at which the late report arrives.
+constexpr auto ReportDelay = 4500ms;
+/// The site's dose: a third of the machines, for 9 s.
+constexpr auto TurnedAwayFor = 9000ms;
 constexpr auto TimeBudget = 4000ms;
 
 class Trial {
 public:
   Trial(const std::string &Root, const std::string &Folder,
         const std::string &RecordFile)
-      : Lines(RecordFile), FirstPort(findFreePorts(31)),
+      : Lines(RecordFile), FirstPort(findFreePorts(32)),
         Objects(FirstPort + 30) {
     for (unsigned I = 0; I < 3; ++I) {
       std::string Letter(1, static_cast<char>('a' + I));
@@ -31,8 +36,12 @@
         this->Others.push_back(std::make_unique<Target>(
             Where, [](const Message &) { return "accepted"; }, this->Lines));
       this->Nodes.push_back(std::make_unique<Sidecar>(
-          Where, Root, Folder, static_cast<std::uint16_t>(FirstPort + 30)));
+          Where, Root, Folder,
+          static_cast<std::uint16_t>(FirstPort + (I == 0 ? 31 : 30))));
     }
+    this->Objects.addEntrance(
+        static_cast<std::uint16_t>(this->FirstPort + 31),
+        [this]() { return Clock::now() < this->TurnedAwayUntil.load(); });
     this->Objects.write(
         "config", "main",
         makeManifest(7,
@@ -64,72 +73,75 @@
   }
 
   int play() {
-    if (!this->playFirstProcess())
-      return this->stop("the first process was not acknowledged");
-    sleepFor(1s);
-    TargetProcess Second(
-        this->Nodes[0]->place(),
-        [this](const std::string &Id) { this->onSecondRun(Id); });
-    this->Lines.add("the target starts again under its id");
-    auto Started = Clock::now();
-    auto Report = Second.makeReport();
-    if (!hasTrouble())
-      this->deliver(Second, Report);
-    std::this_thread::sleep_until(Started + 1s);
-    // As it has no ack of its report yet, it goes by the leave alone.
-    auto Status = Second.call("DELETE", "");
-    this->LeftAt = Clock::now();
-    this->Lines.add("the second process leaves: answered " +
-                    std::to_string(Status));
-    if (Status != 200)
-      return this->stop("the second leave was not acknowledged");
-    std::this_thread::sleep_until(Started + ReportDelay);
+    TargetProcess Leaving(this->Nodes[0]->place(),
+                          [this](const std::string &Id) { this->onRun(Id); });
+    for (unsigned I = 0; I < 3; ++I) {
+      (void)Leaving.call("PUT", Leaving.makeReport());
+      sleepFor(1500ms);
+    }
+    auto Report = Leaving.makeReport();
+    auto Status = Leaving.call("DELETE", "");
+    auto Left = Clock::now();
+    this->LeftAt = Left;
+    this->Lines.add("the target leaves: answered " + std::to_string(Status));
+    if (Status != 200 || this->Runs == 0)
+      return this->stop("the target was not in use, or its leave was not "
+                        "acknowledged");
     if (hasTrouble())
-      this->deliver(Second, Report);
-    std::this_thread::sleep_until(this->LeftAt.load() + ServesAfterLeave);
-    this->Lines.add("the second process exits");
+      this->restart();
+    std::this_thread::sleep_until(Left + ReportDelay);
+    this->deliver(Leaving, Report);
+    std::this_thread::sleep_until(Left + ServesAfterLeave);
+    this->Lines.add("the target exits");
     return 0;
   }
 
-  /// Plays the life of the first process up to its exit.
-  /// \returns false if its leave is not acknowledged.
-  bool playFirstProcess() {
-    TargetProcess First(this->Nodes[0]->place(), [this](const std::string &Id) {
-      ++this->FirstRuns;
-      this->Lines.add("the first process runs " + Id);
-    });
-    for (unsigned I = 0; I < 4; ++I) {
-      (void)First.call("PUT", First.makeReport());
-      sleepFor(1500ms);
-    }
-    auto Status = First.call("DELETE", "");
-    this->Lines.add("the first process leaves: answered " +
-                    std::to_string(Status));
-    sleepFor(DrainTimeout + 1s);
-    return Status == 200 && this->FirstRuns > 0;
+  /// Kills all processes at the same moment and starts them again, while the
+  /// store turns the machine of the leaving target away.
+  void restart() {
+    sleepFor(200ms);
+    this->TurnedAwayUntil = Clock::now() + TurnedAwayFor;
+    this->Lines.add("the store turns the first machine away; SIGKILL to all");
+    for (const auto &Node : this->Nodes)
+      Node->signal(SIGKILL);
+    for (const auto &Node : this->Nodes)
+      Node->kill();
+    sleepFor(500ms);
+    for (const auto &Node : this->Nodes)
+      Node->start(false);
+    this->StartedAt = Clock::now();
+    this->Lines.add("all processes are started again");
   }
 
   void deliver(TargetProcess &Sender, const std::string &Report) {
     auto Status = Sender.call("PUT", Report);
-    this->Lines.add("the first report of the second process arrives: "
+    this->Lines.add("the report of before the leave arrives: "
                     "answered " +
                     std::to_string(Status));
   }
 
-  void onSecondRun(const std::string &Id) {
+  void onRun(const std::string &Id) {
+    auto Now = Clock::now();
     auto Left = this->LeftAt.load();
-    bool IsLate =
-        Left != Clock::time_point() && Clock::now() > Left + DrainTimeout;
+    // Past contact-window after the start, all machines have been running.
+    bool IsLate = Left != Clock::time_point() && Now > Left + DrainTimeout &&
+                  Now > this->StartedAt.load() + ContactWindow;
+    ++this->Runs;
     if (IsLate)
       ++this->LateRuns;
-    this->Lines.add("the second process runs " + Id +
-                    (IsLate ? ", later than drain-timeout" : ""));
+    this->Lines.add("the leaving target runs " + Id +
+                    (IsLate ? ", counted" : ""));
   }
 
   void sendOrders(unsigned Node) {
     auto Port = this->Nodes[Node]->place().outbound();
     auto Link = Connection::open(Port);
-    while (Link && !this->IsOver) {
+    while (!this->IsOver) {
+      if (!Link) {
+        sleepFor(50ms);
+        Link = Connection::open(Port);
+        continue;
+      }
       char Id[17];
       std::snprintf(Id, sizeof(Id), "%016x", ++this->LastId);
       auto Status = send(*Link, "POST", "/orders/new", Id,
@@ -138,7 +150,7 @@
                       std::to_string(Node) + ": answered " +
                       std::to_string(Status));
       if (Status == 0)
-        Link = Connection::open(Port);
+        Link.reset();
       sleepFor(50ms);
     }
   }
@@ -154,15 +166,17 @@
     return IsBroken ? 1 : 0;
   }
 
+  std::atomic<Clock::time_point> TurnedAwayUntil{Clock::time_point()};
   Record Lines;
   std::uint16_t FirstPort;
   Store Objects;
   std::vector<std::unique_ptr<Target>> Others;
   std::vector<std::unique_ptr<Sidecar>> Nodes;
   std::atomic<unsigned> LastId{0};
-  std::atomic<unsigned> FirstRuns{0};
+  std::atomic<unsigned> Runs{0};
   std::atomic<unsigned> LateRuns{0};
   std::atomic<Clock::time_point> LeftAt{Clock::time_point()};
+  std::atomic<Clock::time_point> StartedAt{Clock::time_point()};
   std::atomic<bool> IsOver{false};
 };
 
