--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -10,7 +10,7 @@
   exit 2
 fi
 Folder=$(mktemp -d)
-timeout -k 5 110 "$Program" "$Root" "$Folder" "$Case/record.txt"
+timeout -k 3 115 "$Program" "$Root" "$Folder" "$Case/record.txt"
 Status=$?
 rm -rf "$Folder"
 [ "$Status" -le 2 ] || Status=2
